--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# Two commands do everything on a fresh Debian machine: make demo, make check.
+PACKAGES = meson ninja-build pkg-config gcc clang clang-format clang-tidy curl \
+	liburcu-dev libzmq3-dev libcivetweb-dev libcurl4-openssl-dev libjansson-dev \
+	libmpack-dev libinih-dev libxxhash-dev libcunit1-dev libmicrohttpd-dev \
+	spin libclang-rt-14-dev
+BUILD = build
+
+.PHONY: demo check packages build bench clean
+
+packages:
+	@test/packages.sh $(PACKAGES)
+
+build: packages
+	@[ -f $(BUILD)/build.ninja ] || meson setup $(BUILD) > /dev/null
+	@ninja -C $(BUILD)
+
+demo: build
+	@BUILD=$(BUILD) bash test/demo.sh
+
+check: build
+	@BUILD=$(BUILD) bash test/check.sh
+
+bench: build
+	@BUILD=$(BUILD) bash bench/run.sh
+
+clean:
+	rm -rf $(BUILD) build-fuzz
--- /dev/null
+++ b/control/command.c
@@ -0,0 +1,185 @@
+#include "control/command.h"
+
+#include "core/buf.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+bool
+command_is_for_all (enum command_kind kind)
+{
+	return kind == COMMAND_CHANGE || kind == COMMAND_MEMBER || kind == COMMAND_MEMBER_GONE;
+}
+
+static void
+write_change (struct pack_writer *writer, const struct change *change)
+{
+	pack_array (writer, 6);
+	pack_str (writer, change->id);
+	pack_u64 (writer, change->kind);
+	pack_str (writer, change->name);
+	pack_u64 (writer, change->expect);
+	pack_bool (writer, change->remove);
+	pack_str (writer, change->spec ? change->spec : "");
+}
+
+static void
+write_member (struct pack_writer *writer, const struct member *member)
+{
+	pack_array (writer, 5);
+	pack_str (writer, member->name);
+	pack_str (writer, member->data_centre);
+	pack_str (writer, member->address);
+	pack_u64 (writer, member->incarnation);
+	pack_bool (writer, member->leaving);
+}
+
+static void
+write_claim (struct pack_writer *writer, const struct command_claim *claim)
+{
+	pack_array (writer, 4);
+	pack_str (writer, claim->key);
+	pack_u64 (writer, claim->digest);
+	pack_u64 (writer, claim->nonce);
+	pack_i64 (writer, claim->retention_ms);
+}
+
+static void
+write_outcome (struct pack_writer *writer, const struct command_outcome *outcome)
+{
+	pack_array (writer, 5);
+	pack_str (writer, outcome->key);
+	pack_u64 (writer, outcome->nonce);
+	pack_u64 (writer, outcome->status);
+	pack_i64 (writer, outcome->http_status);
+	pack_str (writer, outcome->body ? outcome->body : "");
+}
+
+void *
+command_encode (const struct command *command, size_t *len)
+{
+	struct pack_writer writer;
+	pack_start (&writer);
+	pack_array (&writer, 3);
+	pack_u64 (&writer, command->kind);
+	pack_i64 (&writer, command->log_time_ms);
+	switch (command->kind) {
+	case COMMAND_CHANGE:
+		write_change (&writer, &command->u.change);
+		break;
+	case COMMAND_MEMBER:
+	case COMMAND_MEMBER_GONE:
+		write_member (&writer, &command->u.member);
+		break;
+	case COMMAND_CLAIM:
+		write_claim (&writer, &command->u.claim);
+		break;
+	case COMMAND_OUTCOME:
+		write_outcome (&writer, &command->u.outcome);
+		break;
+	case COMMAND_KINDS:
+		pack_nil (&writer);
+		break;
+	}
+	return pack_end (&writer, len);
+}
+
+static void
+read_chars (struct pack_node array, size_t at, char *to, size_t size)
+{
+	pack_get_str (pack_at (array, at), to, size);
+}
+
+static char *
+read_change (struct pack_node node, struct change *change)
+{
+	read_chars (node, 0, change->id, sizeof (change->id));
+	unsigned kind = pack_get_u64 (pack_at (node, 1));
+	read_chars (node, 2, change->name, sizeof (change->name));
+	change->expect = pack_get_u64 (pack_at (node, 3));
+	change->remove = pack_get_bool (pack_at (node, 4));
+	char *spec = pack_get_text (pack_at (node, 5));
+	if (kind >= RESOURCE_KINDS)
+		pack_fail (node);
+	else
+		change->kind = (enum resource_kind)kind;
+	change->spec = spec;
+	return spec;
+}
+
+static void
+read_member (struct pack_node node, struct member *member)
+{
+	read_chars (node, 0, member->name, sizeof (member->name));
+	read_chars (node, 1, member->data_centre, sizeof (member->data_centre));
+	read_chars (node, 2, member->address, sizeof (member->address));
+	member->incarnation = pack_get_u64 (pack_at (node, 3));
+	member->leaving = pack_get_bool (pack_at (node, 4));
+}
+
+static void
+read_claim (struct pack_node node, struct command_claim *claim)
+{
+	read_chars (node, 0, claim->key, sizeof (claim->key));
+	claim->digest = pack_get_u64 (pack_at (node, 1));
+	claim->nonce = pack_get_u64 (pack_at (node, 2));
+	claim->retention_ms = pack_get_i64 (pack_at (node, 3));
+}
+
+static char *
+read_outcome (struct pack_node node, struct command_outcome *outcome)
+{
+	read_chars (node, 0, outcome->key, sizeof (outcome->key));
+	outcome->nonce = pack_get_u64 (pack_at (node, 1));
+	unsigned status = pack_get_u64 (pack_at (node, 2));
+	if (status > CLAIM_UNKNOWN)
+		pack_fail (node);
+	else
+		outcome->status = (enum claim_status)status;
+	outcome->http_status = pack_get_i64 (pack_at (node, 3));
+	char *body = pack_get_text (pack_at (node, 4));
+	outcome->body = body;
+	return body;
+}
+
+void *
+command_decode (struct command *command, const void *data, size_t len)
+{
+	struct pack_tree tree;
+	char *storage = NULL;
+	memset (command, 0, sizeof (*command));
+	struct pack_node root = pack_parse (&tree, data, len);
+	unsigned kind = pack_get_u64 (pack_at (root, 0));
+	command->log_time_ms = pack_get_i64 (pack_at (root, 1));
+	struct pack_node body = pack_at (root, 2);
+	command->kind = kind < COMMAND_KINDS ? (enum command_kind)kind : COMMAND_KINDS;
+	switch (command->kind) {
+	case COMMAND_CHANGE:
+		storage = read_change (body, &command->u.change);
+		break;
+	case COMMAND_MEMBER:
+	case COMMAND_MEMBER_GONE:
+		read_member (body, &command->u.member);
+		break;
+	case COMMAND_CLAIM:
+		read_claim (body, &command->u.claim);
+		break;
+	case COMMAND_OUTCOME:
+		storage = read_outcome (body, &command->u.outcome);
+		break;
+	case COMMAND_KINDS:
+		pack_fail (root);
+		break;
+	}
+	if (!pack_free (&tree)) {
+		free (storage);
+		return NULL;
+	}
+	return storage ? storage : xstrdup ("");
+}
+
+void
+command_decode_finish (void *storage)
+{
+	free (storage);
+}
--- /dev/null
+++ b/control/command.h
@@ -0,0 +1,64 @@
+/**
+ * @file command.h
+ * The commands of the control log and their encoding.
+ */
+#pragma once
+
+#include "control/ledger.h"
+#include "control/members.h"
+#include "control/resources.h"
+
+enum command_kind {
+	COMMAND_CHANGE,      /**< a resource change */
+	COMMAND_MEMBER,      /**< a node joined or announced that it leaves */
+	COMMAND_MEMBER_GONE, /**< a node is gone */
+	COMMAND_CLAIM,       /**< a once-only request is about to run */
+	COMMAND_OUTCOME,     /**< a once-only request ended */
+	COMMAND_KINDS,
+};
+
+/** A claim request. */
+struct command_claim {
+	char key[LEDGER_KEY_MAX + 1];
+	uint64_t digest;
+	uint64_t nonce;
+	int64_t retention_ms;
+};
+
+/** An outcome. */
+struct command_outcome {
+	char key[LEDGER_KEY_MAX + 1];
+	uint64_t nonce;
+	enum claim_status status;
+	int http_status;
+	const char *body; /**< not owned */
+};
+
+/** One command; the kind says which member counts. */
+struct command {
+	enum command_kind kind;
+	int64_t log_time_ms; /**< stamped by the leader */
+	union {
+		struct change change;
+		struct member member; /**< COMMAND_MEMBER and COMMAND_MEMBER_GONE */
+		struct command_claim claim;
+		struct command_outcome outcome;
+	} u;
+};
+
+/** Encodes a command; the caller frees the bytes. */
+void *
+command_encode (const struct command *command, size_t *len);
+
+/**
+ * Decodes a command. Its texts point into storage that command_decode_finish frees.
+ * @return NULL when the bytes are malformed.
+ */
+void *
+command_decode (struct command *command, const void *data, size_t len);
+void
+command_decode_finish (void *storage);
+
+/** True for commands that every node applies; others concern voters alone. */
+bool
+command_is_for_all (enum command_kind kind);
--- /dev/null
+++ b/control/follower.c
@@ -0,0 +1,200 @@
+#include "control/follower.h"
+
+#include "core/buf.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static void
+add_address (struct follower *follower, const char *address, size_t len)
+{
+	if (len == 0 || len >= 64 || follower->voter_count == WIRE_MAX_VOTERS * 2)
+		return;
+	char *entry = follower->voters[follower->voter_count];
+	memcpy (entry, address, len);
+	entry[len] = '\0';
+	for (int i = 0; i < follower->voter_count; i++) {
+		if (strcmp (follower->voters[i], entry) == 0)
+			return;
+	}
+	follower->voter_count++;
+}
+
+static void
+add_seeds (struct follower *follower)
+{
+	const char *at = follower->settings.seeds;
+	while (*at) {
+		at += strspn (at, ", ");
+		size_t len = strcspn (at, ", ");
+		add_address (follower, at, len);
+		at += len;
+	}
+}
+
+void
+follower_init (struct follower *follower, const struct follower_settings *settings, int64_t now_us)
+{
+	memset (follower, 0, sizeof (*follower));
+	follower->settings = *settings;
+	state_init (&follower->state);
+	recent_init (&follower->recent);
+	follower->next_us = now_us;
+	CDS_INIT_LIST_HEAD (&follower->outbox);
+	add_seeds (follower);
+	/* Nodes start with different voters, so that their polls spread. */
+	if (follower->voter_count > 0)
+		follower->voter =
+			(int)(settings->self.incarnation % (uint64_t)follower->voter_count);
+}
+
+void
+follower_finish (struct follower *follower)
+{
+	struct outgoing *outgoing;
+	while ((outgoing = outbox_take (&follower->outbox))) {
+		wire_finish (&outgoing->wire);
+		free (outgoing);
+	}
+	state_finish (&follower->state);
+	recent_finish (&follower->recent);
+}
+
+bool
+follower_has_lease (const struct follower *follower, int64_t now_us)
+{
+	return now_us < follower->lease_until_us;
+}
+
+void
+follower_poll_soon (struct follower *follower, int64_t now_us)
+{
+	follower->next_us = now_us;
+}
+
+static void
+send_poll (struct follower *follower, int64_t now_us)
+{
+	struct wire wire = {.kind = WIRE_POLL};
+	struct poll *poll = &wire.u.poll.poll;
+	struct route route = route_to_address (follower->voters[follower->voter]);
+	*poll = follower->settings.self;
+	poll->applied = follower->state.applied;
+	poll->acting = follower->acting;
+	poll->released = follower->released;
+	poll->leaving_work = follower->leaving_work;
+	poll->leaving = follower->leaving;
+	poll->gone = follower->gone;
+	wire.u.poll.seq = ++follower->seq;
+	outbox_add (&follower->outbox, &route, &wire);
+	follower->sent_us = now_us;
+	follower->next_us = now_us + follower->settings.poll_us;
+	/* Owners that wait for an epoch to settle hear of it sooner. */
+	if (follower->settled < follower->state.epoch &&
+		FOLLOWER_HURRY_US < follower->settings.poll_us)
+		follower->next_us = now_us + FOLLOWER_HURRY_US;
+}
+
+void
+follower_tick (struct follower *follower, int64_t now_us)
+{
+	if (follower->voter_count == 0)
+		return;
+	bool unanswered = follower->sent_us != 0;
+	if (unanswered && follower->sent_us + FOLLOWER_TRY_US > now_us)
+		return;
+	if (unanswered) {
+		follower->voter = (follower->voter + 1) % follower->voter_count;
+		send_poll (follower, now_us);
+	} else if (follower->next_us <= now_us) {
+		send_poll (follower, now_us);
+	}
+}
+
+static void
+apply_change (struct follower *follower, const struct wire_change *change)
+{
+	struct state_result result;
+	state_apply (&follower->state, change->index, change->data, change->len, &result);
+	recent_add (&follower->recent, change->index, change->data, change->len);
+}
+
+static bool
+load_snapshot (struct follower *follower, const struct poll_reply *reply)
+{
+	struct state fresh;
+	state_init (&fresh);
+	if (!state_decode (&fresh, reply->snapshot, reply->snapshot_len)) {
+		state_finish (&fresh);
+		return false;
+	}
+	state_finish (&follower->state);
+	follower->state = fresh;
+	recent_reset (&follower->recent, fresh.applied);
+	return true;
+}
+
+/* The voters of the reply replace the list; seeds stay behind them for when all have moved. */
+static void
+take_voters (struct follower *follower, const struct poll_reply *reply)
+{
+	char current[64];
+	if (reply->voter_count == 0)
+		return;
+	str_copy (current, sizeof (current), follower->voters[follower->voter]);
+	follower->voter_count = 0;
+	follower->voter = 0;
+	for (int i = 0; i < reply->voter_count; i++)
+		add_address (follower, reply->voters[i], strlen (reply->voters[i]));
+	add_seeds (follower);
+	for (int i = 0; i < follower->voter_count; i++) {
+		if (strcmp (follower->voters[i], current) == 0)
+			follower->voter = i;
+	}
+}
+
+static bool
+apply_reply (struct follower *follower, const struct poll_reply *reply)
+{
+	uint64_t epoch = follower->state.epoch;
+	uint64_t applied = follower->state.applied;
+	if (reply->revision < applied)
+		return false;
+	if (reply->snapshot_len > 0 && !load_snapshot (follower, reply))
+		return false;
+	for (int i = 0; i < reply->change_count; i++) {
+		if (reply->changes[i].index > follower->state.applied)
+			apply_change (follower, &reply->changes[i]);
+	}
+	follower->state.applied = reply->revision;
+	return follower->state.epoch != epoch || reply->snapshot_len > 0;
+}
+
+bool
+follower_receive (struct follower *follower, const struct poll_reply *reply, int64_t now_us)
+{
+	(void)now_us;
+	if (reply->seq != follower->seq || follower->sent_us == 0)
+		return false;
+	int64_t sent_us = follower->sent_us;
+	follower->sent_us = 0;
+	take_voters (follower, reply);
+	if (follower->gone)
+		follower->gone_acknowledged = reply->seq;
+	if (reply->revision < follower->state.applied)
+		return false;
+	bool changed = apply_reply (follower, reply);
+	if (follower->state.applied != reply->revision)
+		return changed;
+	int64_t length = follower->settings.lease_us -
+			 follower->settings.lease_us * FOLLOWER_DRIFT_PERCENT / 100;
+	if (reply->granted && sent_us + length > follower->lease_until_us)
+		follower->lease_until_us = sent_us + length;
+	if (reply->settled > follower->settled)
+		follower->settled = reply->settled;
+	if (reply->in_force > follower->in_force)
+		follower->in_force = reply->in_force;
+	follower->all_leaving_work = reply->leaving_work;
+	follower->node_count = reply->node_count;
+	return changed;
+}
--- /dev/null
+++ b/control/grants.c
@@ -0,0 +1,123 @@
+#include "control/grants.h"
+
+#include "core/buf.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+void
+grants_init (struct grants *grants)
+{
+	memset (grants, 0, sizeof (*grants));
+}
+
+void
+grants_finish (struct grants *grants)
+{
+	free (grants->items);
+	grants_init (grants);
+}
+
+void
+grants_clear (struct grants *grants)
+{
+	grants->count = 0;
+}
+
+static struct grant *
+find_incarnation (const struct grants *grants, uint64_t incarnation)
+{
+	for (int i = 0; i < grants->count; i++) {
+		if (grants->items[i].poll.incarnation == incarnation)
+			return &grants->items[i];
+	}
+	return NULL;
+}
+
+static struct grant *
+add (struct grants *grants, const struct poll *poll, int64_t now_us)
+{
+	for (int i = 0; i < grants->count; i++) {
+		if (strcmp (grants->items[i].poll.name, poll->name) == 0)
+			grants->items[i].superseded = true;
+	}
+	if (grants->count == grants->cap) {
+		grants->cap = grants->cap ? grants->cap * 2 : 16;
+		grants->items =
+			xrealloc (grants->items, (size_t)grants->cap * sizeof (*grants->items));
+	}
+	struct grant *grant = &grants->items[grants->count++];
+	memset (grant, 0, sizeof (*grant));
+	grant->first_heard_us = now_us;
+	return grant;
+}
+
+struct grant *
+grants_report (struct grants *grants, const struct poll *poll, int64_t now_us)
+{
+	struct grant *grant = find_incarnation (grants, poll->incarnation);
+	if (!grant)
+		grant = add (grants, poll, now_us);
+	/* Reports may cross on the way; what a process once reached stays reached. */
+	uint64_t acting = grant->poll.acting;
+	uint64_t released = grant->poll.released;
+	bool gone = grant->poll.gone;
+	grant->poll = *poll;
+	if (acting > poll->acting)
+		grant->poll.acting = acting;
+	if (released > poll->released)
+		grant->poll.released = released;
+	grant->poll.gone = gone || poll->gone;
+	grant->heard_us = now_us;
+	if (grant->poll.gone)
+		grant->granted_until_us = 0;
+	return grant;
+}
+
+void
+grants_extend (struct grants *grants, uint64_t incarnation, int64_t until_us)
+{
+	struct grant *grant = find_incarnation (grants, incarnation);
+	if (grant && !grant->poll.gone && until_us > grant->granted_until_us)
+		grant->granted_until_us = until_us;
+}
+
+void
+grants_expire (struct grants *grants, int64_t now_us, int64_t keep_us)
+{
+	int kept = 0;
+	for (int i = 0; i < grants->count; i++) {
+		const struct grant *grant = &grants->items[i];
+		if (grant->granted_until_us > now_us || grant->heard_us + keep_us > now_us)
+			grants->items[kept++] = *grant;
+	}
+	grants->count = kept;
+}
+
+struct grants_summary
+grants_summarise (const struct grants *grants, uint64_t commit, int64_t now_us)
+{
+	struct grants_summary summary = {.settled = commit, .in_force = commit};
+	for (int i = 0; i < grants->count; i++) {
+		const struct grant *grant = &grants->items[i];
+		if (grant->granted_until_us <= now_us)
+			continue;
+		if (grant->poll.released < summary.settled)
+			summary.settled = grant->poll.released;
+		if (grant->poll.acting < summary.in_force)
+			summary.in_force = grant->poll.acting;
+		summary.leaving_work += grant->poll.leaving_work;
+		summary.node_count++;
+	}
+	return summary;
+}
+
+const struct grant *
+grants_find (const struct grants *grants, const char *name)
+{
+	for (int i = 0; i < grants->count; i++) {
+		if (!grants->items[i].superseded && strcmp (grants->items[i].poll.name, name) == 0)
+			return &grants->items[i];
+	}
+	return NULL;
+}
--- /dev/null
+++ b/control/members.h
@@ -0,0 +1,44 @@
+/**
+ * @file members.h
+ * The nodes that take part, as the control log has them.
+ */
+#pragma once
+
+#include "control/resources.h"
+
+/** A member; the newest incarnation of a name replaces older ones. */
+struct member {
+	char name[RESOURCE_NAME_MAX + 1];
+	char data_centre[RESOURCE_NAME_MAX + 1];
+	char address[64];
+	uint64_t incarnation;
+	bool leaving; /**< announced a planned stop; keeps polling but owns nothing */
+};
+
+struct members {
+	struct member *items; /**< sorted by name */
+	size_t count;
+	size_t cap;
+	uint64_t revision; /**< log index of the newest change */
+};
+
+void
+members_init (struct members *members);
+void
+members_finish (struct members *members);
+
+/** Adds or replaces a member; false when nothing changed. */
+bool
+members_put (struct members *members, const struct member *member, uint64_t index);
+
+/** Removes a member of that incarnation; false when there is none. */
+bool
+members_remove (struct members *members, const char *name, uint64_t incarnation, uint64_t index);
+
+const struct member *
+members_find (const struct members *members, const char *name);
+
+void
+members_write (const struct members *members, struct pack_writer *writer);
+bool
+members_read (struct members *members, struct pack_node node);
--- /dev/null
+++ b/control/raft.c
@@ -0,0 +1,671 @@
+#include "control/raft.h"
+
+#include "control/raft_log.h"
+#include "core/buf.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+void
+raft_init (struct raft *raft, uint64_t id, const struct raft_times *times, uint64_t seed,
+	int64_t now_us)
+{
+	memset (raft, 0, sizeof (*raft));
+	raft->id = id;
+	raft->times = *times;
+	raft->rng.state = seed;
+	raft->heard_us = now_us;
+	raft->election_at_us = now_us + times->election_us +
+			       (int64_t)rng_below (&raft->rng, (uint64_t)times->election_us);
+	CDS_INIT_LIST_HEAD (&raft->outbox);
+}
+
+void
+raft_message_free (struct raft_message *message)
+{
+	for (int i = 0; i < message->entry_count; i++)
+		free (message->entries[i].data);
+	free (message->entries);
+	free (message->chunk);
+	free (message);
+}
+
+void
+raft_finish (struct raft *raft)
+{
+	struct raft_message *message;
+	struct raft_message *next;
+	cds_list_for_each_entry_safe (message, next, &raft->outbox, node)
+		raft_message_free (message);
+	for (size_t i = 0; i < raft->entry_count; i++)
+		free (raft->entries[i].data);
+	free (raft->entries);
+	free (raft->snapshot);
+	free (raft->incoming);
+}
+
+const struct raft_node *
+raft_find_node (const struct raft *raft, uint64_t id)
+{
+	for (int i = 0; i < raft->config.count; i++) {
+		if (raft->config.nodes[i].id == id)
+			return &raft->config.nodes[i];
+	}
+	return NULL;
+}
+
+bool
+raft_is_voter (const struct raft *raft)
+{
+	const struct raft_node *node = raft_find_node (raft, raft->id);
+	return node && node->voter;
+}
+
+int
+raft_voter_count (const struct raft_config *config)
+{
+	int count = 0;
+	for (int i = 0; i < config->count; i++)
+		count += config->nodes[i].voter;
+	return count;
+}
+
+static bool
+is_majority (const struct raft *raft, int count)
+{
+	return count * 2 > raft_voter_count (&raft->config);
+}
+
+static struct raft_message *
+post (struct raft *raft, enum raft_message_type type, uint64_t to)
+{
+	struct raft_message *message = xcalloc (1, sizeof (*message));
+	message->type = type;
+	message->from = raft->id;
+	message->to = to;
+	message->term = raft->term;
+	cds_list_add_tail (&message->node, &raft->outbox);
+	return message;
+}
+
+static void
+reset_election (struct raft *raft, int64_t now_us)
+{
+	raft->election_at_us = now_us + raft->times.election_us +
+			       (int64_t)rng_below (&raft->rng, (uint64_t)raft->times.election_us);
+}
+
+static void
+become_follower (struct raft *raft, uint64_t term, uint64_t leader, int64_t now_us)
+{
+	if (term > raft->term) {
+		raft->term = term;
+		raft->voted_for = 0;
+		raft->hard_changed = true;
+	}
+	raft->role = RAFT_FOLLOWER;
+	raft->leader = leader;
+	raft->prevoting = false;
+	reset_election (raft, now_us);
+}
+
+static int
+match_majority_of (const struct raft *raft, bool rounds, uint64_t *out)
+{
+	uint64_t values[RAFT_MAX_NODES];
+	int count = 0;
+	for (int i = 0; i < raft->config.count; i++) {
+		const struct raft_node *node = &raft->config.nodes[i];
+		if (!node->voter)
+			continue;
+		uint64_t own = rounds ? raft->round : raft->saved;
+		uint64_t value = rounds ? raft->progress[i].round : raft->progress[i].match;
+		value = node->id == raft->id ? own : value;
+		int at = count++;
+		while (at > 0 && values[at - 1] < value) {
+			values[at] = values[at - 1];
+			at--;
+		}
+		values[at] = value;
+	}
+	*out = count ? values[count / 2] : 0;
+	return count;
+}
+
+/* Only an entry of the leader's own term commits by count; older ones commit with it. */
+static void
+advance_commit (struct raft *raft)
+{
+	uint64_t index = 0;
+	if (raft->role != RAFT_LEADER || match_majority_of (raft, false, &index) == 0)
+		return;
+	if (index > raft->commit && raft_term_at (raft, index) == raft->term)
+		raft->commit = index;
+}
+
+uint64_t
+raft_confirmed_round (const struct raft *raft)
+{
+	uint64_t round = 0;
+	if (raft->role == RAFT_LEADER)
+		match_majority_of (raft, true, &round);
+	return round;
+}
+
+bool
+raft_commit_is_current (const struct raft *raft)
+{
+	return raft->role == RAFT_LEADER && raft->commit >= raft->term_start;
+}
+
+static void
+send_snapshot (struct raft *raft, int peer, int64_t now_us)
+{
+	struct raft_progress *progress = &raft->progress[peer];
+	struct raft_message *message = post (raft, RAFT_SNAPSHOT, raft->config.nodes[peer].id);
+	size_t left = raft->snapshot_len - progress->snapshot_offset;
+	size_t len = left < RAFT_CHUNK_BYTES ? left : RAFT_CHUNK_BYTES;
+	message->index = raft->base;
+	message->log_term = raft->base_term;
+	message->round = raft->round;
+	message->offset = progress->snapshot_offset;
+	message->chunk = xmemdup ((char *)raft->snapshot + progress->snapshot_offset, len);
+	message->chunk_len = len;
+	message->done = len == left;
+	message->config = raft->base_config;
+	progress->snapshotting = true;
+	progress->sent_us = now_us;
+}
+
+static void
+add_entries (struct raft *raft, struct raft_message *message, uint64_t from)
+{
+	uint64_t last = raft_last_index (raft);
+	size_t bytes = 0;
+	if (from > last)
+		return;
+	message->entries = xcalloc (last - from + 1, sizeof (struct raft_entry));
+	for (uint64_t i = from; i <= last && bytes < RAFT_BATCH_BYTES; i++) {
+		struct raft_entry copy = *raft_entry_at (raft, i);
+		copy.data = xmemdup (copy.data, copy.len);
+		message->entries[message->entry_count++] = copy;
+		bytes += copy.len + 32;
+	}
+}
+
+static void
+send_append (struct raft *raft, int peer, int64_t now_us)
+{
+	struct raft_progress *progress = &raft->progress[peer];
+	if (progress->next <= raft->base) {
+		send_snapshot (raft, peer, now_us);
+		return;
+	}
+	struct raft_message *message = post (raft, RAFT_APPEND, raft->config.nodes[peer].id);
+	message->index = progress->next - 1;
+	message->log_term = raft_term_at (raft, message->index);
+	message->commit = raft->commit;
+	message->round = raft->round;
+	add_entries (raft, message, progress->next);
+	/* Sent entries are taken as arriving; a gap is answered with what the node has. */
+	progress->next += (uint64_t)message->entry_count;
+	progress->sent_us = now_us;
+}
+
+/* A snapshot chunk in transit is not sent again before it can be taken for lost. */
+static bool
+in_transit (const struct raft *raft, const struct raft_progress *progress, int64_t now_us)
+{
+	return progress->snapshotting && progress->sent_us + raft->times.election_us > now_us;
+}
+
+static void
+broadcast (struct raft *raft, int64_t now_us)
+{
+	for (int i = 0; i < raft->config.count; i++) {
+		if (raft->config.nodes[i].id != raft->id &&
+			!in_transit (raft, &raft->progress[i], now_us))
+			send_append (raft, i, now_us);
+	}
+	raft->heartbeat_at_us = now_us + raft->times.heartbeat_us;
+}
+
+uint64_t
+raft_start_round (struct raft *raft, int64_t now_us)
+{
+	raft->round++;
+	broadcast (raft, now_us);
+	return raft->round;
+}
+
+void
+raft_flush (struct raft *raft, int64_t now_us)
+{
+	if (raft->role != RAFT_LEADER)
+		return;
+	for (int i = 0; i < raft->config.count; i++) {
+		if (raft->config.nodes[i].id != raft->id && !raft->progress[i].snapshotting &&
+			raft->progress[i].next <= raft_last_index (raft))
+			send_append (raft, i, now_us);
+	}
+}
+
+uint64_t
+raft_propose (
+	struct raft *raft, enum raft_entry_type type, const void *data, size_t len, int64_t now_us)
+{
+	(void)now_us;
+	if (raft->role != RAFT_LEADER)
+		return 0;
+	struct raft_entry entry = {
+		.term = raft->term, .type = type, .data = xmemdup (data, len), .len = len};
+	raft_log_append (raft, entry);
+	return raft_last_index (raft);
+}
+
+uint64_t
+raft_propose_config (struct raft *raft, const struct raft_config *config, int64_t now_us)
+{
+	if (raft->role != RAFT_LEADER || raft->config_index > raft->commit ||
+		!raft_commit_is_current (raft))
+		return 0;
+	size_t len = 0;
+	void *data = raft_config_encode (config, &len);
+	uint64_t index = raft_propose (raft, RAFT_CONFIG, data, len, now_us);
+	free (data);
+	return index;
+}
+
+static void
+become_leader (struct raft *raft, int64_t now_us)
+{
+	raft->role = RAFT_LEADER;
+	raft->leader = raft->id;
+	raft->leader_since_us = now_us;
+	raft->round++;
+	for (int i = 0; i < raft->config.count; i++)
+		raft->progress[i] = (struct raft_progress){
+			.next = raft_last_index (raft) + 1, .heard_us = now_us};
+	raft->term_start = raft_propose (raft, RAFT_NOOP, "", 0, now_us);
+	broadcast (raft, now_us);
+}
+
+static void
+ask_votes (struct raft *raft, enum raft_message_type type)
+{
+	raft->vote_count = 0;
+	raft->votes[raft->vote_count++] = raft->id;
+	for (int i = 0; i < raft->config.count; i++) {
+		const struct raft_node *node = &raft->config.nodes[i];
+		if (!node->voter || node->id == raft->id)
+			continue;
+		struct raft_message *message = post (raft, type, node->id);
+		message->term = raft->term + (type == RAFT_PREVOTE ? 1 : 0);
+		message->index = raft_last_index (raft);
+		message->log_term = raft_term_at (raft, message->index);
+	}
+}
+
+static void
+start_election (struct raft *raft, int64_t now_us)
+{
+	raft->role = RAFT_CANDIDATE;
+	raft->prevoting = false;
+	raft->leader = 0;
+	raft->term++;
+	raft->voted_for = raft->id;
+	raft->hard_changed = true;
+	reset_election (raft, now_us);
+	ask_votes (raft, RAFT_VOTE);
+	if (is_majority (raft, raft->vote_count))
+		become_leader (raft, now_us);
+}
+
+static void
+start_prevote (struct raft *raft, int64_t now_us)
+{
+	raft->role = RAFT_FOLLOWER;
+	raft->leader = 0;
+	raft->prevoting = true;
+	reset_election (raft, now_us);
+	ask_votes (raft, RAFT_PREVOTE);
+	if (is_majority (raft, raft->vote_count))
+		start_election (raft, now_us);
+}
+
+/* A leader that has not heard a majority for an election time steps down. */
+static bool
+hears_quorum (const struct raft *raft, int64_t now_us)
+{
+	int heard = 0;
+	for (int i = 0; i < raft->config.count; i++) {
+		const struct raft_node *node = &raft->config.nodes[i];
+		if (!node->voter)
+			continue;
+		heard += node->id == raft->id ||
+			 raft->progress[i].heard_us + raft->times.election_us > now_us;
+	}
+	return is_majority (raft, heard);
+}
+
+static void
+tick_leader (struct raft *raft, int64_t now_us)
+{
+	if (!hears_quorum (raft, now_us) ||
+		(!raft_is_voter (raft) && raft->commit >= raft->config_index)) {
+		become_follower (raft, raft->term, 0, now_us);
+		return;
+	}
+	if (raft->heartbeat_at_us <= now_us)
+		broadcast (raft, now_us);
+}
+
+void
+raft_tick (struct raft *raft, int64_t now_us)
+{
+	if (raft->role == RAFT_LEADER)
+		tick_leader (raft, now_us);
+	else if (now_us >= raft->election_at_us && raft_is_voter (raft))
+		start_prevote (raft, now_us);
+}
+
+static bool
+log_is_current (const struct raft *raft, const struct raft_message *message)
+{
+	uint64_t last = raft_last_index (raft);
+	uint64_t term = raft_term_at (raft, last);
+	return message->log_term > term || (message->log_term == term && message->index >= last);
+}
+
+static bool
+has_live_leader (const struct raft *raft, int64_t now_us)
+{
+	if (raft->role == RAFT_LEADER)
+		return true;
+	return raft->leader != 0 && raft->heard_us + raft->times.election_us > now_us;
+}
+
+static void
+receive_prevote (struct raft *raft, const struct raft_message *message, int64_t now_us)
+{
+	struct raft_message *reply = post (raft, RAFT_PREVOTE_REPLY, message->from);
+	reply->ok = message->term > raft->term && log_is_current (raft, message) &&
+		    !has_live_leader (raft, now_us);
+	reply->term = reply->ok ? message->term : raft->term;
+}
+
+static void
+receive_vote (struct raft *raft, const struct raft_message *message, int64_t now_us)
+{
+	bool grant = message->term == raft->term && log_is_current (raft, message) &&
+		     (raft->voted_for == 0 || raft->voted_for == message->from);
+	if (grant && raft->voted_for == 0) {
+		raft->voted_for = message->from;
+		raft->hard_changed = true;
+	}
+	if (grant)
+		reset_election (raft, now_us);
+	struct raft_message *reply = post (raft, RAFT_VOTE_REPLY, message->from);
+	reply->ok = grant;
+}
+
+static bool
+count_vote (struct raft *raft, uint64_t from)
+{
+	const struct raft_node *node = raft_find_node (raft, from);
+	if (!node || !node->voter)
+		return false;
+	for (int i = 0; i < raft->vote_count; i++) {
+		if (raft->votes[i] == from)
+			return false;
+	}
+	raft->votes[raft->vote_count++] = from;
+	return is_majority (raft, raft->vote_count);
+}
+
+static void
+append_entries (struct raft *raft, const struct raft_message *message)
+{
+	for (int i = 0; i < message->entry_count; i++) {
+		uint64_t index = message->index + 1 + (uint64_t)i;
+		const struct raft_entry *entry = &message->entries[i];
+		if (index <= raft->base)
+			continue;
+		if (index <= raft_last_index (raft)) {
+			if (raft_term_at (raft, index) == entry->term)
+				continue;
+			raft_log_cut (raft, index);
+		}
+		struct raft_entry copy = *entry;
+		copy.data = xmemdup (entry->data, entry->len);
+		raft_log_append (raft, copy);
+	}
+}
+
+static bool
+holds_previous (const struct raft *raft, const struct raft_message *message)
+{
+	return message->index <= raft->base ||
+	       (message->index <= raft_last_index (raft) &&
+		       raft_term_at (raft, message->index) == message->log_term);
+}
+
+/* A refusal names the newest index that may still agree, so that the leader skips a term. */
+static uint64_t
+agreeing_index (const struct raft *raft, const struct raft_message *message)
+{
+	uint64_t last = raft_last_index (raft);
+	if (message->index > last)
+		return last;
+	uint64_t term = raft_term_at (raft, message->index);
+	uint64_t index = message->index;
+	while (index > raft->commit && raft_term_at (raft, index) == term)
+		index--;
+	return index;
+}
+
+static void
+receive_append (struct raft *raft, const struct raft_message *message, int64_t now_us)
+{
+	become_follower (raft, message->term, message->from, now_us);
+	raft->heard_us = now_us;
+	struct raft_message *reply = post (raft, RAFT_APPEND_REPLY, message->from);
+	reply->round = message->round;
+	reply->ok = holds_previous (raft, message);
+	if (!reply->ok) {
+		reply->index = agreeing_index (raft, message);
+		return;
+	}
+	append_entries (raft, message);
+	uint64_t match = message->index + (uint64_t)message->entry_count;
+	reply->index = match;
+	uint64_t commit = message->commit < match ? message->commit : match;
+	if (commit > raft->commit)
+		raft->commit = commit;
+}
+
+static int
+find_peer (const struct raft *raft, uint64_t id)
+{
+	for (int i = 0; i < raft->config.count; i++) {
+		if (raft->config.nodes[i].id == id)
+			return i;
+	}
+	return -1;
+}
+
+static void
+note_heard (struct raft_progress *progress, const struct raft_message *message, int64_t now_us)
+{
+	progress->heard_us = now_us;
+	if (message->round > progress->round)
+		progress->round = message->round;
+}
+
+static void
+receive_append_reply (struct raft *raft, const struct raft_message *message, int64_t now_us)
+{
+	int peer = find_peer (raft, message->from);
+	if (raft->role != RAFT_LEADER || peer < 0)
+		return;
+	struct raft_progress *progress = &raft->progress[peer];
+	note_heard (progress, message, now_us);
+	if (message->ok) {
+		if (message->index > progress->match)
+			progress->match = message->index;
+		if (progress->next <= progress->match)
+			progress->next = progress->match + 1;
+		advance_commit (raft);
+		return;
+	}
+	if (message->index + 1 > progress->match) {
+		progress->next = message->index + 1;
+		send_append (raft, peer, now_us);
+	}
+}
+
+static void
+receive_snapshot (struct raft *raft, const struct raft_message *message, int64_t now_us)
+{
+	become_follower (raft, message->term, message->from, now_us);
+	raft->heard_us = now_us;
+	struct raft_message *reply = post (raft, RAFT_SNAPSHOT_REPLY, message->from);
+	reply->round = message->round;
+	reply->index = message->index;
+	if (message->index <= raft->commit) {
+		reply->done = true;
+		return;
+	}
+	if (message->offset == 0 || raft->incoming_index != message->index) {
+		raft->incoming_len = 0;
+		raft->incoming_index = message->index;
+	}
+	if (message->offset == raft->incoming_len) {
+		raft->incoming =
+			xrealloc (raft->incoming, raft->incoming_len + message->chunk_len + 1);
+		memcpy (raft->incoming + raft->incoming_len, message->chunk, message->chunk_len);
+		raft->incoming_len += message->chunk_len;
+	}
+	reply->offset = raft->incoming_len;
+	if (!message->done || message->offset + message->chunk_len != raft->incoming_len)
+		return;
+	raft_log_install (raft, message->index, message->log_term, &message->config, raft->incoming,
+		raft->incoming_len);
+	raft->incoming = NULL;
+	raft->incoming_len = 0;
+	raft->snapshot_changed = true;
+	reply->done = true;
+}
+
+static void
+receive_snapshot_reply (struct raft *raft, const struct raft_message *message, int64_t now_us)
+{
+	int peer = find_peer (raft, message->from);
+	if (raft->role != RAFT_LEADER || peer < 0)
+		return;
+	struct raft_progress *progress = &raft->progress[peer];
+	note_heard (progress, message, now_us);
+	progress->snapshotting = false;
+	if (message->done) {
+		if (message->index > progress->match)
+			progress->match = message->index;
+		if (progress->next <= message->index)
+			progress->next = message->index + 1;
+		progress->snapshot_offset = 0;
+	} else if (message->index == raft->base) {
+		progress->snapshot_offset =
+			message->offset <= raft->snapshot_len ? message->offset : 0;
+	} else {
+		progress->snapshot_offset = 0;
+	}
+	if (progress->next <= raft_last_index (raft))
+		send_append (raft, peer, now_us);
+}
+
+/* A higher term deposes; pre-votes carry a term that nobody has taken on yet. */
+static bool
+accept_term (struct raft *raft, const struct raft_message *message, int64_t now_us)
+{
+	bool prevote = message->type == RAFT_PREVOTE ||
+		       (message->type == RAFT_PREVOTE_REPLY && message->ok);
+	if (message->term > raft->term && !prevote) {
+		/* While a leader is alive, a vote for another one is ignored altogether. */
+		if (message->type == RAFT_VOTE && has_live_leader (raft, now_us))
+			return false;
+		become_follower (raft, message->term, 0, now_us);
+	}
+	if (message->term >= raft->term || prevote)
+		return true;
+	if (message->type == RAFT_APPEND || message->type == RAFT_SNAPSHOT)
+		post (raft, RAFT_APPEND_REPLY, message->from)->index = raft->commit;
+	return false;
+}
+
+void
+raft_receive (struct raft *raft, const struct raft_message *message, int64_t now_us)
+{
+	if (message->to != raft->id || !accept_term (raft, message, now_us))
+		return;
+	switch (message->type) {
+	case RAFT_PREVOTE:
+		receive_prevote (raft, message, now_us);
+		break;
+	case RAFT_PREVOTE_REPLY:
+		if (raft->prevoting && message->ok && message->term == raft->term + 1 &&
+			count_vote (raft, message->from))
+			start_election (raft, now_us);
+		break;
+	case RAFT_VOTE:
+		receive_vote (raft, message, now_us);
+		break;
+	case RAFT_VOTE_REPLY:
+		if (raft->role == RAFT_CANDIDATE && message->ok && count_vote (raft, message->from))
+			become_leader (raft, now_us);
+		break;
+	case RAFT_APPEND:
+		receive_append (raft, message, now_us);
+		break;
+	case RAFT_APPEND_REPLY:
+		receive_append_reply (raft, message, now_us);
+		break;
+	case RAFT_SNAPSHOT:
+		receive_snapshot (raft, message, now_us);
+		break;
+	case RAFT_SNAPSHOT_REPLY:
+		receive_snapshot_reply (raft, message, now_us);
+		break;
+	case RAFT_MESSAGE_TYPES:
+		break;
+	}
+}
+
+void
+raft_saved (struct raft *raft, int64_t now_us)
+{
+	(void)now_us;
+	raft->saved = raft_last_index (raft);
+	raft->cut_from = 0;
+	raft->hard_changed = false;
+	raft->snapshot_changed = false;
+	advance_commit (raft);
+}
+
+void
+raft_bootstrap (struct raft *raft, const char *name, const char *address)
+{
+	assert (raft_last_index (raft) == 0 && raft->term == 0);
+	struct raft_config config = {.count = 1};
+	config.nodes[0].id = raft->id;
+	config.nodes[0].voter = true;
+	str_copy (config.nodes[0].name, sizeof (config.nodes[0].name), name);
+	str_copy (config.nodes[0].address, sizeof (config.nodes[0].address), address);
+	raft->term = 1;
+	raft->hard_changed = true;
+	size_t len = 0;
+	struct raft_entry entry = {.term = 1, .type = RAFT_CONFIG};
+	entry.data = raft_config_encode (&config, &len);
+	entry.len = len;
+	raft_log_append (raft, entry);
+	raft->commit = 1;
+}
--- /dev/null
+++ b/control/raft.h
@@ -0,0 +1,237 @@
+/**
+ * @file raft.h
+ * Replication of the control log, in the Raft manner. No I/O.
+ *
+ * The machine keeps its log in memory. The shell persists what raft_unsaved names, calls
+ * raft_saved, and only then sends the messages of the outbox: nothing is acknowledged before
+ * it is synced. A member is identified by the random incarnation of its data folder, so an
+ * emptied disk comes back as another member that has no vote.
+ */
+#pragma once
+
+#include "core/rng.h"
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <urcu/list.h>
+
+enum {
+	RAFT_MAX_NODES = 9, /**< voters and learners */
+	RAFT_NAME_SIZE = 64,
+	RAFT_ADDRESS_SIZE = 64,
+	RAFT_BATCH_BYTES = 256 * 1024, /**< entries in one message */
+	RAFT_CHUNK_BYTES = 64 * 1024,  /**< snapshot bytes in one message */
+	RAFT_CATCH_UP_ENTRIES = 64,    /**< a learner this close to the end may vote */
+};
+
+/** A voter or learner. */
+struct raft_node {
+	uint64_t id; /**< incarnation of its data folder, never 0 */
+	char name[RAFT_NAME_SIZE];
+	char address[RAFT_ADDRESS_SIZE];
+	bool voter;
+};
+
+struct raft_config {
+	int count;
+	struct raft_node nodes[RAFT_MAX_NODES];
+};
+
+enum raft_entry_type { RAFT_NOOP, RAFT_COMMAND, RAFT_CONFIG };
+
+struct raft_entry {
+	uint64_t term;
+	enum raft_entry_type type;
+	void *data; /**< owned by the log */
+	size_t len;
+};
+
+enum raft_role { RAFT_FOLLOWER, RAFT_CANDIDATE, RAFT_LEADER };
+
+enum raft_message_type {
+	RAFT_PREVOTE,
+	RAFT_PREVOTE_REPLY,
+	RAFT_VOTE,
+	RAFT_VOTE_REPLY,
+	RAFT_APPEND,
+	RAFT_APPEND_REPLY,
+	RAFT_SNAPSHOT,
+	RAFT_SNAPSHOT_REPLY,
+	RAFT_MESSAGE_TYPES,
+};
+
+/** One message; which fields count depends on the type. */
+struct raft_message {
+	struct cds_list_head node; /**< in the outbox */
+	enum raft_message_type type;
+	uint64_t from;
+	uint64_t to;
+	uint64_t term;
+	uint64_t index;    /**< previous index; last index of a vote; match; snapshot index */
+	uint64_t log_term; /**< term of that index */
+	uint64_t commit;
+	uint64_t round;  /**< leader's round, echoed */
+	uint64_t offset; /**< of a snapshot chunk; the next one wanted in a reply */
+	bool ok;
+	bool done; /**< last snapshot chunk */
+	struct raft_entry *entries;
+	int entry_count;
+	void *chunk;
+	size_t chunk_len;
+	struct raft_config config; /**< RAFT_SNAPSHOT */
+};
+
+/** Times, all in microseconds. */
+struct raft_times {
+	int64_t election_us; /**< least silence before an election; up to twice that */
+	int64_t heartbeat_us;
+};
+
+/** What the leader knows of another node. */
+struct raft_progress {
+	uint64_t next;
+	uint64_t match;
+	uint64_t round;
+	uint64_t snapshot_offset;
+	bool snapshotting;
+	int64_t heard_us;
+	int64_t sent_us;
+};
+
+struct raft {
+	uint64_t id;
+	uint64_t term;
+	uint64_t voted_for;
+	enum raft_role role;
+	uint64_t leader; /**< 0 while unknown */
+	struct raft_times times;
+	struct rng rng;
+
+	struct raft_entry *entries; /**< entries[i] has index base + 1 + i */
+	size_t entry_count;
+	size_t entry_cap;
+	uint64_t base; /**< index that the snapshot covers */
+	uint64_t base_term;
+	void *snapshot; /**< state at base; NULL when base is 0 */
+	size_t snapshot_len;
+	struct raft_config base_config;
+
+	struct raft_config config; /**< the newest in the log, in force once appended */
+	uint64_t config_index;
+	uint64_t commit;
+	uint64_t saved;        /**< entries up to here are synced */
+	uint64_t cut_from;     /**< entries from here on were replaced; 0: none */
+	bool hard_changed;     /**< term or vote is not saved */
+	bool snapshot_changed; /**< a received snapshot is not saved */
+
+	int64_t heard_us; /**< from a leader */
+	int64_t election_at_us;
+	int64_t heartbeat_at_us;
+	int64_t leader_since_us;
+	bool prevoting;
+	uint64_t votes[RAFT_MAX_NODES];
+	int vote_count;
+	uint64_t round;
+	uint64_t term_start;                           /**< index of the leader's first entry */
+	struct raft_progress progress[RAFT_MAX_NODES]; /**< parallel to config.nodes */
+
+	char *incoming; /**< snapshot chunks being received */
+	size_t incoming_len;
+	uint64_t incoming_index;
+
+	struct cds_list_head outbox;
+};
+
+void
+raft_init (struct raft *raft, uint64_t id, const struct raft_times *times, uint64_t seed,
+	int64_t now_us);
+void
+raft_finish (struct raft *raft);
+
+/** Makes a first configuration of this node alone; only for a new data folder. */
+void
+raft_bootstrap (struct raft *raft, const char *name, const char *address);
+
+/** Restores what was saved, before the first event. Takes the data over. */
+void
+raft_restore_hard (struct raft *raft, uint64_t term, uint64_t voted_for);
+void
+raft_restore_snapshot (struct raft *raft, uint64_t index, uint64_t term,
+	const struct raft_config *config, void *data, size_t len);
+void
+raft_restore_entry (struct raft *raft, uint64_t index, struct raft_entry entry);
+void
+raft_restore_cut (struct raft *raft); /**< drops the last entry, as a later record says */
+
+/** Time passed. */
+void
+raft_tick (struct raft *raft, int64_t now_us);
+
+/** A message came in; its entries are copied. */
+void
+raft_receive (struct raft *raft, const struct raft_message *message, int64_t now_us);
+
+/** Appends an entry on the leader. @return its index, or 0 when this node does not lead. */
+uint64_t
+raft_propose (
+	struct raft *raft, enum raft_entry_type type, const void *data, size_t len, int64_t now_us);
+
+/** Appends another configuration; 0 when not leader or when a change is still under way. */
+uint64_t
+raft_propose_config (struct raft *raft, const struct raft_config *config, int64_t now_us);
+
+/** Sends what is due to followers; call after a batch of proposals. */
+void
+raft_flush (struct raft *raft, int64_t now_us);
+
+/** Starts a round of heartbeats. @return the round to wait for. */
+uint64_t
+raft_start_round (struct raft *raft, int64_t now_us);
+
+/** The newest round that a majority of voters has answered. */
+uint64_t
+raft_confirmed_round (const struct raft *raft);
+
+/** True when the leader has committed an entry of its own term, so its commit is current. */
+bool
+raft_commit_is_current (const struct raft *raft);
+
+/** Everything up to last index, the hard state and the snapshot have been synced. */
+void
+raft_saved (struct raft *raft, int64_t now_us);
+
+/** True when something has to be saved before the outbox may be sent. */
+bool
+raft_unsaved (const struct raft *raft);
+
+/** Drops entries up to an applied index; takes the snapshot data over. */
+void
+raft_compact (struct raft *raft, uint64_t index, void *data, size_t len);
+
+uint64_t
+raft_last_index (const struct raft *raft);
+
+/** The entry at an index, or NULL when it is compacted away or not there. */
+const struct raft_entry *
+raft_entry_at (const struct raft *raft, uint64_t index);
+
+const struct raft_node *
+raft_find_node (const struct raft *raft, uint64_t id);
+
+/** True when this node has a vote in the newest configuration. */
+bool
+raft_is_voter (const struct raft *raft);
+
+int
+raft_voter_count (const struct raft_config *config);
+
+/** Frees a message taken from the outbox. */
+void
+raft_message_free (struct raft_message *message);
+
+/** Encodes a configuration as a log entry's bytes; the caller frees. */
+void *
+raft_config_encode (const struct raft_config *config, size_t *len);
+bool
+raft_config_decode (struct raft_config *config, const void *data, size_t len);
--- /dev/null
+++ b/control/raft_log.c
@@ -0,0 +1,238 @@
+#include "control/raft_log.h"
+#include "control/raft.h"
+#include "core/buf.h"
+#include "core/pack.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+uint64_t
+raft_last_index (const struct raft *raft)
+{
+	return raft->base + raft->entry_count;
+}
+
+const struct raft_entry *
+raft_entry_at (const struct raft *raft, uint64_t index)
+{
+	if (index <= raft->base || index > raft_last_index (raft))
+		return NULL;
+	return &raft->entries[index - raft->base - 1];
+}
+
+uint64_t
+raft_term_at (const struct raft *raft, uint64_t index)
+{
+	if (index == raft->base)
+		return raft->base_term;
+	const struct raft_entry *entry = raft_entry_at (raft, index);
+	return entry ? entry->term : 0;
+}
+
+/* Configurations are in force from the moment they are appended. */
+static void
+find_config (struct raft *raft)
+{
+	raft->config = raft->base_config;
+	raft->config_index = raft->base;
+	for (size_t i = raft->entry_count; i > 0; i--) {
+		const struct raft_entry *entry = &raft->entries[i - 1];
+		if (entry->type != RAFT_CONFIG)
+			continue;
+		raft_config_decode (&raft->config, entry->data, entry->len);
+		raft->config_index = raft->base + i;
+		return;
+	}
+}
+
+/* Keeps the leader's progress of nodes that stay in the configuration. */
+static void
+adopt_config (struct raft *raft, const struct raft_config *config, uint64_t index)
+{
+	struct raft_config old = raft->config;
+	struct raft_progress before[RAFT_MAX_NODES];
+	memcpy (before, raft->progress, sizeof (before));
+	raft->config = *config;
+	raft->config_index = index;
+	for (int i = 0; i < config->count; i++) {
+		raft->progress[i] = (struct raft_progress){.next = raft_last_index (raft) + 1};
+		for (int j = 0; j < old.count; j++) {
+			if (old.nodes[j].id == config->nodes[i].id)
+				raft->progress[i] = before[j];
+		}
+	}
+}
+
+void
+raft_log_append (struct raft *raft, struct raft_entry entry)
+{
+	if (raft->entry_count == raft->entry_cap) {
+		raft->entry_cap = raft->entry_cap ? raft->entry_cap * 2 : 256;
+		raft->entries = xrealloc (raft->entries, raft->entry_cap * sizeof (*raft->entries));
+	}
+	raft->entries[raft->entry_count++] = entry;
+	struct raft_config config;
+	if (entry.type == RAFT_CONFIG && raft_config_decode (&config, entry.data, entry.len))
+		adopt_config (raft, &config, raft_last_index (raft));
+}
+
+void
+raft_log_cut (struct raft *raft, uint64_t from)
+{
+	assert (from > raft->commit);
+	for (uint64_t i = from; i <= raft_last_index (raft); i++)
+		free (raft->entries[i - raft->base - 1].data);
+	raft->entry_count = from - raft->base - 1;
+	if (raft->saved >= from)
+		raft->saved = from - 1;
+	if (raft->cut_from == 0 || from < raft->cut_from)
+		raft->cut_from = from;
+	if (raft->config_index >= from)
+		find_config (raft);
+}
+
+/* Drops entries up to an index; a log that does not reach it is dropped whole. */
+static void
+drop_prefix (struct raft *raft, uint64_t index)
+{
+	uint64_t last = raft_last_index (raft);
+	size_t dropped = index < last ? index - raft->base : raft->entry_count;
+	for (size_t i = 0; i < dropped; i++)
+		free (raft->entries[i].data);
+	raft->entry_count -= dropped;
+	memmove (raft->entries, raft->entries + dropped,
+		raft->entry_count * sizeof (*raft->entries));
+}
+
+static void
+config_at (const struct raft *raft, uint64_t index, struct raft_config *config)
+{
+	*config = raft->base_config;
+	for (uint64_t i = index; i > raft->base; i--) {
+		const struct raft_entry *entry = raft_entry_at (raft, i);
+		if (entry && entry->type == RAFT_CONFIG) {
+			raft_config_decode (config, entry->data, entry->len);
+			return;
+		}
+	}
+}
+
+void
+raft_compact (struct raft *raft, uint64_t index, void *data, size_t len)
+{
+	assert (index > raft->base && index <= raft->commit);
+	uint64_t term = raft_term_at (raft, index);
+	config_at (raft, index, &raft->base_config);
+	drop_prefix (raft, index);
+	raft->base = index;
+	raft->base_term = term;
+	free (raft->snapshot);
+	raft->snapshot = data;
+	raft->snapshot_len = len;
+	raft->snapshot_changed = true;
+	if (raft->config_index < index)
+		raft->config_index = index;
+	for (int i = 0; i < RAFT_MAX_NODES; i++)
+		raft->progress[i].snapshot_offset = 0;
+}
+
+/* A log that holds the snapshot's last entry keeps what follows it. */
+void
+raft_log_install (struct raft *raft, uint64_t index, uint64_t term,
+	const struct raft_config *config, void *data, size_t len)
+{
+	bool keep = raft_term_at (raft, index) == term && raft_last_index (raft) > index;
+	if (keep) {
+		drop_prefix (raft, index);
+	} else {
+		for (size_t i = 0; i < raft->entry_count; i++)
+			free (raft->entries[i].data);
+		raft->entry_count = 0;
+	}
+	free (raft->snapshot);
+	raft->snapshot = data;
+	raft->snapshot_len = len;
+	raft->base = index;
+	raft->base_term = term;
+	raft->base_config = *config;
+	if (raft->commit < index)
+		raft->commit = index;
+	if (raft->saved < index || !keep)
+		raft->saved = index;
+	raft->cut_from = 0;
+	find_config (raft);
+}
+
+void
+raft_restore_hard (struct raft *raft, uint64_t term, uint64_t voted_for)
+{
+	raft->term = term;
+	raft->voted_for = voted_for;
+}
+
+void
+raft_restore_snapshot (struct raft *raft, uint64_t index, uint64_t term,
+	const struct raft_config *config, void *data, size_t len)
+{
+	raft_log_install (raft, index, term, config, data, len);
+}
+
+void
+raft_restore_entry (struct raft *raft, uint64_t index, struct raft_entry entry)
+{
+	assert (index == raft_last_index (raft) + 1);
+	raft_log_append (raft, entry);
+	raft->saved = index;
+}
+
+void
+raft_restore_cut (struct raft *raft)
+{
+	raft_log_cut (raft, raft_last_index (raft));
+	raft->cut_from = 0;
+}
+
+bool
+raft_unsaved (const struct raft *raft)
+{
+	return raft->hard_changed || raft->snapshot_changed || raft->cut_from != 0 ||
+	       raft->saved < raft_last_index (raft);
+}
+
+void *
+raft_config_encode (const struct raft_config *config, size_t *len)
+{
+	struct pack_writer writer;
+	pack_start (&writer);
+	pack_array (&writer, (size_t)config->count);
+	for (int i = 0; i < config->count; i++) {
+		pack_array (&writer, 4);
+		pack_u64 (&writer, config->nodes[i].id);
+		pack_str (&writer, config->nodes[i].name);
+		pack_str (&writer, config->nodes[i].address);
+		pack_bool (&writer, config->nodes[i].voter);
+	}
+	return pack_end (&writer, len);
+}
+
+bool
+raft_config_decode (struct raft_config *config, const void *data, size_t len)
+{
+	struct pack_tree tree;
+	struct raft_config read = {0};
+	struct pack_node root = pack_parse (&tree, data, len);
+	size_t count = pack_length (root);
+	for (size_t i = 0; i < count && i < RAFT_MAX_NODES; i++) {
+		struct pack_node item = pack_at (root, i);
+		struct raft_node *node = &read.nodes[read.count++];
+		node->id = pack_get_u64 (pack_at (item, 0));
+		pack_get_str (pack_at (item, 1), node->name, sizeof (node->name));
+		pack_get_str (pack_at (item, 2), node->address, sizeof (node->address));
+		node->voter = pack_get_bool (pack_at (item, 3));
+	}
+	bool ok = pack_free (&tree) && count <= RAFT_MAX_NODES;
+	if (ok)
+		*config = read;
+	return ok;
+}
--- /dev/null
+++ b/control/resources.c
@@ -0,0 +1,307 @@
+#include "control/resources.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+enum { RESULT_SLOTS = CHANGES_REMEMBERED * 2 };
+
+static const char *const kind_names[RESOURCE_KINDS] = {
+	"DataCentre", "VM", "Collection", "Service", "Target"};
+
+const char *
+resource_kind_name (enum resource_kind kind)
+{
+	return kind < RESOURCE_KINDS ? kind_names[kind] : "?";
+}
+
+int
+resource_kind_parse (const char *name)
+{
+	for (int i = 0; i < RESOURCE_KINDS; i++) {
+		if (strcmp (kind_names[i], name) == 0)
+			return i;
+	}
+	return -1;
+}
+
+bool
+resource_name_valid (const char *name)
+{
+	size_t len =
+		strspn (name, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-");
+	return len >= 1 && len <= RESOURCE_NAME_MAX && name[len] == '\0';
+}
+
+void
+resources_init (struct resources *resources)
+{
+	memset (resources, 0, sizeof (*resources));
+	resources->result_slots = xcalloc (RESULT_SLOTS, sizeof (uint32_t));
+}
+
+static void
+clear_items (struct resources *resources)
+{
+	for (size_t i = 0; i < resources->count; i++) {
+		free (resources->items[i]->spec);
+		free (resources->items[i]);
+	}
+	resources->count = 0;
+}
+
+void
+resources_finish (struct resources *resources)
+{
+	clear_items (resources);
+	free (resources->items);
+	free (resources->results);
+	free (resources->result_slots);
+	memset (resources, 0, sizeof (*resources));
+}
+
+static int
+compare_key (const struct resource *item, enum resource_kind kind, const char *name)
+{
+	if (item->kind != kind)
+		return item->kind < kind ? -1 : 1;
+	return strcmp (item->name, name);
+}
+
+static size_t
+lower_bound (const struct resources *resources, enum resource_kind kind, const char *name)
+{
+	size_t low = 0;
+	size_t high = resources->count;
+	while (low < high) {
+		size_t mid = (low + high) / 2;
+		if (compare_key (resources->items[mid], kind, name) < 0)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	return low;
+}
+
+static struct resource *
+find (const struct resources *resources, enum resource_kind kind, const char *name)
+{
+	size_t at = lower_bound (resources, kind, name);
+	if (at < resources->count && compare_key (resources->items[at], kind, name) == 0)
+		return resources->items[at];
+	return NULL;
+}
+
+const struct resource *
+resources_find (const struct resources *resources, enum resource_kind kind, const char *name)
+{
+	return find (resources, kind, name);
+}
+
+static void
+put (struct resources *resources, enum resource_kind kind, const char *name, uint64_t version,
+	const char *spec)
+{
+	struct resource *item = find (resources, kind, name);
+	if (!item) {
+		if (resources->count == resources->cap) {
+			resources->cap = resources->cap ? resources->cap * 2 : 64;
+			resources->items = xrealloc (
+				resources->items, resources->cap * sizeof (struct resource *));
+		}
+		size_t at = lower_bound (resources, kind, name);
+		memmove (&resources->items[at + 1], &resources->items[at],
+			(resources->count - at) * sizeof (struct resource *));
+		item = xcalloc (1, sizeof (*item));
+		item->kind = kind;
+		str_copy (item->name, sizeof (item->name), name);
+		resources->items[at] = item;
+		resources->count++;
+	}
+	free (item->spec);
+	item->spec = xstrdup (spec);
+	item->version = version;
+}
+
+static void
+remove_item (struct resources *resources, enum resource_kind kind, const char *name)
+{
+	size_t at = lower_bound (resources, kind, name);
+	free (resources->items[at]->spec);
+	free (resources->items[at]);
+	resources->count--;
+	memmove (&resources->items[at], &resources->items[at + 1],
+		(resources->count - at) * sizeof (struct resource *));
+}
+
+static uint32_t
+slot_of (const char *id)
+{
+	return (uint32_t)(XXH64 (id, strlen (id), 0) % RESULT_SLOTS);
+}
+
+/* Slots hold the ring position plus one; 0 is empty. The ring is at most half the slots. */
+static uint32_t *
+find_slot (const struct resources *resources, const char *id)
+{
+	uint32_t at = slot_of (id);
+	while (resources->result_slots[at]) {
+		if (strcmp (resources->results[resources->result_slots[at] - 1].id, id) == 0)
+			break;
+		at = (at + 1) % RESULT_SLOTS;
+	}
+	return &resources->result_slots[at];
+}
+
+static void
+reindex_results (struct resources *resources)
+{
+	memset (resources->result_slots, 0, RESULT_SLOTS * sizeof (uint32_t));
+	uint64_t held = resources->results_written < CHANGES_REMEMBERED ? resources->results_written
+									: CHANGES_REMEMBERED;
+	for (uint64_t i = 0; i < held; i++)
+		*find_slot (resources, resources->results[i].id) = (uint32_t)i + 1;
+}
+
+const struct change_result *
+resources_result (const struct resources *resources, const char *id)
+{
+	uint32_t slot = *find_slot (resources, id);
+	return slot ? &resources->results[slot - 1] : NULL;
+}
+
+/* The memory grows with use up to the ring's size, since most sites make few changes. */
+static struct change_result *
+remember (struct resources *resources, const struct change_result *result)
+{
+	uint64_t written = resources->results_written;
+	if (written < CHANGES_REMEMBERED && (written & (written - 1)) == 0) {
+		uint64_t cap = written ? written * 2 : 1;
+		resources->results = xrealloc (resources->results, cap * sizeof (*result));
+	}
+	uint32_t at = (uint32_t)(written % CHANGES_REMEMBERED);
+	resources->results[at] = *result;
+	resources->results_written++;
+	if (written >= CHANGES_REMEMBERED)
+		reindex_results (resources);
+	else
+		*find_slot (resources, result->id) = at + 1;
+	return &resources->results[at];
+}
+
+static uint64_t
+change_digest (const struct change *change)
+{
+	uint64_t digest = XXH64 (change->name, strlen (change->name),
+		change->expect * 16 + (uint64_t)change->kind * 2 + change->remove);
+	return change->remove ? digest : XXH64 (change->spec, strlen (change->spec), digest);
+}
+
+const struct change_result *
+resources_apply (struct resources *resources, const struct change *change, uint64_t index)
+{
+	static _Thread_local struct change_result answer;
+	const struct change_result *known = resources_result (resources, change->id);
+	uint64_t digest = change_digest (change);
+	if (known) {
+		answer = *known;
+		if (known->digest != digest)
+			answer.kind = ERROR_KEY_REUSED;
+		return &answer;
+	}
+	const struct resource *item = find (resources, change->kind, change->name);
+	uint64_t current = item ? item->version : 0;
+	struct change_result result = {.version = index, .digest = digest};
+	str_copy (result.id, sizeof (result.id), change->id);
+	if (current != change->expect) {
+		result.kind = ERROR_CONFLICT;
+		result.version = current;
+	} else if (change->remove && !item) {
+		result.kind = ERROR_NOT_FOUND;
+		result.version = 0;
+	} else if (change->remove) {
+		remove_item (resources, change->kind, change->name);
+	} else {
+		put (resources, change->kind, change->name, index, change->spec);
+	}
+	if (result.kind == ERROR_NONE)
+		resources->revision = index;
+	answer = *remember (resources, &result);
+	return &answer;
+}
+
+void
+resources_write (const struct resources *resources, bool results, struct pack_writer *writer)
+{
+	pack_array (writer, 3);
+	pack_u64 (writer, resources->revision);
+	pack_array (writer, (size_t)resources->count);
+	for (size_t i = 0; i < resources->count; i++) {
+		const struct resource *item = resources->items[i];
+		pack_array (writer, 4);
+		pack_u64 (writer, item->kind);
+		pack_str (writer, item->name);
+		pack_u64 (writer, item->version);
+		pack_str (writer, item->spec);
+	}
+	uint64_t written = results ? resources->results_written : 0;
+	uint64_t first = written > CHANGES_REMEMBERED ? written - CHANGES_REMEMBERED : 0;
+	pack_array (writer, (size_t)(written - first));
+	for (uint64_t i = first; i < written; i++) {
+		const struct change_result *result = &resources->results[i % CHANGES_REMEMBERED];
+		pack_array (writer, 4);
+		pack_str (writer, result->id);
+		pack_u64 (writer, result->kind);
+		pack_u64 (writer, result->version);
+		pack_u64 (writer, result->digest);
+	}
+}
+
+static void
+read_items (struct resources *resources, struct pack_node items)
+{
+	for (size_t i = 0; i < pack_length (items); i++) {
+		struct pack_node item = pack_at (items, i);
+		char name[RESOURCE_NAME_MAX + 1];
+		unsigned kind = pack_get_u64 (pack_at (item, 0));
+		pack_get_str (pack_at (item, 1), name, sizeof (name));
+		uint64_t version = pack_get_u64 (pack_at (item, 2));
+		char *spec = pack_get_text (pack_at (item, 3));
+		if (pack_ok (item) && kind < RESOURCE_KINDS && spec)
+			put (resources, (enum resource_kind)kind, name, version, spec);
+		free (spec);
+	}
+}
+
+static void
+read_results (struct resources *resources, struct pack_node results)
+{
+	for (size_t i = 0; i < pack_length (results); i++) {
+		struct pack_node item = pack_at (results, i);
+		struct change_result result = {0};
+		pack_get_str (pack_at (item, 0), result.id, sizeof (result.id));
+		result.kind = (enum error_kind)pack_get_below (pack_at (item, 1), ERROR_KINDS);
+		result.version = pack_get_u64 (pack_at (item, 2));
+		result.digest = pack_get_u64 (pack_at (item, 3));
+		if (!pack_ok (item))
+			return;
+		remember (resources, &result);
+	}
+}
+
+bool
+resources_read (struct resources *resources, struct pack_node node)
+{
+	struct pack_node items = pack_at (node, 1);
+	struct pack_node results = pack_at (node, 2);
+	uint64_t revision = pack_get_u64 (pack_at (node, 0));
+	if (!pack_ok (node))
+		return false;
+	clear_items (resources);
+	resources->results_written = 0;
+	memset (resources->result_slots, 0, RESULT_SLOTS * sizeof (uint32_t));
+	read_items (resources, items);
+	read_results (resources, results);
+	resources->revision = revision;
+	return pack_ok (node);
+}
--- /dev/null
+++ b/control/route.c
@@ -0,0 +1,30 @@
+#include "control/route.h"
+
+#include "core/buf.h"
+
+struct route
+route_to_address (const char *address)
+{
+	struct route route = {.kind = ROUTE_ADDRESS};
+	str_copy (route.id, sizeof (route.id), address);
+	return route;
+}
+
+void
+outbox_add (struct cds_list_head *outbox, const struct route *route, const struct wire *wire)
+{
+	struct outgoing *outgoing = xcalloc (1, sizeof (*outgoing));
+	outgoing->route = *route;
+	outgoing->wire = *wire;
+	cds_list_add_tail (&outgoing->node, outbox);
+}
+
+struct outgoing *
+outbox_take (struct cds_list_head *outbox)
+{
+	if (cds_list_empty (outbox))
+		return NULL;
+	struct outgoing *outgoing = cds_list_entry (outbox->next, struct outgoing, node);
+	cds_list_del (&outgoing->node);
+	return outgoing;
+}
--- /dev/null
+++ b/control/state.c
@@ -0,0 +1,118 @@
+#include "control/state.h"
+
+#include <string.h>
+
+void
+state_init (struct state *state)
+{
+	memset (state, 0, sizeof (*state));
+	resources_init (&state->resources);
+	members_init (&state->members);
+	ledger_init (&state->ledger);
+}
+
+void
+state_finish (struct state *state)
+{
+	resources_finish (&state->resources);
+	members_finish (&state->members);
+	ledger_finish (&state->ledger);
+}
+
+static void
+apply_claim (struct state *state, const struct command_claim *command, struct state_result *result)
+{
+	const struct claim *claim = NULL;
+	result->verdict = ledger_claim (&state->ledger, command->key, command->digest,
+		command->nonce, state->log_time_ms + command->retention_ms, &claim);
+	if (claim)
+		result->claim = *claim;
+}
+
+static void
+apply (struct state *state, uint64_t index, const struct command *command,
+	struct state_result *result)
+{
+	switch (command->kind) {
+	case COMMAND_CHANGE:
+		result->change = *resources_apply (&state->resources, &command->u.change, index);
+		result->ok = result->change.kind == ERROR_NONE;
+		if (result->ok && result->change.version == index)
+			state->epoch = index;
+		return;
+	case COMMAND_MEMBER:
+		result->ok = members_put (&state->members, &command->u.member, index);
+		if (result->ok)
+			state->epoch = index;
+		return;
+	case COMMAND_MEMBER_GONE:
+		result->ok = members_remove (&state->members, command->u.member.name,
+			command->u.member.incarnation, index);
+		if (result->ok)
+			state->epoch = index;
+		return;
+	case COMMAND_CLAIM:
+		apply_claim (state, &command->u.claim, result);
+		return;
+	case COMMAND_OUTCOME:
+		result->ok = ledger_outcome (&state->ledger, command->u.outcome.key,
+			command->u.outcome.nonce, command->u.outcome.status,
+			command->u.outcome.http_status, command->u.outcome.body,
+			state->log_time_ms);
+		return;
+	case COMMAND_KINDS:
+		return;
+	}
+}
+
+void
+state_apply (struct state *state, uint64_t index, const void *data, size_t len,
+	struct state_result *result)
+{
+	struct command command;
+	memset (result, 0, sizeof (*result));
+	result->kind = COMMAND_KINDS;
+	state->applied = index;
+	void *storage = command_decode (&command, data, len);
+	if (!storage)
+		return;
+	result->kind = command.kind;
+	if (command.log_time_ms > state->log_time_ms)
+		state->log_time_ms = command.log_time_ms;
+	ledger_expire (&state->ledger, state->log_time_ms);
+	apply (state, index, &command, result);
+	command_decode_finish (storage);
+}
+
+void *
+state_encode (const struct state *state, bool full, size_t *len)
+{
+	struct pack_writer writer;
+	pack_start (&writer);
+	pack_array (&writer, 6);
+	pack_u64 (&writer, state->applied);
+	pack_u64 (&writer, state->epoch);
+	pack_i64 (&writer, state->log_time_ms);
+	resources_write (&state->resources, full, &writer);
+	members_write (&state->members, &writer);
+	if (full) {
+		ledger_write (&state->ledger, &writer);
+	} else {
+		pack_array (&writer, 0);
+	}
+	return pack_end (&writer, len);
+}
+
+bool
+state_decode (struct state *state, const void *data, size_t len)
+{
+	struct pack_tree tree;
+	struct pack_node root = pack_parse (&tree, data, len);
+	state->applied = pack_get_u64 (pack_at (root, 0));
+	state->epoch = pack_get_u64 (pack_at (root, 1));
+	state->log_time_ms = pack_get_i64 (pack_at (root, 2));
+	bool ok = pack_ok (root) && resources_read (&state->resources, pack_at (root, 3)) &&
+		  members_read (&state->members, pack_at (root, 4)) &&
+		  ledger_read (&state->ledger, pack_at (root, 5));
+	return pack_free (&tree) && ok;
+}
--- /dev/null
+++ b/control/voter.c
@@ -0,0 +1,524 @@
+#include "control/voter.h"
+
+#include "control/leader.h"
+#include "core/buf.h"
+#include "core/metrics.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+void
+voter_init (struct voter *voter, const struct voter_settings *settings,
+	const struct raft_times *times, uint64_t seed, int64_t now_us)
+{
+	memset (voter, 0, sizeof (*voter));
+	voter->settings = *settings;
+	raft_init (&voter->raft, settings->disk_id, times, seed, now_us);
+	state_init (&voter->state);
+	grants_init (&voter->grants);
+	recent_init (&voter->recent);
+	CDS_INIT_LIST_HEAD (&voter->polls);
+	CDS_INIT_LIST_HEAD (&voter->proposals);
+	CDS_INIT_LIST_HEAD (&voter->outbox);
+}
+
+static void
+free_poll (struct waiting_poll *waiting)
+{
+	cds_list_del (&waiting->node);
+	free (waiting->polls);
+	free (waiting);
+}
+
+void
+voter_finish (struct voter *voter)
+{
+	struct waiting_poll *poll;
+	struct waiting_poll *next_poll;
+	cds_list_for_each_entry_safe (poll, next_poll, &voter->polls, node)
+		free_poll (poll);
+	struct waiting_proposal *proposal;
+	struct waiting_proposal *next;
+	cds_list_for_each_entry_safe (proposal, next, &voter->proposals, node)
+		free (proposal);
+	struct outgoing *outgoing;
+	while ((outgoing = outbox_take (&voter->outbox))) {
+		wire_finish (&outgoing->wire);
+		free (outgoing);
+	}
+	raft_finish (&voter->raft);
+	state_finish (&voter->state);
+	grants_finish (&voter->grants);
+	recent_finish (&voter->recent);
+}
+
+bool
+voter_restore_state (struct voter *voter)
+{
+	const struct raft *raft = &voter->raft;
+	if (raft->base == 0)
+		return true;
+	if (!state_decode (&voter->state, raft->snapshot, raft->snapshot_len))
+		return false;
+	voter->state.applied = raft->base;
+	recent_reset (&voter->recent, raft->base);
+	return true;
+}
+
+static const char *
+leader_address (const struct voter *voter)
+{
+	const struct raft_node *node = raft_find_node (&voter->raft, voter->raft.leader);
+	return node ? node->address : "";
+}
+
+static bool
+leads (const struct voter *voter)
+{
+	return voter->raft.role == RAFT_LEADER;
+}
+
+static void
+send_propose_reply (struct voter *voter, const struct route *route, uint64_t id,
+	enum propose_status status, const struct state_result *result)
+{
+	struct wire wire = {.kind = WIRE_PROPOSE_REPLY};
+	struct propose_reply *reply = &wire.u.propose_reply;
+	reply->id = id;
+	reply->status = status;
+	str_copy (reply->leader, sizeof (reply->leader), leader_address (voter));
+	if (result) {
+		reply->result = *result;
+		reply->body = result->claim.body ? xstrdup (result->claim.body) : NULL;
+		reply->result.claim.body = NULL;
+	}
+	outbox_add (&voter->outbox, route, &wire);
+}
+
+uint64_t
+voter_propose (struct voter *voter, struct command *command, const struct route *route, uint64_t id,
+	int64_t now_us)
+{
+	command->log_time_ms = voter->wall_ms;
+	size_t len = 0;
+	void *data = command_encode (command, &len);
+	uint64_t index = raft_propose (&voter->raft, RAFT_COMMAND, data, len, now_us);
+	free (data);
+	if (index == 0 || !route)
+		return index;
+	struct waiting_proposal *waiting = xcalloc (1, sizeof (*waiting));
+	waiting->index = index;
+	waiting->term = voter->raft.term;
+	waiting->id = id;
+	waiting->route = *route;
+	waiting->reply = true;
+	cds_list_add_tail (&waiting->node, &voter->proposals);
+	return index;
+}
+
+static void
+receive_propose (
+	struct voter *voter, const struct route *from, const struct wire *wire, int64_t now_us)
+{
+	struct command command;
+	uint64_t id = wire->u.propose.id;
+	if (!leads (voter)) {
+		send_propose_reply (voter, from, id, PROPOSE_NOT_LEADER, NULL);
+		return;
+	}
+	void *storage = command_decode (&command, wire->u.propose.data, wire->u.propose.len);
+	if (!storage) {
+		send_propose_reply (voter, from, id, PROPOSE_REFUSED, NULL);
+		return;
+	}
+	voter_propose (voter, &command, from, id, now_us);
+	command_decode_finish (storage);
+}
+
+static struct waiting_poll *
+add_waiting (struct voter *voter, const struct route *from, uint64_t seq, struct poll *polls,
+	int count, int64_t now_us)
+{
+	struct waiting_poll *waiting = xcalloc (1, sizeof (*waiting));
+	waiting->route = *from;
+	waiting->seq = seq;
+	waiting->polls = polls;
+	waiting->count = count;
+	waiting->arrived_us = now_us;
+	/* Only a round that starts after the poll arrived proves leadership for it. */
+	waiting->need_round = voter->raft.round + 1;
+	cds_list_add_tail (&waiting->node, &voter->polls);
+	if (leads (voter)) {
+		for (int i = 0; i < count; i++)
+			grants_report (&voter->grants, &polls[i], now_us);
+	}
+	return waiting;
+}
+
+static void
+receive_relay (struct voter *voter, const struct route *from, struct wire *wire, int64_t now_us)
+{
+	if (!leads (voter))
+		return;
+	struct waiting_poll *waiting = add_waiting (
+		voter, from, wire->u.relay.seq, wire->u.relay.polls, wire->u.relay.count, now_us);
+	waiting->relay = true;
+	wire->u.relay.polls = NULL;
+	wire->u.relay.count = 0;
+}
+
+static void
+receive_relay_reply (struct voter *voter, const struct relay_reply *reply)
+{
+	struct waiting_poll *waiting;
+	if (reply->seq == voter->relay_seq)
+		voter->relay_sent_us = 0;
+	cds_list_for_each_entry (waiting, &voter->polls, node) {
+		if (waiting->relay_seq != reply->seq || waiting->stamped)
+			continue;
+		waiting->stamped = true;
+		waiting->answer = *reply;
+	}
+}
+
+void
+voter_receive (struct voter *voter, const struct route *from, struct wire *wire, int64_t now_us)
+{
+	switch (wire->kind) {
+	case WIRE_RAFT:
+		raft_receive (&voter->raft, wire->u.raft, now_us);
+		return;
+	case WIRE_POLL:
+		add_waiting (voter, from, wire->u.poll.seq,
+			xmemdup (&wire->u.poll.poll, sizeof (struct poll)), 1, now_us);
+		return;
+	case WIRE_RELAY:
+		receive_relay (voter, from, wire, now_us);
+		return;
+	case WIRE_RELAY_REPLY:
+		receive_relay_reply (voter, &wire->u.relay_reply);
+		return;
+	case WIRE_PROPOSE:
+		receive_propose (voter, from, wire, now_us);
+		return;
+	case WIRE_POLL_REPLY:
+	case WIRE_PROPOSE_REPLY:
+	case WIRE_KINDS:
+		return;
+	}
+}
+
+static void
+add_voters (const struct voter *voter, struct poll_reply *reply)
+{
+	const struct raft_config *config = &voter->raft.config;
+	for (int i = 0; i < config->count && reply->voter_count < WIRE_MAX_VOTERS; i++) {
+		if (config->nodes[i].voter)
+			str_copy (
+				reply->voters[reply->voter_count++], 64, config->nodes[i].address);
+	}
+}
+
+/* Fills in what the node lacks: the changes, or the whole state where they are too many. */
+static void
+add_missing (const struct voter *voter, struct poll_reply *reply, uint64_t applied)
+{
+	reply->revision = voter->state.applied;
+	if (applied >= voter->state.applied)
+		return;
+	int64_t position = recent_first (&voter->recent, applied);
+	if (position < 0) {
+		reply->snapshot = state_encode (&voter->state, false, &reply->snapshot_len);
+		return;
+	}
+	const struct recent_command *command = NULL;
+	reply->changes =
+		xcalloc (voter->recent.count - (uint64_t)position, sizeof (*reply->changes));
+	while ((command = recent_at (&voter->recent, position++))) {
+		struct wire_change *change = &reply->changes[reply->change_count++];
+		change->index = command->index;
+		change->data = xmemdup (command->data, command->len);
+		change->len = command->len;
+	}
+}
+
+static void
+answer_poll (
+	struct voter *voter, const struct waiting_poll *waiting, const struct relay_reply *answer)
+{
+	const struct poll *poll = &waiting->polls[0];
+	struct wire wire = {.kind = WIRE_POLL_REPLY};
+	struct poll_reply *reply = &wire.u.poll_reply;
+	reply->seq = waiting->seq;
+	/* A follower that knows more than this voter polled a voter that is behind. */
+	reply->granted = !poll->gone && poll->applied <= voter->state.applied;
+	reply->settled = answer->settled;
+	reply->in_force = answer->in_force;
+	reply->leaving_work = answer->leaving_work;
+	reply->node_count = answer->node_count;
+	add_voters (voter, reply);
+	add_missing (voter, reply, poll->applied);
+	outbox_add (&voter->outbox, &waiting->route, &wire);
+}
+
+static int64_t
+grant_length (const struct voter *voter)
+{
+	return voter->settings.lease_us + VOTER_HANDOVER_US +
+	       voter->settings.lease_us * VOTER_DRIFT_PERCENT / 100;
+}
+
+/* Leases of the last leader's making may run until then; nothing settles before. */
+bool
+voter_knows_grants (const struct voter *voter, int64_t now_us)
+{
+	return leads (voter) && now_us > voter->raft.leader_since_us + grant_length (voter);
+}
+
+static struct relay_reply
+summarise (struct voter *voter, int64_t now_us)
+{
+	struct relay_reply answer = {.commit = voter->raft.commit};
+	struct grants_summary summary =
+		grants_summarise (&voter->grants, voter->state.applied, now_us);
+	answer.leaving_work = summary.leaving_work;
+	answer.node_count = summary.node_count;
+	if (voter_knows_grants (voter, now_us)) {
+		answer.settled = summary.settled;
+		answer.in_force = summary.in_force;
+		voter->in_force = summary.in_force;
+	}
+	return answer;
+}
+
+static void
+answer_relay (struct voter *voter, const struct waiting_poll *waiting, struct relay_reply answer)
+{
+	struct wire wire = {.kind = WIRE_RELAY_REPLY};
+	answer.seq = waiting->seq;
+	wire.u.relay_reply = answer;
+	outbox_add (&voter->outbox, &waiting->route, &wire);
+}
+
+static void
+answer_as_leader (struct voter *voter, int64_t now_us)
+{
+	uint64_t confirmed = raft_confirmed_round (&voter->raft);
+	struct waiting_poll *waiting;
+	struct waiting_poll *next;
+	if (!raft_commit_is_current (&voter->raft) || voter->state.applied < voter->raft.commit)
+		return;
+	bool summarised = false;
+	struct relay_reply answer = {0};
+	cds_list_for_each_entry_safe (waiting, next, &voter->polls, node) {
+		if (waiting->need_round > confirmed)
+			continue;
+		/* The summary comes before these grants, so it cannot be newer than a holder. */
+		if (!summarised)
+			answer = summarise (voter, now_us);
+		summarised = true;
+		for (int i = 0; i < waiting->count; i++)
+			grants_extend (&voter->grants, waiting->polls[i].incarnation,
+				now_us + grant_length (voter));
+		if (waiting->relay)
+			answer_relay (voter, waiting, answer);
+		else
+			answer_poll (voter, waiting, &answer);
+		free_poll (waiting);
+	}
+}
+
+static bool
+wants_round (const struct voter *voter)
+{
+	const struct waiting_poll *waiting;
+	if (raft_confirmed_round (&voter->raft) < voter->raft.round)
+		return false;
+	cds_list_for_each_entry (waiting, &voter->polls, node) {
+		if (waiting->need_round > voter->raft.round)
+			return true;
+	}
+	return false;
+}
+
+static void
+answer_as_follower (struct voter *voter)
+{
+	struct waiting_poll *waiting;
+	struct waiting_poll *next;
+	cds_list_for_each_entry_safe (waiting, next, &voter->polls, node) {
+		if (!waiting->stamped || voter->state.applied < waiting->answer.commit)
+			continue;
+		answer_poll (voter, waiting, &waiting->answer);
+		free_poll (waiting);
+	}
+}
+
+/* Sends all polls that arrived since the last batch up in one message. */
+static void
+relay_polls (struct voter *voter, int64_t now_us)
+{
+	struct waiting_poll *waiting;
+	int count = 0;
+	if (voter->relay_sent_us != 0 && voter->relay_sent_us + VOTER_RELAY_RETRY_US > now_us)
+		return;
+	cds_list_for_each_entry (waiting, &voter->polls, node)
+		count += waiting->relay_seq == 0 && !waiting->relay;
+	const char *leader = leader_address (voter);
+	if (count == 0 || leader[0] == '\0')
+		return;
+	struct wire wire = {.kind = WIRE_RELAY};
+	wire.u.relay.seq = ++voter->relay_seq;
+	wire.u.relay.polls = xcalloc ((size_t)count, sizeof (struct poll));
+	cds_list_for_each_entry (waiting, &voter->polls, node) {
+		if (waiting->relay_seq != 0 || waiting->relay ||
+			wire.u.relay.count == WIRE_MAX_POLLS)
+			continue;
+		waiting->relay_seq = voter->relay_seq;
+		wire.u.relay.polls[wire.u.relay.count++] = waiting->polls[0];
+	}
+	struct route route = route_to_address (leader);
+	outbox_add (&voter->outbox, &route, &wire);
+	voter->relay_sent_us = now_us;
+}
+
+static void
+drop_old_polls (struct voter *voter, int64_t now_us)
+{
+	struct waiting_poll *waiting;
+	struct waiting_poll *next;
+	cds_list_for_each_entry_safe (waiting, next, &voter->polls, node) {
+		if (waiting->arrived_us + VOTER_POLL_KEEP_US <= now_us)
+			free_poll (waiting);
+	}
+}
+
+/* Proposals of a lost term have an unknown fate; the sender asks again with the same id. */
+static void
+drop_lost_proposals (struct voter *voter)
+{
+	struct waiting_proposal *waiting;
+	struct waiting_proposal *next;
+	cds_list_for_each_entry_safe (waiting, next, &voter->proposals, node) {
+		if (leads (voter) && waiting->term == voter->raft.term)
+			continue;
+		send_propose_reply (voter, &waiting->route, waiting->id, PROPOSE_NOT_LEADER, NULL);
+		cds_list_del (&waiting->node);
+		free (waiting);
+	}
+}
+
+static void
+note_role (struct voter *voter)
+{
+	if (leads (voter) == voter->was_leader)
+		return;
+	struct waiting_poll *waiting;
+	struct waiting_poll *next;
+	voter->was_leader = leads (voter);
+	grants_clear (&voter->grants);
+	voter->own_index = 0;
+	voter->in_force = 0;
+	/* Rounds are counted by each leader anew, so old polls would be stamped wrongly. */
+	cds_list_for_each_entry_safe (waiting, next, &voter->polls, node)
+		free_poll (waiting);
+}
+
+static void
+answer_proposals (struct voter *voter, uint64_t index, const struct state_result *result)
+{
+	struct waiting_proposal *waiting;
+	struct waiting_proposal *next;
+	cds_list_for_each_entry_safe (waiting, next, &voter->proposals, node) {
+		if (waiting->index > index)
+			return;
+		if (waiting->index == index)
+			send_propose_reply (
+				voter, &waiting->route, waiting->id, PROPOSE_APPLIED, result);
+		cds_list_del (&waiting->node);
+		free (waiting);
+	}
+}
+
+static void
+apply_committed (struct voter *voter)
+{
+	struct raft *raft = &voter->raft;
+	if (raft->base > voter->state.applied) {
+		/* A snapshot arrived; it was checked when it was saved. */
+		voter_restore_state (voter);
+	}
+	while (voter->state.applied < raft->commit) {
+		uint64_t index = voter->state.applied + 1;
+		const struct raft_entry *entry = raft_entry_at (raft, index);
+		struct state_result result = {.kind = COMMAND_KINDS};
+		if (entry->type == RAFT_COMMAND)
+			state_apply (&voter->state, index, entry->data, entry->len, &result);
+		if (voter->state.epoch == index)
+			recent_add (&voter->recent, index, entry->data, entry->len);
+		voter->state.applied = index;
+		metric_add (METRIC_CONTROL_COMMITS, 1);
+		if (leads (voter))
+			answer_proposals (voter, index, &result);
+	}
+}
+
+void
+voter_step (struct voter *voter, int64_t now_us)
+{
+	note_role (voter);
+	drop_lost_proposals (voter);
+	drop_old_polls (voter, now_us);
+	apply_committed (voter);
+	if (leads (voter)) {
+		if (wants_round (voter))
+			raft_start_round (&voter->raft, now_us);
+		raft_flush (&voter->raft, now_us);
+		answer_as_leader (voter, now_us);
+	} else {
+		answer_as_follower (voter);
+		relay_polls (voter, now_us);
+	}
+	struct raft_message *message;
+	struct raft_message *next;
+	cds_list_for_each_entry_safe (message, next, &voter->raft.outbox, node) {
+		const struct raft_node *node = raft_find_node (&voter->raft, message->to);
+		cds_list_del (&message->node);
+		if (!node) {
+			raft_message_free (message);
+			continue;
+		}
+		struct route route = route_to_address (node->address);
+		struct wire wire = {.kind = WIRE_RAFT, .u.raft = message};
+		outbox_add (&voter->outbox, &route, &wire);
+	}
+}
+
+void
+voter_saved (struct voter *voter, int64_t now_us)
+{
+	raft_saved (&voter->raft, now_us);
+	voter_step (voter, now_us);
+}
+
+bool
+voter_compact (struct voter *voter)
+{
+	uint64_t applied = voter->state.applied;
+	if (applied <= voter->raft.base + voter->settings.compact_entries)
+		return false;
+	size_t len = 0;
+	void *data = state_encode (&voter->state, true, &len);
+	raft_compact (&voter->raft, applied, data, len);
+	return true;
+}
+
+void
+voter_tick (struct voter *voter, int64_t now_us, int64_t wall_ms)
+{
+	voter->wall_ms = wall_ms;
+	raft_tick (&voter->raft, now_us);
+	note_role (voter);
+	if (leads (voter))
+		leader_tick (voter, now_us);
+}
--- /dev/null
+++ b/control/wire.h
@@ -0,0 +1,116 @@
+/**
+ * @file wire.h
+ * The messages of the control plane between nodes, and their MessagePack encoding.
+ */
+#pragma once
+
+#include "control/raft.h"
+#include "control/state.h"
+
+enum { WIRE_MAX_VOTERS = RAFT_MAX_NODES, WIRE_MAX_POLLS = 1024 };
+
+enum wire_kind {
+	WIRE_RAFT,
+	WIRE_POLL,
+	WIRE_POLL_REPLY,
+	WIRE_RELAY,
+	WIRE_RELAY_REPLY,
+	WIRE_PROPOSE,
+	WIRE_PROPOSE_REPLY,
+	WIRE_KINDS,
+};
+
+/** A node's report when it polls for changes and a lease. */
+struct poll {
+	char name[RESOURCE_NAME_MAX + 1];
+	char data_centre[RESOURCE_NAME_MAX + 1];
+	char address[64];
+	uint64_t incarnation;  /**< of the process */
+	uint64_t disk_id;      /**< incarnation of its data folder; 0: it has none */
+	uint64_t applied;      /**< newest revision that it has */
+	uint64_t acting;       /**< newest revision that its request path follows */
+	uint64_t released;     /**< newest revision whose lost targets it no longer works on */
+	uint32_t leaving_work; /**< sub-requests in flight at targets that are leaving */
+	bool leaving;          /**< it began a planned stop */
+	bool gone;             /**< it holds nothing any more and ends now */
+};
+
+/** A committed command that a follower lacks. */
+struct wire_change {
+	uint64_t index;
+	void *data;
+	size_t len;
+};
+
+struct poll_reply {
+	uint64_t seq;
+	bool granted;
+	uint64_t revision;     /**< newest committed index */
+	uint64_t settled;      /**< all leases are at this revision or later */
+	uint64_t in_force;     /**< every node that may issue work has applied this revision */
+	uint32_t leaving_work; /**< sum over all nodes */
+	int node_count;        /**< nodes that hold a lease */
+	int voter_count;
+	char voters[WIRE_MAX_VOTERS][64]; /**< peer addresses */
+	void *snapshot;                   /**< state, when the changes are too old; or NULL */
+	size_t snapshot_len;
+	struct wire_change *changes;
+	int change_count;
+};
+
+/** What a leader tells a voter that relays polls. */
+struct relay_reply {
+	uint64_t seq;
+	uint64_t commit;
+	uint64_t settled;
+	uint64_t in_force;
+	uint32_t leaving_work;
+	int node_count;
+};
+
+enum propose_status { PROPOSE_APPLIED, PROPOSE_NOT_LEADER, PROPOSE_REFUSED };
+
+struct propose_reply {
+	uint64_t id;
+	enum propose_status status;
+	char leader[64]; /**< peer address, or empty */
+	struct state_result result;
+	char *body; /**< stored reply of a claim, owned; or NULL */
+};
+
+/** One control message; the kind says which member counts. */
+struct wire {
+	enum wire_kind kind;
+	union {
+		struct raft_message *raft; /**< owned */
+		struct {
+			uint64_t seq;
+			struct poll poll;
+		} poll;
+		struct poll_reply poll_reply;
+		struct {
+			uint64_t seq;
+			struct poll *polls; /**< owned */
+			int count;
+		} relay;
+		struct relay_reply relay_reply;
+		struct {
+			uint64_t id;
+			void *data; /**< encoded command, owned */
+			size_t len;
+		} propose;
+		struct propose_reply propose_reply;
+	} u;
+};
+
+/** Encodes a message; the caller frees the bytes. */
+void *
+wire_encode (const struct wire *wire, size_t *len);
+
+/** Decodes a message; false when malformed. Always call wire_finish afterwards. */
+bool
+wire_decode (struct wire *wire, const void *data, size_t len);
+
+/** Frees what a message owns. */
+void
+wire_finish (struct wire *wire);
--- /dev/null
+++ b/core/buf.c
@@ -0,0 +1,115 @@
+#include "core/buf.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+void *
+xrealloc (void *old, size_t size)
+{
+	void *ptr = realloc (old, size ? size : 1);
+	if (!ptr)
+		abort ();
+	return ptr;
+}
+
+void *
+xmalloc (size_t size)
+{
+	return xrealloc (NULL, size);
+}
+
+void *
+xcalloc (size_t count, size_t size)
+{
+	void *ptr = calloc (count ? count : 1, size ? size : 1);
+	if (!ptr)
+		abort ();
+	return ptr;
+}
+
+void *
+xmemdup (const void *data, size_t len)
+{
+	char *copy = xmalloc (len + 1);
+	if (len)
+		memcpy (copy, data, len);
+	copy[len] = '\0';
+	return copy;
+}
+
+char *
+xstrdup (const char *text)
+{
+	return xmemdup (text, strlen (text));
+}
+
+void
+str_copy (char *to, size_t size, const char *from)
+{
+	size_t len = strnlen (from, size - 1);
+	memcpy (to, from, len);
+	to[len] = '\0';
+}
+
+void
+buf_init (struct buf *buf)
+{
+	memset (buf, 0, sizeof (*buf));
+}
+
+void
+buf_finish (struct buf *buf)
+{
+	free (buf->data);
+	buf_init (buf);
+}
+
+void
+buf_reset (struct buf *buf)
+{
+	buf->len = 0;
+	if (buf->data)
+		buf->data[0] = '\0';
+}
+
+static void
+reserve (struct buf *buf, size_t extra)
+{
+	size_t need = buf->len + extra + 1;
+	if (need <= buf->cap)
+		return;
+	size_t cap = buf->cap ? buf->cap : 64;
+	while (cap < need)
+		cap *= 2;
+	buf->data = xrealloc (buf->data, cap);
+	buf->cap = cap;
+}
+
+void
+buf_add (struct buf *buf, const void *data, size_t len)
+{
+	reserve (buf, len);
+	if (len)
+		memcpy (buf->data + buf->len, data, len);
+	buf->len += len;
+	buf->data[buf->len] = '\0';
+}
+
+void
+buf_addf (struct buf *buf, const char *format, ...)
+{
+	va_list args;
+	va_list again;
+	va_start (args, format);
+	va_copy (again, args);
+	int len = vsnprintf (NULL, 0, format, args);
+	va_end (args);
+	if (len > 0) {
+		reserve (buf, (size_t)len);
+		vsnprintf (buf->data + buf->len, (size_t)len + 1, format, again);
+		buf->len += (size_t)len;
+	}
+	va_end (again);
+}
--- /dev/null
+++ b/core/buf.h
@@ -0,0 +1,42 @@
+/**
+ * @file buf.h
+ * A growable byte buffer and small helpers for owned strings.
+ */
+#pragma once
+
+#include <stddef.h>
+#include <stdint.h>
+
+/** Bytes with a length; data is NUL-terminated after each append. */
+struct buf {
+	char *data;
+	size_t len;
+	size_t cap;
+};
+
+void
+buf_init (struct buf *buf);
+void
+buf_finish (struct buf *buf);
+void
+buf_reset (struct buf *buf);
+void
+buf_add (struct buf *buf, const void *data, size_t len);
+void
+buf_addf (struct buf *buf, const char *format, ...) __attribute__ ((format (printf, 2, 3)));
+
+/** Like malloc, calloc and strdup, but end the process when memory runs out. */
+void *
+xmalloc (size_t size);
+void *
+xcalloc (size_t count, size_t size);
+void *
+xrealloc (void *old, size_t size);
+char *
+xstrdup (const char *text);
+void *
+xmemdup (const void *data, size_t len);
+
+/** Copies a string into a fixed array and cuts it where it is too long. */
+void
+str_copy (char *to, size_t size, const char *from);
--- /dev/null
+++ b/core/log.c
@@ -0,0 +1,77 @@
+#include "core/log.h"
+
+#include <jansson.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+struct event_info {
+	enum log_event number;
+	const char *name;
+	enum log_level level;
+	const char *meaning;
+};
+
+static const struct event_info events[] = {
+#define EVENT(number, name, level, meaning) {EVENT_##name, #name, level, meaning},
+#include "core/events.def"
+#undef EVENT
+};
+
+static const char *const level_names[] = {"error", "warning", "info", "debug"};
+
+static const struct event_info *
+find_event (enum log_event number)
+{
+	for (size_t i = 0; i < sizeof (events) / sizeof (events[0]); i++) {
+		if (events[i].number == number)
+			return &events[i];
+	}
+	return &events[0];
+}
+
+int
+log_level_parse (const char *name)
+{
+	for (int i = 0; i < 4; i++) {
+		if (strcmp (level_names[i], name) == 0)
+			return i;
+	}
+	return -1;
+}
+
+void
+log_event (const struct log *log, enum log_event event, const char *format, ...)
+{
+	const struct event_info *info = find_event (event);
+	if (info->level > log->level)
+		return;
+	char detail[512];
+	va_list args;
+	va_start (args, format);
+	vsnprintf (detail, sizeof (detail), format, args);
+	va_end (args);
+	struct timespec ts;
+	clock_gettime (CLOCK_REALTIME, &ts);
+	json_t *line = json_pack ("{s:f, s:s, s:i, s:s, s:s, s:s+}", "time",
+		(double)ts.tv_sec + (double)(ts.tv_nsec / 1000000) / 1e3, "level",
+		level_names[info->level], "event", (int)event, "name", info->name, "module",
+		log->module, "detail", detail, "");
+	char *text = line ? json_dumps (line, JSON_COMPACT | JSON_REAL_PRECISION (14)) : NULL;
+	if (text)
+		fprintf (stderr, "%s\n", text);
+	free (text);
+	json_decref (line);
+}
+
+void
+log_print_catalogue (void)
+{
+	printf ("| number | name | level | meaning and remedy |\n|---|---|---|---|\n");
+	for (size_t i = 0; i < sizeof (events) / sizeof (events[0]); i++) {
+		printf ("| %d | %s | %s | %s |\n", (int)events[i].number, events[i].name,
+			level_names[events[i].level], events[i].meaning);
+	}
+}
--- /dev/null
+++ b/core/metrics.c
@@ -0,0 +1,40 @@
+#include "core/metrics.h"
+
+#include <stdatomic.h>
+
+static _Atomic uint64_t counters[METRICS];
+
+static const char *const names[METRICS] = {
+#define METRIC(name, export, help) export,
+#include "core/metrics.def"
+#undef METRIC
+};
+
+static const char *const helps[METRICS] = {
+#define METRIC(name, export, help) help,
+#include "core/metrics.def"
+#undef METRIC
+};
+
+void
+metric_add (enum metric metric, uint64_t by)
+{
+	atomic_fetch_add_explicit (&counters[metric], by, memory_order_relaxed);
+}
+
+uint64_t
+metric_get (enum metric metric)
+{
+	return atomic_load_explicit (&counters[metric], memory_order_relaxed);
+}
+
+void
+metrics_export (struct buf *out)
+{
+	for (int i = 0; i < METRICS; i++) {
+		buf_addf (out, "# HELP oleanderstile_%s %s\n# TYPE oleanderstile_%s counter\n",
+			names[i], helps[i], names[i]);
+		buf_addf (out, "oleanderstile_%s %llu\n", names[i],
+			(unsigned long long)metric_get ((enum metric)i));
+	}
+}
--- /dev/null
+++ b/core/timers.c
@@ -0,0 +1,115 @@
+#include "core/timers.h"
+
+#include "core/buf.h"
+
+#include <stdlib.h>
+
+void
+timers_init (struct timers *timers)
+{
+	timers->heap = NULL;
+	timers->count = 0;
+	timers->cap = 0;
+}
+
+void
+timers_finish (struct timers *timers)
+{
+	free (timers->heap);
+	timers_init (timers);
+}
+
+void
+timer_init (struct timer *timer, int kind)
+{
+	timer->kind = kind;
+	timer->due_us = INT64_MAX;
+	timer->position = TIMER_IDLE;
+}
+
+static void
+place (struct timers *timers, struct timer *timer, int at)
+{
+	timers->heap[at] = timer;
+	timer->position = at;
+}
+
+static void
+sift_up (struct timers *timers, struct timer *timer)
+{
+	int at = timer->position;
+	while (at > 0) {
+		int parent = (at - 1) / 2;
+		if (timers->heap[parent]->due_us <= timer->due_us)
+			break;
+		place (timers, timers->heap[parent], at);
+		at = parent;
+	}
+	place (timers, timer, at);
+}
+
+static void
+sift_down (struct timers *timers, struct timer *timer)
+{
+	int at = timer->position;
+	for (;;) {
+		int child = at * 2 + 1;
+		if (child >= timers->count)
+			break;
+		if (child + 1 < timers->count &&
+			timers->heap[child + 1]->due_us < timers->heap[child]->due_us)
+			child++;
+		if (timer->due_us <= timers->heap[child]->due_us)
+			break;
+		place (timers, timers->heap[child], at);
+		at = child;
+	}
+	place (timers, timer, at);
+}
+
+void
+timers_clear (struct timers *timers, struct timer *timer)
+{
+	int at = timer->position;
+	if (at == TIMER_IDLE)
+		return;
+	struct timer *last = timers->heap[--timers->count];
+	timer->position = TIMER_IDLE;
+	if (last == timer)
+		return;
+	place (timers, last, at);
+	sift_up (timers, last);
+	sift_down (timers, last);
+}
+
+void
+timers_set (struct timers *timers, struct timer *timer, int64_t due_us)
+{
+	timers_clear (timers, timer);
+	timer->due_us = due_us;
+	if (due_us == INT64_MAX)
+		return;
+	if (timers->count == timers->cap) {
+		timers->cap = timers->cap ? timers->cap * 2 : 64;
+		timers->heap =
+			xrealloc (timers->heap, (size_t)timers->cap * sizeof (*timers->heap));
+	}
+	place (timers, timer, timers->count++);
+	sift_up (timers, timer);
+}
+
+struct timer *
+timers_due (struct timers *timers, int64_t now_us)
+{
+	if (timers->count == 0 || timers->heap[0]->due_us > now_us)
+		return NULL;
+	struct timer *timer = timers->heap[0];
+	timers_clear (timers, timer);
+	return timer;
+}
+
+int64_t
+timers_next_us (const struct timers *timers)
+{
+	return timers->count ? timers->heap[0]->due_us : INT64_MAX;
+}
--- /dev/null
+++ b/ctl/table.h
@@ -0,0 +1,31 @@
+/**
+ * @file table.h
+ * Plain tables on standard output, with columns as wide as their widest cell.
+ */
+#pragma once
+
+enum { TABLE_COLUMNS = 8, TABLE_CELL = 80 };
+
+struct table {
+	char (*rows)[TABLE_COLUMNS][TABLE_CELL];
+	int row_count;
+	int row_cap;
+	int columns;
+};
+
+void
+table_init (struct table *table, int columns);
+void
+table_finish (struct table *table);
+
+/** Starts a row; cells start empty. */
+void
+table_row (struct table *table);
+
+/** Sets a cell of the newest row. */
+void
+table_cell (struct table *table, int column, const char *format, ...)
+	__attribute__ ((format (printf, 3, 4)));
+
+void
+table_print (const struct table *table);
--- /dev/null
+++ b/daemon/control.h
@@ -0,0 +1,104 @@
+/**
+ * @file control.h
+ * The control thread: it feeds the voter and the follower, persists the log and publishes views.
+ */
+#pragma once
+
+#include "control/follower.h"
+#include "control/voter.h"
+#include "daemon/node.h"
+#include "net/mailbox.h"
+#include "store/store.h"
+
+#include <pthread.h>
+
+enum {
+	CONTROL_TICK_MS = 10,
+	CONTROL_PROPOSE_RETRY_US = 250000,
+	CONTROL_PROPOSE_KEEP_US =
+		5000000, /**< a proposal without an answer is given up after this */
+};
+
+/** A proposal on its way to the leader. */
+struct proposal {
+	struct cds_list_head node;
+	uint64_t id;
+	uint64_t request; /**< the once-only request it is for; 0: a waiting HTTP thread */
+	enum command_kind kind;
+	void *data;
+	size_t len;
+	int64_t until_us;
+	int64_t sent_us;
+	struct control_change *waiter;
+};
+
+/** A resource change that an HTTP thread waits for. */
+struct control_change {
+	struct mail mail;
+	struct command *command;
+	struct propose_reply reply;
+	bool answered; /**< false: nobody confirmed it in time */
+	bool done;
+	pthread_mutex_t lock;
+	pthread_cond_t cond;
+};
+
+struct control {
+	struct node *node;
+	struct log log;
+	pthread_t thread;
+	struct mailbox mailbox;
+	bool has_voter;
+	struct voter voter;
+	struct store store;
+	struct follower follower;
+	struct cds_list_head proposals;
+	uint64_t proposal_id;
+	char leader[64];    /**< peer address of the leader as last heard; or empty */
+	int next_voter;     /**< which one to ask when the leader is not known */
+	int64_t granted_us; /**< end of the lease that takes effect once views are followed */
+	uint64_t granted_revision;
+	bool had_lease;
+	bool was_leader;
+	int64_t platform_us;
+	int64_t platform_mtime;
+	int last_voters;
+	char seeds[1300]; /**< own peer address when this node may vote, then the settings' */
+	_Atomic bool stop;
+};
+
+/** Opens the data folder and restores what it holds; messages may be posted from then on. */
+bool
+control_start (struct control *control, struct node *node, bool bootstrap, struct error *error);
+
+/** Starts the thread, once the workers and the peer links run. */
+bool
+control_run (struct control *control, struct error *error);
+
+/** Stops the thread; the data folder is synced. */
+void
+control_stop (struct control *control);
+
+/** Hands a control message from a peer over; takes what it owns over. Any thread. */
+void
+control_post_wire (struct control *control, const struct route *from, struct wire *wire);
+
+/** Proposes a claim or outcome for a once-only request; the answer goes to its worker. */
+void
+control_propose (struct control *control, const struct command *command, uint64_t request);
+
+/**
+ * Proposes a resource change and waits for the result.
+ * @return false with ERROR_UNAVAILABLE when it is not known whether the change was accepted.
+ */
+bool
+control_change (struct control *control, struct command *command, struct propose_reply *reply,
+	struct error *error);
+
+/** Runs a function on the control thread and waits for it. */
+void
+control_call (struct control *control, void (*run) (struct control *control, void *arg), void *arg);
+
+/** Announces that this node leaves (it owns nothing from then on), or that it is gone. */
+void
+control_set_leaving (struct control *control, bool gone);
--- /dev/null
+++ b/daemon/http.c
@@ -0,0 +1,158 @@
+#include "daemon/http.h"
+
+#include "core/metrics.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <urcu.h>
+
+enum { RETRY_AFTER_S = 1 };
+
+static void *
+on_thread_start (const struct mg_context *context, int type)
+{
+	(void)context;
+	(void)type;
+	rcu_register_thread ();
+	return NULL;
+}
+
+static void
+on_thread_end (const struct mg_context *context, int type, void *thread)
+{
+	(void)context;
+	(void)type;
+	(void)thread;
+	rcu_unregister_thread ();
+}
+
+static int
+on_log (const struct mg_connection *connection, const char *message)
+{
+	(void)connection;
+	(void)message;
+	return 1;
+}
+
+struct mg_context *
+http_start (struct node *node, const char *address, int threads, struct error *error)
+{
+	char count[16];
+	struct mg_callbacks callbacks;
+	snprintf (count, sizeof (count), "%d", threads);
+	const char *options[] = {"listening_ports", address, "num_threads", count,
+		"enable_keep_alive", "yes", "keep_alive_timeout_ms", "60000", "tcp_nodelay", "1",
+		"request_timeout_ms", "30000", "connection_queue", "1024", "listen_backlog", "1024",
+		NULL};
+	memset (&callbacks, 0, sizeof (callbacks));
+	callbacks.init_thread = on_thread_start;
+	callbacks.exit_thread = on_thread_end;
+	callbacks.log_message = on_log;
+	struct mg_context *context = mg_start (&callbacks, node, options);
+	if (!context)
+		error_set (error, ERROR_IO,
+			"%s cannot be served; correct the address or free the port", address);
+	return context;
+}
+
+static const char *
+reason (int status)
+{
+	return mg_get_response_code_text (NULL, status);
+}
+
+void
+http_send_json (struct mg_connection *connection, int status, const char *text, size_t len)
+{
+	char head[256];
+	int head_len = snprintf (head, sizeof (head),
+		"HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n\r\n",
+		status, reason (status), len);
+	struct buf out;
+	buf_init (&out);
+	buf_add (&out, head, (size_t)head_len);
+	buf_add (&out, text, len);
+	mg_write (connection, out.data, out.len);
+	buf_finish (&out);
+}
+
+void
+http_send_error (struct mg_connection *connection, const struct error *error)
+{
+	int status = error_http_status (error->kind);
+	json_t *body =
+		json_pack ("{s:{s:s,s:s},s:s}", "error", "kind", error_kind_name (error->kind),
+			"message", error->message, "ran", error_ran (error->kind));
+	char *text = json_dumps (body, JSON_COMPACT);
+	char retry[32] = "";
+	if (status == 503)
+		snprintf (retry, sizeof (retry), "Retry-After: %d\r\n", RETRY_AFTER_S);
+	mg_printf (connection,
+		"HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n%sContent-Length: "
+		"%zu\r\n\r\n%s",
+		status, reason (status), retry, strlen (text), text);
+	free (text);
+	json_decref (body);
+}
+
+bool
+http_read_body (
+	struct mg_connection *connection, int64_t max, struct buf *body, struct error *error)
+{
+	char chunk[16384];
+	int n = 0;
+	long long declared = mg_get_request_info (connection)->content_length;
+	if (declared > max)
+		return error_set (error, ERROR_TOO_LARGE,
+			"the body is larger than %lld bytes; send less, or raise query.max_body",
+			(long long)max);
+	buf_add (body, "", 0);
+	while ((n = mg_read (connection, chunk, sizeof (chunk))) > 0) {
+		buf_add (body, chunk, (size_t)n);
+		if ((int64_t)body->len > max)
+			return error_set (error, ERROR_TOO_LARGE,
+				"the body is larger than %lld bytes; send less, or raise "
+				"query.max_body",
+				(long long)max);
+	}
+	if (declared >= 0 && (long long)body->len != declared)
+		return error_set (error, ERROR_INVALID,
+			"the body ended before its Content-Length; send it whole");
+	return true;
+}
+
+int
+http_split_path (const struct mg_connection *connection, char segments[][64], int max)
+{
+	const char *at = mg_get_request_info (connection)->local_uri;
+	int count = 0;
+	while (*at == '/') {
+		at++;
+		size_t len = strcspn (at, "/");
+		if (len == 0 && *at == '\0')
+			break;
+		if (count == max || len >= 64)
+			return -1;
+		memcpy (segments[count], at, len);
+		segments[count][len] = '\0';
+		count++;
+		at += len;
+	}
+	return count;
+}
+
+bool
+http_authorised (const struct mg_connection *connection, const char *key)
+{
+	const char *header = mg_get_header (connection, "Authorization");
+	size_t key_len = strlen (key);
+	if (!header || strncmp (header, "Bearer ", 7) != 0)
+		return false;
+	const char *given = header + 7;
+	size_t given_len = strlen (given);
+	unsigned char different = given_len != key_len;
+	for (size_t i = 0; i < given_len; i++)
+		different |= (unsigned char)given[i] ^ (unsigned char)key[i % key_len];
+	return different == 0;
+}
--- /dev/null
+++ b/daemon/main.c
@@ -0,0 +1,382 @@
+/**
+ * @file main.c
+ * oleanderstiled: settings, start, signals and the planned stop.
+ */
+#include "control/command.h"
+#include "core/metrics.h"
+#include "daemon/callers.h"
+#include "daemon/control.h"
+#include "daemon/operators.h"
+#include "daemon/worker.h"
+
+#include <argp.h>
+#include <curl/curl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+#include <time.h>
+#include <urcu.h>
+#include <xxhash.h>
+
+const char *argp_program_version = "oleanderstiled 0.1.0";
+
+enum { KEY_CHECK = 256, KEY_BOOTSTRAP, KEY_EVENTS, KEY_OPTIONS };
+
+enum {
+	STOP_STEP_MS = 20,
+	STOP_MAX_MS = 60000,     /* a planned stop ends after this whatever is left */
+	STOP_HANDOVER_MS = 8000, /* time for other nodes to take the targets over */
+	GONE_WAIT_MS = 1000,
+};
+
+struct arguments {
+	const char *config;
+	bool check;
+	bool bootstrap;
+};
+
+static const struct argp_option options_table[] = {
+	{"config", 'c', "FILE", 0, "Settings file (INI)", 0},
+	{"check-config", KEY_CHECK, NULL, 0, "Check the settings and exit", 0},
+	{"bootstrap", KEY_BOOTSTRAP, NULL, 0,
+		"Start a new control log on an empty data folder; once, on the first voter only",
+		0},
+	{"list-events", KEY_EVENTS, NULL, 0, "Print the catalogue of log events and exit", 0},
+	{"list-options", KEY_OPTIONS, NULL, 0, "Print the table of settings and exit", 0},
+	{0},
+};
+
+static error_t
+parse_argument (int key, char *arg, struct argp_state *state)
+{
+	struct arguments *arguments = state->input;
+	switch (key) {
+	case 'c':
+		arguments->config = arg;
+		return 0;
+	case KEY_CHECK:
+		arguments->check = true;
+		return 0;
+	case KEY_BOOTSTRAP:
+		arguments->bootstrap = true;
+		return 0;
+	case KEY_EVENTS:
+		log_print_catalogue ();
+		exit (EXIT_SUCCESS);
+	case KEY_OPTIONS:
+		options_print_manual ();
+		exit (EXIT_SUCCESS);
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static const struct argp argp = {options_table, parse_argument, NULL,
+	"Query tier that serves callers, reaches targets and follows the control log.", NULL, NULL,
+	NULL};
+
+static uint64_t
+route_hash (const struct route *route)
+{
+	return XXH64 (route->id, route->len, 2);
+}
+
+static void
+receive_batch (struct node *node, const struct route *from, const void *data, size_t len)
+{
+	struct sub_batch batch;
+	if (!subwire_decode_batch (&batch, data, len)) {
+		metric_add (METRIC_PEER_DROPPED, 1);
+		free (batch.items);
+		return;
+	}
+	struct blob *text = blob_new (batch.text, batch.text_len);
+	int64_t now_us = clock_now_us (&node->clock);
+	for (int i = 0; i < batch.count; i++) {
+		const struct sub_item *item = &batch.items[i];
+		struct work *work = xcalloc (1, sizeof (*work));
+		work->origin.route = *from;
+		work->origin.hash = route_hash (from);
+		work->request = batch.request;
+		work->attempt = item->attempt;
+		work->kind = batch.kind;
+		work->snapshot = item->snapshot;
+		work->shard = item->shard;
+		work->deadline_us = now_us + item->left_us;
+		work->text = text;
+		str_copy (work->target, sizeof (work->target), item->target);
+		blob_ref (text);
+		worker_post_work (node, work);
+	}
+	blob_put (text);
+	free (batch.items);
+}
+
+static void
+receive_cancel (struct node *node, const struct route *from, const void *data, size_t len)
+{
+	struct sub_cancel cancel;
+	if (subwire_decode_cancel (&cancel, data, len))
+		worker_post_cancel (
+			node, route_hash (from), cancel.request, cancel.attempts, cancel.count);
+	else
+		metric_add (METRIC_PEER_DROPPED, 1);
+	free (cancel.attempts);
+}
+
+static void
+receive_peer (
+	void *user, enum peer_class class, const struct route *from, const void *data, size_t len)
+{
+	struct node *node = user;
+	switch (class) {
+	case PEER_CONTROL: {
+		struct wire wire;
+		if (wire_decode (&wire, data, len)) {
+			control_post_wire (node->control, from, &wire);
+			return;
+		}
+		metric_add (METRIC_PEER_DROPPED, 1);
+		wire_finish (&wire);
+		return;
+	}
+	case PEER_BATCH:
+		receive_batch (node, from, data, len);
+		return;
+	case PEER_REPLY: {
+		struct sub_reply reply;
+		if (subwire_decode_reply (&reply, data, len))
+			worker_post_reply (node, &reply);
+		else
+			metric_add (METRIC_PEER_DROPPED, 1);
+		return;
+	}
+	case PEER_CANCEL:
+		receive_cancel (node, from, data, len);
+		return;
+	case PEER_CLASSES:
+		return;
+	}
+}
+
+static void
+set_policy (struct node *node)
+{
+	const struct options *options = &node->options;
+	struct query_policy *policy = &node->policy;
+	policy->hedge = options->query_hedge != 0;
+	policy->hedge_percentile = (int)options->query_hedge_quantile;
+	policy->extra_percent = (int)options->query_hedge_percent;
+	policy->hedge_preset_us = options->query_silence_ms * US_PER_MS / 2;
+	policy->silence_us = options->query_silence_ms * US_PER_MS;
+	policy->baseline = options->query_baseline != 0;
+}
+
+static bool
+start_threads (struct node *node, struct control *control, bool bootstrap, struct error *error)
+{
+	const struct options *options = &node->options;
+	if (!control_start (control, node, bootstrap, error))
+		return false;
+	node->worker_count = (int)options->node_workers;
+	node->workers = xcalloc ((size_t)node->worker_count, sizeof (*node->workers));
+	for (int i = 0; i < node->worker_count; i++) {
+		if (!worker_start (&node->workers[i], node, i, error))
+			return false;
+	}
+	return peer_start (&node->peer, options->node_peer_address, options->control_key,
+		       node->incarnation, &node->clock, &node->log, receive_peer, node, error) &&
+	       control_run (control, error);
+}
+
+static void
+sleep_ms (long ms)
+{
+	struct timespec ts = {.tv_sec = ms / 1000, .tv_nsec = ms % 1000 * 1000000};
+	nanosleep (&ts, NULL);
+}
+
+/* A further signal during the stop changes nothing but the log. */
+static void
+note_signals (struct node *node, const sigset_t *signals)
+{
+	struct timespec zero = {0};
+	if (sigtimedwait (signals, NULL, &zero) > 0)
+		log_event (&node->log, EVENT_NODE_SIGNAL_AGAIN, "already stopping");
+}
+
+static int
+running_at_targets (const struct node *node)
+{
+	int running = 0;
+	for (int i = 0; i < node->worker_count; i++)
+		running += atomic_load (&node->workers[i].owned_running);
+	return running;
+}
+
+static bool
+handed_over (struct node *node)
+{
+	struct view *view = node_view_get (node);
+	if (!view)
+		return true;
+	int self = view_find_member (view, node->options.node_name);
+	bool leaving = self < 0 || view->members[self].leaving;
+	bool alone = view->member_count <= 1;
+	uint64_t epoch = view->epoch;
+	view_put (view);
+	return alone || (leaving && atomic_load (&node->settled) >= epoch);
+}
+
+struct gone_call {
+	bool acknowledged;
+};
+
+static void
+read_gone (struct control *control, void *arg)
+{
+	struct gone_call *call = arg;
+	call->acknowledged = control->follower.gone_acknowledged > 0;
+}
+
+/* Waits until a condition holds, at most a time; signals are noted meanwhile. */
+static void
+wait_until (struct node *node, const sigset_t *signals, bool (*holds) (struct node *), int max_ms)
+{
+	for (int waited = 0; waited < max_ms && !holds (node); waited += STOP_STEP_MS) {
+		note_signals (node, signals);
+		sleep_ms (STOP_STEP_MS);
+	}
+}
+
+static bool
+is_idle (struct node *node)
+{
+	return atomic_load (&node->in_flight) == 0 && running_at_targets (node) == 0;
+}
+
+static bool
+is_gone (struct node *node)
+{
+	struct gone_call call = {false};
+	control_call (node->control, read_gone, &call);
+	return call.acknowledged;
+}
+
+/*
+ * The order matters: the balancer moves on, other nodes take the targets over while this one
+ * still serves, then what is in flight ends, and only then the addresses close.
+ */
+static void
+stop_node (struct node *node, struct mg_context *callers, struct mg_context *operators,
+	const sigset_t *signals)
+{
+	log_event (&node->log, EVENT_NODE_STOPPING, "%d requests in flight",
+		atomic_load (&node->in_flight));
+	atomic_store (&node->stopping, true);
+	control_set_leaving (node->control, false);
+	wait_until (node, signals, handed_over, STOP_HANDOVER_MS);
+	for (int waited = 0; waited < node->options.node_stop_wait_ms; waited += STOP_STEP_MS) {
+		note_signals (node, signals);
+		sleep_ms (STOP_STEP_MS);
+	}
+	wait_until (node, signals, is_idle, STOP_MAX_MS);
+	mg_stop (callers);
+	wait_until (node, signals, is_idle, STOP_MAX_MS);
+	control_set_leaving (node->control, true);
+	wait_until (node, signals, is_gone, GONE_WAIT_MS);
+	mg_stop (operators);
+	for (int i = 0; i < node->worker_count; i++)
+		worker_stop (&node->workers[i]);
+	control_stop (node->control);
+	peer_stop (&node->peer);
+	log_event (&node->log, EVENT_NODE_STOPPED, "%s", node->options.node_name);
+}
+
+static void
+write_dump (struct node *node)
+{
+	struct buf out;
+	buf_init (&out);
+	operators_dump (node, &out);
+	log_event (&node->log, EVENT_STATE_DUMPED, "%zu bytes on standard output", out.len);
+	printf ("%s\n", out.data);
+	fflush (stdout);
+	buf_finish (&out);
+}
+
+static void
+serve (struct node *node, const sigset_t *signals)
+{
+	for (;;) {
+		int signal = sigwaitinfo (signals, NULL);
+		if (signal == SIGUSR1)
+			write_dump (node);
+		else if (signal == SIGTERM || signal == SIGINT)
+			return;
+	}
+}
+
+static int
+run_node (struct node *node, bool bootstrap)
+{
+	struct error error = {0};
+	struct control control;
+	struct mg_context *operators = NULL;
+	struct mg_context *callers = NULL;
+	sigset_t signals;
+	sigemptyset (&signals);
+	sigaddset (&signals, SIGTERM);
+	sigaddset (&signals, SIGINT);
+	sigaddset (&signals, SIGUSR1);
+	pthread_sigmask (SIG_BLOCK, &signals, NULL);
+	signal (SIGPIPE, SIG_IGN);
+	node->control = &control;
+	bool ok = start_threads (node, &control, bootstrap, &error);
+	operators = ok ? operators_start (node, &error) : NULL;
+	callers = operators ? callers_start (node, &error) : NULL;
+	if (!callers) {
+		log_event (&node->log, EVENT_NODE_START_FAILED, "%s", error.message);
+		return EXIT_FAILURE;
+	}
+	log_event (&node->log, EVENT_NODE_STARTED, "%s serves callers at %s",
+		node->options.node_name, node->options.node_caller_address);
+	serve (node, &signals);
+	stop_node (node, callers, operators, &signals);
+	view_put (node->view);
+	free (node->workers);
+	return EXIT_SUCCESS;
+}
+
+int
+main (int argc, char **argv)
+{
+	static struct node node;
+	struct arguments arguments = {.config = "/etc/oleanderstile/oleanderstiled.ini"};
+	struct error error = {0};
+	argp_parse (&argp, argc, argv, 0, NULL, &arguments);
+	if (!options_load (&node.options, arguments.config, &error)) {
+		fprintf (stderr, "%s\n", error.message);
+		return EXIT_FAILURE;
+	}
+	if (arguments.check) {
+		printf ("%s: no errors\n", arguments.config);
+		return EXIT_SUCCESS;
+	}
+	if (getrandom (&node.incarnation, sizeof (node.incarnation), 0) < 0)
+		return EXIT_FAILURE;
+	clock_init_system (&node.clock);
+	node.log.module = "node";
+	node.log.level = (enum log_level)log_level_parse (node.options.log_level);
+	hint_table_init (&node.hints);
+	set_policy (&node);
+	curl_global_init (CURL_GLOBAL_DEFAULT);
+	mg_init_library (0);
+	rcu_register_thread ();
+	int status = run_node (&node, arguments.bootstrap);
+	rcu_unregister_thread ();
+	hint_table_finish (&node.hints);
+	return status;
+}
--- /dev/null
+++ b/daemon/owned.c
@@ -0,0 +1,662 @@
+#include "daemon/owned.h"
+
+#include "core/metrics.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+enum {
+	PROBE_TIMEOUT_US = 500000,
+	PROBE_BODY_MAX = 65536,
+	LEAST_TIMEOUT_US = 1000,
+	SILENT_REFERENCES = 8, /* given up after this many usual latencies: silent */
+	RECHECK_US = 100000,   /* how soon a gate that waits for a lease or an epoch looks again */
+};
+
+static struct cds_list_head *
+bucket_of (struct worker *worker, uint64_t request)
+{
+	return &worker->works[request % WORKER_BUCKETS];
+}
+
+static struct owned *
+find_owned (struct worker *worker, const char *name)
+{
+	struct owned *owned;
+	cds_list_for_each_entry (owned, &worker->owned, node) {
+		if (strcmp (owned->name, name) == 0)
+			return owned;
+	}
+	return NULL;
+}
+
+static void
+send_reply (struct worker *worker, const struct work *work, const struct sub_reply *reply)
+{
+	if (work->origin.local) {
+		worker_post_reply (worker->node, reply);
+		return;
+	}
+	size_t len = 0;
+	void *data = subwire_encode_reply (reply, &len);
+	peer_send (&worker->node->peer, &work->origin.route, PEER_REPLY, data, len);
+	free (data);
+}
+
+static void
+free_work (struct work *work)
+{
+	cds_list_del (&work->node);
+	blob_put (work->text);
+	fetch_finish (&work->fetch);
+	free (work);
+}
+
+static void
+fill_reply (const struct work *work, struct sub_reply *reply, enum sub_status status)
+{
+	const struct owned *owned = work->owned;
+	memset (reply, 0, sizeof (*reply));
+	reply->request = work->request;
+	reply->attempt = work->attempt;
+	reply->result.status = status;
+	reply->result.snapshot = work->snapshot;
+	reply->result.shard = work->shard;
+	if (!owned || !owned->known)
+		return;
+	memcpy (reply->result.held, owned->held, sizeof (owned->held));
+	reply->result.held_count = owned->held_count;
+	reply->result.cold = gate_is_cold (&owned->gate);
+}
+
+/* Answers a sub-request without a body and frees it. */
+static void
+answer (struct worker *worker, struct work *work, enum sub_status status)
+{
+	struct sub_reply reply;
+	fill_reply (work, &reply, status);
+	if (status == SUB_REFUSED)
+		metric_add (METRIC_TARGET_REFUSED, 1);
+	send_reply (worker, work, &reply);
+	free_work (work);
+}
+
+/* A target may get work only from its owner, under a lease and once its epoch has settled. */
+static bool
+may_work (struct owned *owned)
+{
+	struct node *node = owned->worker->node;
+	if (!owned->mine || owned->leaving || !node_has_lease (node))
+		return false;
+	uint64_t generation = atomic_load (&node->lease_generation);
+	if (owned->lease_generation != generation) {
+		/* While the lease had lapsed another node may have been the owner. */
+		owned->lease_generation = generation;
+		owned->since_epoch = owned->worker->view->epoch;
+		gate_cold (&owned->gate, SIGN_NEW_OWNER);
+	}
+	return atomic_load (&node->settled) >= owned->since_epoch;
+}
+
+static void
+note_cold (struct owned *owned)
+{
+	bool cold = gate_is_cold (&owned->gate);
+	if (cold == owned->was_cold)
+		return;
+	owned->was_cold = cold;
+	if (cold)
+		metric_add (METRIC_TARGET_COLD, 1);
+	log_event (&owned->worker->node->log, cold ? EVENT_TARGET_COLD : EVENT_TARGET_WARM,
+		"%s: %s", owned->name, gate_sign_name (owned->gate.sign));
+}
+
+static void
+on_lost (void *user);
+static bool
+may_open (void *user);
+
+static void
+new_pool (struct owned *owned)
+{
+	struct fetch_hooks hooks = {.lost = on_lost, .may_open = may_open, .user = owned};
+	if (owned->pool)
+		fetch_pool_retire (owned->pool);
+	owned->pool = fetch_pool_new (
+		&owned->worker->fetches, owned->address, owned->max_connections, &hooks);
+}
+
+static void
+on_lost (void *user)
+{
+	struct owned *owned = user;
+	gate_cold (&owned->gate, SIGN_RESET);
+}
+
+/* Asked right before a connection is opened: the gate may have gone cold since the start. */
+static bool
+may_open (void *user)
+{
+	struct owned *owned = user;
+	return owned->gate.running <= owned->gate.limit;
+}
+
+static void
+suspect (struct owned *owned)
+{
+	metric_add (METRIC_TARGET_SILENT, 1);
+	log_event (&owned->worker->node->log, EVENT_TARGET_SUSPECT, "%s", owned->name);
+	new_pool (owned);
+}
+
+static void
+learn_headers (struct owned *owned, const struct fetch_headers *headers)
+{
+	if (headers->boot[0])
+		gate_boot (&owned->gate, XXH64 (headers->boot, strlen (headers->boot), 1));
+	if (headers->cold[0] == '1' && !gate_is_cold (&owned->gate))
+		gate_cold (&owned->gate, SIGN_DECLARED);
+	if (!headers->held[0])
+		return;
+	char text[sizeof (headers->held)];
+	char *save = NULL;
+	str_copy (text, sizeof (text), headers->held);
+	owned->held_count = 0;
+	for (char *part = strtok_r (text, ", ", &save); part; part = strtok_r (NULL, ", ", &save)) {
+		snapshot_t snapshot = snapshot_parse (part);
+		if (snapshot && owned->held_count < SNAPSHOTS_HELD)
+			owned->held[owned->held_count++] = snapshot;
+	}
+	owned->known = owned->held_count > 0;
+}
+
+static void
+format_request_id (const struct worker *worker, const struct work *work, char out[80])
+{
+	uint64_t origin = work->origin.hash ? work->origin.hash : worker->node->incarnation;
+	snprintf (out, 80, "%016" PRIx64 "-%" PRIx64 "-%" PRIu32, origin, work->request,
+		work->attempt);
+}
+
+/* The labels of a reply have to be those of the request; a crossed answer never counts. */
+static bool
+labels_match (const struct worker *worker, const struct work *work)
+{
+	const struct fetch_headers *headers = &work->fetch.headers;
+	char id[80];
+	format_request_id (worker, work, id);
+	if (strcmp (headers->request_id, id) != 0)
+		return false;
+	if (work->kind == SUB_ONCE)
+		return true;
+	char *end = NULL;
+	unsigned long shard = strtoul (headers->shard, &end, 10);
+	return headers->shard[0] && *end == '\0' && shard == work->shard &&
+	       snapshot_parse (headers->snapshot) == work->snapshot;
+}
+
+static enum sub_status
+judge_reply (const struct worker *worker, const struct work *work, enum gate_outcome *outcome)
+{
+	const struct fetch *fetch = &work->fetch;
+	bool ran = strcmp (fetch->headers.ran, "no") != 0;
+	*outcome = GATE_OK;
+	if (!ran && fetch->status == 409) {
+		*outcome = GATE_NOT_SENT;
+		return SUB_LACKS;
+	}
+	if (!ran && fetch->status == 503) {
+		*outcome = GATE_SHED;
+		metric_add (METRIC_TARGET_SHED, 1);
+		return SUB_REFUSED;
+	}
+	if (!labels_match (worker, work)) {
+		metric_add (METRIC_SUBS_BAD, 1);
+		return SUB_FAILED;
+	}
+	if (work->kind == SUB_ONCE)
+		return SUB_OK;
+	return fetch->status == 200 ? SUB_OK : SUB_FAILED;
+}
+
+static void
+pump (struct owned *owned);
+static void
+start_work (struct worker *worker, struct work *work);
+
+static void
+finish_ok (struct worker *worker, struct work *work)
+{
+	struct owned *owned = work->owned;
+	struct sub_reply reply;
+	enum gate_outcome outcome = GATE_OK;
+	int64_t now_us = worker_now_us (worker);
+	int64_t started_us = work->item.started_us;
+	enum sub_status status = judge_reply (worker, work, &outcome);
+	learn_headers (owned, &work->fetch.headers);
+	gate_finish (&owned->gate, &work->item, outcome, now_us);
+	fill_reply (work, &reply, status);
+	reply.http_status = (int)work->fetch.status;
+	reply.result.latency_us = now_us - started_us;
+	if (status == SUB_OK) {
+		reply.result.body = work->fetch.body.data ? work->fetch.body.data : "";
+		reply.result.body_len = work->fetch.body.len;
+	}
+	send_reply (worker, work, &reply);
+	free_work (work);
+}
+
+static void
+resubmit (struct worker *worker, struct work *work)
+{
+	fetch_finish (&work->fetch);
+	struct owned *owned = work->owned;
+	enum gate_verdict verdict = gate_submit (&owned->gate, &work->item, worker_now_us (worker));
+	if (verdict == GATE_REFUSED) {
+		answer (worker, work, SUB_REFUSED);
+	} else if (verdict == GATE_START) {
+		start_work (worker, work);
+	}
+}
+
+static void
+work_done (struct fetch *fetch, enum fetch_end end)
+{
+	struct work *work = caa_container_of (fetch, struct work, fetch);
+	struct owned *owned = work->owned;
+	struct worker *worker = owned->worker;
+	int64_t now_us = worker_now_us (worker);
+	switch (end) {
+	case FETCH_OK:
+		finish_ok (worker, work);
+		break;
+	case FETCH_NOT_SENT:
+		if (fetch->held_back) {
+			gate_finish (&owned->gate, &work->item, GATE_NOT_SENT, now_us);
+			resubmit (worker, work);
+			break;
+		}
+		gate_finish (&owned->gate, &work->item, GATE_RESET, now_us);
+		answer (worker, work, SUB_REFUSED);
+		break;
+	case FETCH_FAILED:
+	case FETCH_TOO_LARGE:
+		gate_finish (&owned->gate, &work->item,
+			end == FETCH_FAILED ? GATE_RESET : GATE_CANCELLED, now_us);
+		answer (worker, work, SUB_FAILED);
+		break;
+	case FETCH_SILENT:
+		gate_finish (&owned->gate, &work->item, GATE_SILENT, now_us);
+		suspect (owned);
+		answer (worker, work, SUB_SILENT);
+		break;
+	}
+	pump (owned);
+}
+
+static void
+start_work (struct worker *worker, struct work *work)
+{
+	char id[128];
+	char shard[48];
+	char snapshot[64];
+	char deadline[64];
+	char text[24];
+	char path[256] = "/query";
+	int64_t left_us = work->deadline_us - worker_now_us (worker);
+	if (left_us < LEAST_TIMEOUT_US)
+		left_us = LEAST_TIMEOUT_US;
+	str_copy (id, sizeof (id), "X-Request-Id: ");
+	format_request_id (worker, work, id + strlen (id));
+	snprintf (shard, sizeof (shard), "X-Shard: %" PRIu32, work->shard);
+	snprintf (snapshot, sizeof (snapshot), "X-Snapshot: %s",
+		snapshot_format (work->snapshot, text));
+	snprintf (deadline, sizeof (deadline), "X-Deadline-Ms: %" PRId64, left_us / US_PER_MS);
+	const char *headers[] = {
+		id, deadline, "Content-Type: application/json", shard, snapshot, NULL};
+	struct fetch_request request = {.path = path, .headers = headers, .timeout_us = left_us};
+	if (work->kind == SUB_LOOKUP) {
+		snprintf (path, sizeof (path), "/entries/%.200s", work->text->data);
+	} else {
+		request.body = work->text->data;
+		request.body_len = work->text->len;
+	}
+	if (work->kind == SUB_ONCE) {
+		str_copy (path, sizeof (path), "/once");
+		headers[3] = NULL;
+		request.fresh = true;
+	}
+	work->fetch.body_max = (size_t)worker->node->options.query_max_body;
+	work->fetch.may_wait = true;
+	metric_add (METRIC_TARGET_STARTED, 1);
+	fetch_start (&work->fetch, work->owned->pool, &request, work_done);
+}
+
+/* Hands back what may not run, starts what may, and sets the time to look again. */
+static void
+pump (struct owned *owned)
+{
+	struct worker *worker = owned->worker;
+	struct gate_item *item;
+	int64_t now_us = worker_now_us (worker);
+	gate_set_open (&owned->gate, may_work (owned));
+	while ((item = gate_expire (&owned->gate, now_us)))
+		answer (worker, caa_container_of (item, struct work, item), SUB_REFUSED);
+	while ((item = gate_next (&owned->gate, now_us)))
+		start_work (worker, caa_container_of (item, struct work, item));
+	note_cold (owned);
+	timers_set (&worker->timers, &owned->gate_timer, gate_wake_us (&owned->gate));
+}
+
+static void
+answer_status (struct owned *owned, enum sub_status status)
+{
+	struct work *work;
+	struct work *next;
+	cds_list_for_each_entry_safe (work, next, &owned->status_waiting, status) {
+		cds_list_del (&work->status);
+		answer (owned->worker, work, status);
+	}
+}
+
+/* A load endpoint may lower trust or say what is held; it never ends a cold start. */
+static void
+probe_done (struct fetch *fetch, enum fetch_end end)
+{
+	struct owned *owned = caa_container_of (fetch, struct owned, probe);
+	owned->probing = false;
+	if (end == FETCH_OK && fetch->status == 200)
+		learn_headers (owned, &fetch->headers);
+	else if (end == FETCH_SILENT)
+		suspect (owned);
+	fetch_finish (fetch);
+	answer_status (owned, owned->known ? SUB_OK : SUB_REFUSED);
+	pump (owned);
+}
+
+static void
+start_probe (struct owned *owned)
+{
+	static const char *const headers[] = {NULL};
+	struct fetch_request request = {
+		.path = "/load", .headers = headers, .timeout_us = PROBE_TIMEOUT_US};
+	if (owned->probing || !may_work (owned))
+		return;
+	owned->probing = true;
+	owned->probe.body_max = PROBE_BODY_MAX;
+	owned->probe.may_wait = false;
+	fetch_start (&owned->probe, owned->pool, &request, probe_done);
+}
+
+static void
+plan_probe (struct owned *owned)
+{
+	struct worker *worker = owned->worker;
+	int64_t period_us = worker->node->options.target_probe_ms * US_PER_MS;
+	int64_t jitter_us = (int64_t)rng_below (&worker->rng, (uint64_t)period_us / 4);
+	bool ready = may_work (owned);
+	timers_set (&worker->timers, &owned->probe_timer,
+		worker_now_us (worker) + (ready ? period_us - jitter_us : RECHECK_US));
+}
+
+static void
+submit_status (struct owned *owned, struct work *work)
+{
+	if (owned->known) {
+		answer (owned->worker, work, SUB_OK);
+		return;
+	}
+	cds_list_add_tail (&work->status, &owned->status_waiting);
+	start_probe (owned);
+	if (!owned->probing)
+		answer_status (owned, SUB_REFUSED);
+}
+
+void
+owned_submit (struct worker *worker, struct work *work)
+{
+	struct owned *owned = find_owned (worker, work->target);
+	cds_list_add (&work->node, bucket_of (worker, work->request));
+	buf_init (&work->fetch.body);
+	work->owned = owned;
+	work->item.origin = work->origin.hash;
+	work->item.deadline_us = work->deadline_us;
+	if (!owned || !may_work (owned)) {
+		answer (worker, work, SUB_REFUSED);
+		return;
+	}
+	if (work->kind == SUB_STATUS) {
+		submit_status (owned, work);
+		return;
+	}
+	gate_set_open (&owned->gate, true);
+	switch (gate_submit (&owned->gate, &work->item, worker_now_us (worker))) {
+	case GATE_START:
+		start_work (worker, work);
+		break;
+	case GATE_QUEUED:
+		timers_set (&worker->timers, &owned->gate_timer, gate_wake_us (&owned->gate));
+		break;
+	case GATE_REFUSED:
+		answer (worker, work, SUB_REFUSED);
+		break;
+	}
+}
+
+/* A sub-request given up long after it should have ended counts as silent. */
+static bool
+is_silent (const struct owned *owned, const struct work *work, int64_t now_us)
+{
+	int64_t least_us = owned->worker->node->policy.silence_us;
+	int64_t usual_us = owned->gate.reference_us * SILENT_REFERENCES;
+	return now_us - work->item.started_us >= (usual_us > least_us ? usual_us : least_us);
+}
+
+static void
+cancel_work (struct owned *owned, struct work *work)
+{
+	int64_t now_us = worker_now_us (owned->worker);
+	if (work->item.queued) {
+		gate_remove (&owned->gate, &work->item);
+	} else if (work->item.running) {
+		bool silent = is_silent (owned, work, now_us);
+		fetch_cancel (&work->fetch);
+		gate_finish (
+			&owned->gate, &work->item, silent ? GATE_SILENT : GATE_CANCELLED, now_us);
+		if (silent)
+			suspect (owned);
+	} else {
+		cds_list_del (&work->status);
+	}
+	free_work (work);
+	pump (owned);
+}
+
+void
+owned_cancel (struct worker *worker, uint64_t origin_hash, uint64_t request, uint32_t attempt)
+{
+	struct work *work;
+	cds_list_for_each_entry (work, bucket_of (worker, request), node) {
+		if (work->request != request || work->attempt != attempt ||
+			work->origin.hash != origin_hash || work->kind == SUB_ONCE)
+			continue;
+		cancel_work (work->owned, work);
+		return;
+	}
+}
+
+static struct owned *
+add_owned (struct worker *worker, const struct view_target *target, int cold_limit)
+{
+	struct owned *owned = xcalloc (1, sizeof (*owned));
+	owned->worker = worker;
+	str_copy (owned->name, sizeof (owned->name), target->name);
+	CDS_INIT_LIST_HEAD (&owned->status_waiting);
+	timer_init (&owned->gate_timer, GATE_TIMER);
+	timer_init (&owned->probe_timer, PROBE_TIMER);
+	gate_init (
+		&owned->gate, target->slots, cold_limit, (int)worker->node->options.target_queue);
+	owned->was_cold = gate_is_cold (&owned->gate);
+	cds_list_add (&owned->node, &worker->owned);
+	return owned;
+}
+
+static void
+adopt (struct worker *worker, const struct view *view, const struct view_target *target)
+{
+	struct owned *owned = find_owned (worker, target->name);
+	int cold_limit = target->cold_limit ? target->cold_limit
+					    : (int)worker->node->options.target_cold_limit;
+	if (!owned)
+		owned = add_owned (worker, target, cold_limit);
+	gate_configure (&owned->gate, target->slots, cold_limit);
+	if (!owned->mine) {
+		owned->since_epoch = view->epoch;
+		owned->lease_generation = atomic_load (&worker->node->lease_generation);
+		gate_cold (&owned->gate, SIGN_NEW_OWNER);
+		log_event (&worker->node->log, EVENT_TARGET_OWNED, "%s", target->name);
+	}
+	if (!owned->pool || strcmp (owned->address, target->address) != 0 ||
+		owned->max_connections != target->max_connections) {
+		str_copy (owned->address, sizeof (owned->address), target->address);
+		owned->max_connections = target->max_connections;
+		new_pool (owned);
+	}
+	/* A target that returns may have been restarted meanwhile. */
+	if (owned->leaving && !target->leaving)
+		gate_cold (&owned->gate, SIGN_NEW_OWNER);
+	owned->mine = true;
+	owned->leaving = target->leaving;
+	timers_set (&worker->timers, &owned->probe_timer, worker_now_us (worker));
+}
+
+static void
+free_owned (struct owned *owned)
+{
+	struct worker *worker = owned->worker;
+	answer_status (owned, SUB_REFUSED);
+	fetch_cancel (&owned->probe);
+	fetch_finish (&owned->probe);
+	timers_clear (&worker->timers, &owned->gate_timer);
+	timers_clear (&worker->timers, &owned->probe_timer);
+	fetch_pool_retire (owned->pool);
+	cds_list_del (&owned->node);
+	free (owned);
+}
+
+void
+owned_reconcile (struct worker *worker, struct view *view)
+{
+	struct node *node = worker->node;
+	struct owned *owned;
+	struct owned *next;
+	struct view *old = worker->view;
+	bool *keep = xcalloc ((size_t)view->target_count, sizeof (bool));
+	worker->view = view;
+	for (int i = 0; i < view->target_count; i++) {
+		const struct view_target *target = &view->targets[i];
+		keep[i] = target->owner >= 0 &&
+			  view->members[target->owner].incarnation == node->incarnation &&
+			  node_worker_of (node, target->name) == worker;
+		if (keep[i])
+			adopt (worker, view, target);
+	}
+	cds_list_for_each_entry_safe (owned, next, &worker->owned, node) {
+		int at = view_find_target (view, owned->name);
+		if (at >= 0 && keep[at])
+			continue;
+		if (owned->mine)
+			log_event (&node->log, EVENT_TARGET_RELEASED, "%s", owned->name);
+		owned->mine = false;
+	}
+	/* Closing a gate hands queued work back at once. */
+	cds_list_for_each_entry (owned, &worker->owned, node)
+		pump (owned);
+	free (keep);
+	view_put (old);
+}
+
+void
+owned_update_released (struct worker *worker)
+{
+	struct owned *owned;
+	struct owned *next;
+	bool busy = false;
+	uint32_t leaving_work = 0;
+	int running = 0;
+	int64_t now_us = worker_now_us (worker);
+	cds_list_for_each_entry_safe (owned, next, &worker->owned, node) {
+		int occupied = gate_occupied (&owned->gate, now_us);
+		running += owned->gate.running;
+		if (owned->leaving)
+			leaving_work += (uint32_t)owned->gate.running;
+		if (owned->mine)
+			continue;
+		if (occupied > 0)
+			busy = true;
+		else
+			free_owned (owned);
+	}
+	if (worker->view && !busy)
+		atomic_store (&worker->released, worker->view->revision);
+	if (worker->view)
+		atomic_store (&worker->reconciled, worker->view->revision);
+	atomic_store (&worker->leaving_work, leaving_work);
+	atomic_store (&worker->owned_running, running);
+}
+
+void
+owned_timer_due (struct worker *worker, struct timer *timer)
+{
+	(void)worker;
+	if (timer->kind == GATE_TIMER) {
+		pump (caa_container_of (timer, struct owned, gate_timer));
+		return;
+	}
+	struct owned *owned = caa_container_of (timer, struct owned, probe_timer);
+	start_probe (owned);
+	plan_probe (owned);
+}
+
+void
+owned_dump (struct worker *worker, struct buf *out)
+{
+	struct owned *owned;
+	int64_t now_us = worker_now_us (worker);
+	cds_list_for_each_entry (owned, &worker->owned, node) {
+		buf_addf (out,
+			"%s{\"target\":\"%s\",\"worker\":%d,\"mine\":%s,\"leaving\":%s,"
+			"\"limit\":%d,\"slots\":%d,\"running\":%d,\"occupied\":%d,\"queued\":%d,"
+			"\"cold\":\"%s\",\"usual_us\":%" PRId64 "}",
+			out->len && out->data[out->len - 1] == '}' ? "," : "", owned->name,
+			worker->index, owned->mine ? "true" : "false",
+			owned->leaving ? "true" : "false", owned->gate.limit, owned->gate.slots,
+			owned->gate.running, gate_occupied (&owned->gate, now_us),
+			owned->gate.queued, gate_sign_name (owned->gate.sign),
+			owned->gate.reference_us);
+	}
+}
+
+void
+owned_finish (struct worker *worker)
+{
+	struct owned *owned;
+	struct owned *next;
+	for (int i = 0; i < WORKER_BUCKETS; i++) {
+		struct work *work;
+		struct work *after;
+		cds_list_for_each_entry_safe (work, after, &worker->works[i], node) {
+			if (work->item.running)
+				fetch_cancel (&work->fetch);
+			free_work (work);
+		}
+	}
+	cds_list_for_each_entry_safe (owned, next, &worker->owned, node) {
+		CDS_INIT_LIST_HEAD (&owned->status_waiting);
+		free_owned (owned);
+	}
+	view_put (worker->view);
+}
--- /dev/null
+++ b/daemon/owned.h
@@ -0,0 +1,58 @@
+/**
+ * @file owned.h
+ * The side of a worker that owns targets: admission, connections and probes.
+ */
+#pragma once
+
+#include "daemon/worker.h"
+
+/** A target that this worker serves, or still finishes work for. */
+struct owned {
+	struct cds_list_head node; /**< in worker.owned */
+	struct worker *worker;
+	char name[RESOURCE_NAME_MAX + 1];
+	char address[ADDRESS_SIZE];
+	int max_connections;
+	bool mine;            /**< this node is the owner in the newest view */
+	bool leaving;         /**< the target gets no new work */
+	uint64_t since_epoch; /**< ownership counts once this is settled */
+	uint64_t lease_generation;
+	struct gate gate;
+	struct fetch_pool *pool;
+	struct fetch probe;
+	bool probing;
+	bool was_cold;
+	struct timer gate_timer;
+	struct timer probe_timer;
+	snapshot_t held[SNAPSHOTS_HELD];
+	int held_count;
+	bool known;                          /**< held[] was reported at least once */
+	struct cds_list_head status_waiting; /**< works that wait for a probe */
+};
+
+/** Adapts the owned targets to a new view; takes the reference over. */
+void
+owned_reconcile (struct worker *worker, struct view *view);
+
+/** Takes a sub-request in; it is answered sooner or later. */
+void
+owned_submit (struct worker *worker, struct work *work);
+
+/** The asker has given a sub-request up. */
+void
+owned_cancel (struct worker *worker, uint64_t origin_hash, uint64_t request, uint32_t attempt);
+
+/** Publishes how far lost targets are free of work. */
+void
+owned_update_released (struct worker *worker);
+
+void
+owned_timer_due (struct worker *worker, struct timer *timer);
+
+/** Appends the state of all owned targets as JSON array items. */
+void
+owned_dump (struct worker *worker, struct buf *out);
+
+/** Cancels everything and frees it, at the end of the process. */
+void
+owned_finish (struct worker *worker);
--- /dev/null
+++ b/daemon/worker.c
@@ -0,0 +1,254 @@
+#include "daemon/worker.h"
+
+#include "daemon/entry.h"
+#include "daemon/owned.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+#include <urcu.h>
+
+enum { EVENTS_PER_WAIT = 128, IDLE_WAIT_MS = 100 };
+
+struct blob *
+blob_new (const char *data, size_t len)
+{
+	struct blob *blob = xmalloc (sizeof (*blob) + len + 1);
+	atomic_init (&blob->refs, 1);
+	blob->len = len;
+	if (len)
+		memcpy (blob->data, data, len);
+	blob->data[len] = '\0';
+	return blob;
+}
+
+void
+blob_ref (struct blob *blob)
+{
+	atomic_fetch_add (&blob->refs, 1);
+}
+
+void
+blob_put (struct blob *blob)
+{
+	if (blob && atomic_fetch_sub (&blob->refs, 1) == 1)
+		free (blob);
+}
+
+int64_t
+worker_now_us (const struct worker *worker)
+{
+	return clock_now_us (&worker->node->clock);
+}
+
+static void
+set_timer (struct fetch_loop *loop, struct timer *timer, int64_t delay_us)
+{
+	struct worker *worker = caa_container_of (loop, struct worker, fetches);
+	timers_set (&worker->timers, timer, worker_now_us (worker) + delay_us);
+}
+
+void
+worker_post_work (struct node *node, struct work *work)
+{
+	work->mail.kind = WORKER_WORK;
+	mailbox_post (&node_worker_of (node, work->target)->mailbox, &work->mail);
+}
+
+void
+worker_post_reply (struct node *node, const struct sub_reply *reply)
+{
+	struct worker *worker = node_worker_of_request (node, reply->request);
+	if (!worker)
+		return;
+	size_t len = reply->result.body_len;
+	struct reply_mail *mail = xmalloc (sizeof (*mail) + len + 1);
+	mail->mail.kind = WORKER_REPLY;
+	mail->reply = *reply;
+	if (len)
+		memcpy (mail->data, reply->result.body, len);
+	mail->data[len] = '\0';
+	mail->reply.result.body = mail->data;
+	mailbox_post (&worker->mailbox, &mail->mail);
+}
+
+void
+worker_post_cancel (struct node *node, uint64_t origin_hash, uint64_t request,
+	const uint32_t *attempts, int count)
+{
+	size_t size = (size_t)count * sizeof (uint32_t);
+	for (int i = 0; i < node->worker_count; i++) {
+		struct cancel_mail *mail = xmalloc (sizeof (*mail) + size);
+		mail->mail.kind = WORKER_CANCEL;
+		mail->origin_hash = origin_hash;
+		mail->request = request;
+		mail->count = count;
+		memcpy (mail->attempts, attempts, size);
+		mailbox_post (&node->workers[i].mailbox, &mail->mail);
+	}
+}
+
+void
+worker_run_request (struct node *node, struct request *request)
+{
+	static _Atomic unsigned turn;
+	unsigned worker = atomic_fetch_add (&turn, 1) % (unsigned)node->worker_count;
+	pthread_mutex_init (&request->lock, NULL);
+	pthread_cond_init (&request->cond, NULL);
+	request->done = false;
+	request->mail.kind = WORKER_REQUEST;
+	mailbox_post (&node->workers[worker].mailbox, &request->mail);
+	pthread_mutex_lock (&request->lock);
+	while (!request->done)
+		pthread_cond_wait (&request->cond, &request->lock);
+	pthread_mutex_unlock (&request->lock);
+	pthread_cond_destroy (&request->cond);
+	pthread_mutex_destroy (&request->lock);
+}
+
+static void
+dump (struct worker *worker, struct dump_mail *mail)
+{
+	pthread_mutex_lock (&mail->lock);
+	owned_dump (worker, mail->out);
+	mail->done = true;
+	pthread_cond_signal (&mail->cond);
+	pthread_mutex_unlock (&mail->lock);
+}
+
+static void
+handle_cancel (struct worker *worker, const struct cancel_mail *mail)
+{
+	for (int i = 0; i < mail->count; i++)
+		owned_cancel (worker, mail->origin_hash, mail->request, mail->attempts[i]);
+}
+
+static void
+handle_mail (struct worker *worker, struct mail *mail)
+{
+	switch ((enum worker_mail)mail->kind) {
+	case WORKER_REQUEST:
+		entry_start (worker, caa_container_of (mail, struct request, mail));
+		return;
+	case WORKER_WORK:
+		owned_submit (worker, caa_container_of (mail, struct work, mail));
+		return;
+	case WORKER_REPLY:
+		entry_reply (worker, &caa_container_of (mail, struct reply_mail, mail)->reply);
+		free (mail);
+		return;
+	case WORKER_CANCEL:
+		handle_cancel (worker, caa_container_of (mail, struct cancel_mail, mail));
+		free (mail);
+		return;
+	case WORKER_VIEW:
+		owned_reconcile (worker, caa_container_of (mail, struct view_mail, mail)->view);
+		free (mail);
+		return;
+	case WORKER_CLAIMED: {
+		struct claimed_mail *claimed = caa_container_of (mail, struct claimed_mail, mail);
+		entry_claimed (worker, claimed);
+		free (claimed->reply.body);
+		free (claimed);
+		return;
+	}
+	case WORKER_DUMP:
+		dump (worker, caa_container_of (mail, struct dump_mail, mail));
+		return;
+	case WORKER_STOP:
+		worker->stop = true;
+		free (mail);
+		return;
+	}
+}
+
+static void
+run_timers (struct worker *worker)
+{
+	struct timer *timer;
+	while ((timer = timers_due (&worker->timers, worker_now_us (worker)))) {
+		if (timer->kind < FETCH_TIMER_KINDS)
+			fetch_timer_due (timer);
+		else if (timer->kind == ENTRY_TIMER)
+			entry_timer_due (worker, timer);
+		else
+			owned_timer_due (worker, timer);
+	}
+}
+
+static int
+wait_ms (const struct worker *worker)
+{
+	int64_t next_us = timers_next_us (&worker->timers);
+	int64_t now_us = worker_now_us (worker);
+	if (next_us <= now_us)
+		return 0;
+	int64_t ms = (next_us - now_us + US_PER_MS - 1) / US_PER_MS;
+	return ms < IDLE_WAIT_MS ? (int)ms : IDLE_WAIT_MS;
+}
+
+static void *
+run (void *arg)
+{
+	struct worker *worker = arg;
+	struct epoll_event events[EVENTS_PER_WAIT];
+	rcu_register_thread ();
+	while (!worker->stop) {
+		int count =
+			epoll_wait (worker->epoll_fd, events, EVENTS_PER_WAIT, wait_ms (worker));
+		for (int i = 0; i < count; i++) {
+			if (events[i].data.fd == worker->mailbox.event_fd)
+				mailbox_clear (&worker->mailbox);
+			else
+				fetch_socket_event (
+					&worker->fetches, events[i].data.fd, events[i].events);
+		}
+		struct mail *mail;
+		while ((mail = mailbox_take (&worker->mailbox)))
+			handle_mail (worker, mail);
+		run_timers (worker);
+		fetch_loop_clean (&worker->fetches);
+		owned_update_released (worker);
+	}
+	owned_finish (worker);
+	rcu_unregister_thread ();
+	return NULL;
+}
+
+bool
+worker_start (struct worker *worker, struct node *node, int index, struct error *error)
+{
+	memset (worker, 0, sizeof (*worker));
+	worker->node = node;
+	worker->index = index;
+	worker->rng.state = node->incarnation + (uint64_t)index;
+	worker->epoll_fd = epoll_create1 (EPOLL_CLOEXEC);
+	timers_init (&worker->timers);
+	for (int i = 0; i < WORKER_BUCKETS; i++) {
+		CDS_INIT_LIST_HEAD (&worker->entries[i]);
+		CDS_INIT_LIST_HEAD (&worker->works[i]);
+	}
+	CDS_INIT_LIST_HEAD (&worker->owned);
+	fetch_loop_init (&worker->fetches, worker->epoll_fd, &worker->timers, set_timer);
+	if (worker->epoll_fd < 0 || !mailbox_init (&worker->mailbox))
+		return error_set (error, ERROR_IO, "no file descriptor is left; raise the limit");
+	struct epoll_event event = {.events = EPOLLIN, .data.fd = worker->mailbox.event_fd};
+	epoll_ctl (worker->epoll_fd, EPOLL_CTL_ADD, worker->mailbox.event_fd, &event);
+	if (pthread_create (&worker->thread, NULL, run, worker) != 0)
+		return error_set (error, ERROR_IO, "no thread can be started; raise the limit");
+	return true;
+}
+
+void
+worker_stop (struct worker *worker)
+{
+	struct mail *stop = xcalloc (1, sizeof (*stop));
+	stop->kind = WORKER_STOP;
+	mailbox_post (&worker->mailbox, stop);
+	pthread_join (worker->thread, NULL);
+	fetch_loop_finish (&worker->fetches);
+	timers_finish (&worker->timers);
+	mailbox_finish (&worker->mailbox);
+	close (worker->epoll_fd);
+}
--- /dev/null
+++ b/net/peer.c
@@ -0,0 +1,306 @@
+#include "net/peer.h"
+
+#include "core/buf.h"
+#include "core/metrics.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+#include <zmq.h>
+
+enum { SWEEP_US = 1000000, POLL_MS = 200, LINGER_MS = 500 };
+
+/* Before the message: version, class, length of the key, incarnation, key. */
+enum { PREFIX_SIZE = 11 };
+
+struct outgoing_mail {
+	struct mail mail;
+	struct route route;
+	size_t len;
+	char data[];
+};
+
+static struct peer_link *
+find_link (struct peer *peer, const char *address)
+{
+	struct cds_list_head *head =
+		&peer->links[XXH64 (address, strlen (address), 0) % PEER_BUCKETS];
+	struct peer_link *link;
+	cds_list_for_each_entry (link, head, node) {
+		if (strcmp (link->address, address) == 0)
+			return link;
+	}
+	link = xcalloc (1, sizeof (*link));
+	str_copy (link->address, sizeof (link->address), address);
+	cds_list_add (&link->node, head);
+	return link;
+}
+
+static int
+routing_id (const struct peer_link *link, char *out, size_t size)
+{
+	return snprintf (out, size, "%s#%u", link->address, link->generation);
+}
+
+static void
+endpoint (const char *address, char out[96])
+{
+	snprintf (out, 96, "tcp://%s", address);
+}
+
+static bool
+open_link (struct peer *peer, struct peer_link *link)
+{
+	char id[ROUTE_ID_SIZE];
+	char where[96];
+	link->generation++;
+	int len = routing_id (link, id, sizeof (id));
+	endpoint (link->address, where);
+	zmq_setsockopt (peer->socket, ZMQ_CONNECT_ROUTING_ID, id, (size_t)len);
+	return zmq_connect (peer->socket, where) == 0;
+}
+
+static void
+send_frames (struct peer *peer, const char *id, size_t id_len, const void *data, size_t len)
+{
+	if (zmq_send (peer->socket, id, id_len, ZMQ_SNDMORE | ZMQ_DONTWAIT) < 0)
+		return;
+	if (zmq_send (peer->socket, data, len, ZMQ_DONTWAIT) < 0)
+		return;
+	metric_add (METRIC_PEER_SENT, 1);
+	metric_add (METRIC_PEER_SENT_BYTES, len);
+}
+
+static void
+send_mail (struct peer *peer, const struct outgoing_mail *mail)
+{
+	char id[ROUTE_ID_SIZE];
+	if (mail->route.kind == ROUTE_REPLY) {
+		send_frames (peer, mail->route.id, mail->route.len, mail->data, mail->len);
+		return;
+	}
+	struct peer_link *link = find_link (peer, mail->route.id);
+	if (link->used_us == 0 && !open_link (peer, link))
+		return;
+	link->used_us = clock_now_us (peer->clock);
+	int id_len = routing_id (link, id, sizeof (id));
+	send_frames (peer, id, (size_t)id_len, mail->data, mail->len);
+}
+
+/* Compares in a time that does not depend on where the keys differ. */
+static bool
+same_key (const char *a, size_t a_len, const char *b, size_t b_len)
+{
+	unsigned char different = a_len != b_len;
+	for (size_t i = 0; i < a_len; i++)
+		different |= (unsigned char)a[i] ^ (unsigned char)b[b_len ? i % b_len : 0];
+	return different == 0;
+}
+
+static void
+drop (struct peer *peer, const char *why)
+{
+	metric_add (METRIC_PEER_DROPPED, 1);
+	log_event (&peer->log, EVENT_PEER_MESSAGE_DROPPED, "%s", why);
+}
+
+static void
+handle (struct peer *peer, const struct route *from, const char *data, size_t len)
+{
+	if (len < PREFIX_SIZE || data[0] != PEER_VERSION) {
+		drop (peer, "another protocol version");
+		return;
+	}
+	unsigned class = (unsigned char)data[1];
+	size_t key_len = (unsigned char)data[2];
+	if (class >= PEER_CLASSES || len < PREFIX_SIZE + key_len) {
+		drop (peer, "malformed prefix");
+		return;
+	}
+	if (!same_key (data + PREFIX_SIZE, key_len, peer->key, strlen (peer->key))) {
+		drop (peer, "wrong cluster key");
+		return;
+	}
+	metric_add (METRIC_PEER_RECEIVED, 1);
+	peer->handler (peer->user, (enum peer_class) class, from, data + PREFIX_SIZE + key_len,
+		len - PREFIX_SIZE - key_len);
+}
+
+static bool
+receive_one (struct peer *peer)
+{
+	zmq_msg_t id;
+	zmq_msg_t body;
+	zmq_msg_init (&id);
+	if (zmq_msg_recv (&id, peer->socket, ZMQ_DONTWAIT) < 0) {
+		zmq_msg_close (&id);
+		return false;
+	}
+	zmq_msg_init (&body);
+	bool whole = zmq_msg_more (&id) && zmq_msg_recv (&body, peer->socket, ZMQ_DONTWAIT) >= 0;
+	bool extra = whole && zmq_msg_more (&body);
+	struct route from = {.kind = ROUTE_REPLY};
+	size_t id_len = zmq_msg_size (&id);
+	if (whole && !extra && id_len <= sizeof (from.id)) {
+		memcpy (from.id, zmq_msg_data (&id), id_len);
+		from.len = (uint8_t)id_len;
+		handle (peer, &from, zmq_msg_data (&body), zmq_msg_size (&body));
+	} else {
+		drop (peer, "wrong number of frames");
+	}
+	while (extra) {
+		zmq_msg_recv (&body, peer->socket, ZMQ_DONTWAIT);
+		extra = zmq_msg_more (&body);
+	}
+	zmq_msg_close (&id);
+	zmq_msg_close (&body);
+	return true;
+}
+
+static void
+sweep (struct peer *peer, int64_t now_us)
+{
+	if (peer->sweep_us > now_us)
+		return;
+	peer->sweep_us = now_us + SWEEP_US;
+	for (int i = 0; i < PEER_BUCKETS; i++) {
+		struct peer_link *link;
+		struct peer_link *next;
+		cds_list_for_each_entry_safe (link, next, &peer->links[i], node) {
+			if (link->used_us + PEER_IDLE_US > now_us)
+				continue;
+			char where[96];
+			endpoint (link->address, where);
+			zmq_disconnect (peer->socket, where);
+			cds_list_del (&link->node);
+			free (link);
+		}
+	}
+}
+
+static void
+send_all (struct peer *peer)
+{
+	struct mail *mail;
+	mailbox_clear (&peer->outgoing);
+	while ((mail = mailbox_take (&peer->outgoing))) {
+		struct outgoing_mail *outgoing =
+			caa_container_of (mail, struct outgoing_mail, mail);
+		send_mail (peer, outgoing);
+		free (outgoing);
+	}
+}
+
+static void *
+run (void *arg)
+{
+	struct peer *peer = arg;
+	zmq_pollitem_t items[2] = {
+		{.socket = peer->socket, .events = ZMQ_POLLIN},
+		{.fd = peer->outgoing.event_fd, .events = ZMQ_POLLIN},
+	};
+	while (!atomic_load (&peer->stop)) {
+		zmq_poll (items, 2, POLL_MS);
+		send_all (peer);
+		while (receive_one (peer))
+			;
+		sweep (peer, clock_now_us (peer->clock));
+	}
+	send_all (peer);
+	return NULL;
+}
+
+static void
+set_int (struct peer *peer, int option, int value)
+{
+	zmq_setsockopt (peer->socket, option, &value, sizeof (value));
+}
+
+bool
+peer_start (struct peer *peer, const char *own_address, const char *key, uint64_t incarnation,
+	struct clock *clock, const struct log *log, peer_handler handler, void *user,
+	struct error *error)
+{
+	char where[96];
+	char id[32];
+	memset (peer, 0, sizeof (*peer));
+	peer->own_address = own_address;
+	peer->key = key;
+	peer->incarnation = incarnation;
+	peer->clock = clock;
+	peer->log = *log;
+	peer->log.module = "peer";
+	peer->handler = handler;
+	peer->user = user;
+	for (int i = 0; i < PEER_BUCKETS; i++)
+		CDS_INIT_LIST_HEAD (&peer->links[i]);
+	if (!mailbox_init (&peer->outgoing))
+		return error_set (error, ERROR_IO, "no file descriptor is left; raise the limit");
+	peer->context = zmq_ctx_new ();
+	zmq_ctx_set (peer->context, ZMQ_MAX_SOCKETS, 16);
+	peer->socket = zmq_socket (peer->context, ZMQ_ROUTER);
+	int id_len = snprintf (id, sizeof (id), "n%016llx", (unsigned long long)incarnation);
+	zmq_setsockopt (peer->socket, ZMQ_ROUTING_ID, id, (size_t)id_len);
+	set_int (peer, ZMQ_ROUTER_HANDOVER, 1);
+	set_int (peer, ZMQ_SNDHWM, PEER_QUEUE);
+	set_int (peer, ZMQ_RCVHWM, PEER_QUEUE);
+	set_int (peer, ZMQ_LINGER, LINGER_MS);
+	set_int (peer, ZMQ_HEARTBEAT_IVL, PEER_HEARTBEAT_MS);
+	set_int (peer, ZMQ_HEARTBEAT_TIMEOUT, PEER_SILENT_MS);
+	set_int (peer, ZMQ_HEARTBEAT_TTL, PEER_SILENT_MS);
+	set_int (peer, ZMQ_RECONNECT_IVL, 50);
+	set_int (peer, ZMQ_RECONNECT_IVL_MAX, 1000);
+	set_int (peer, ZMQ_CONNECT_TIMEOUT, PEER_SILENT_MS);
+	int64_t max = PEER_MESSAGE_MAX;
+	zmq_setsockopt (peer->socket, ZMQ_MAXMSGSIZE, &max, sizeof (max));
+	endpoint (own_address, where);
+	if (zmq_bind (peer->socket, where) != 0)
+		return error_set (error, ERROR_IO,
+			"node.peer_address %s cannot be bound (%s); correct it or free the port",
+			own_address, zmq_strerror (errno));
+	if (pthread_create (&peer->thread, NULL, run, peer) != 0)
+		return error_set (error, ERROR_IO, "no thread can be started; raise the limit");
+	return true;
+}
+
+void
+peer_send (struct peer *peer, const struct route *route, enum peer_class class, const void *data,
+	size_t len)
+{
+	size_t key_len = strlen (peer->key);
+	if (route->kind == ROUTE_ADDRESS && strcmp (route->id, peer->own_address) == 0) {
+		struct route self = {.kind = ROUTE_ADDRESS};
+		str_copy (self.id, sizeof (self.id), peer->own_address);
+		peer->handler (peer->user, class, &self, data, len);
+		return;
+	}
+	struct outgoing_mail *mail = xmalloc (sizeof (*mail) + PREFIX_SIZE + key_len + len);
+	mail->mail.kind = 0;
+	mail->route = *route;
+	mail->len = PREFIX_SIZE + key_len + len;
+	mail->data[0] = PEER_VERSION;
+	mail->data[1] = (char)class;
+	mail->data[2] = (char)key_len;
+	memcpy (mail->data + 3, &peer->incarnation, sizeof (peer->incarnation));
+	memcpy (mail->data + PREFIX_SIZE, peer->key, key_len);
+	memcpy (mail->data + PREFIX_SIZE + key_len, data, len);
+	mailbox_post (&peer->outgoing, &mail->mail);
+}
+
+void
+peer_stop (struct peer *peer)
+{
+	atomic_store (&peer->stop, true);
+	pthread_join (peer->thread, NULL);
+	zmq_close (peer->socket);
+	zmq_ctx_term (peer->context);
+	for (int i = 0; i < PEER_BUCKETS; i++) {
+		struct peer_link *link;
+		struct peer_link *next;
+		cds_list_for_each_entry_safe (link, next, &peer->links[i], node)
+			free (link);
+	}
+	mailbox_finish (&peer->outgoing);
+}
--- /dev/null
+++ b/net/peer.h
@@ -0,0 +1,75 @@
+/**
+ * @file peer.h
+ * Links to the other nodes: one thread with one ZeroMQ ROUTER socket.
+ *
+ * A node sends requests over links that it opened itself, and replies over the link that the
+ * request came in on. Silent links are found by heartbeats and reopened.
+ */
+#pragma once
+
+#include "control/route.h"
+#include "core/clock.h"
+#include "core/error.h"
+#include "core/log.h"
+#include "net/mailbox.h"
+
+#include <pthread.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+enum {
+	PEER_VERSION = 1,
+	PEER_HEARTBEAT_MS = 300,
+	PEER_SILENT_MS = 1000,   /**< a link without heartbeats for this long is reopened */
+	PEER_IDLE_US = 60000000, /**< an unused link is closed after this */
+	PEER_QUEUE = 10000,      /**< messages that may wait for one peer */
+	PEER_MESSAGE_MAX = 128 * 1024 * 1024,
+};
+
+/** What a message holds. */
+enum peer_class { PEER_CONTROL, PEER_BATCH, PEER_REPLY, PEER_CANCEL, PEER_CLASSES };
+
+/** Handles a message on the peer thread; the data is valid during the call. */
+typedef void (*peer_handler) (
+	void *user, enum peer_class class, const struct route *from, const void *data, size_t len);
+
+struct peer_link {
+	struct cds_list_head node;
+	char address[64];
+	unsigned generation;
+	int64_t used_us;
+};
+
+enum { PEER_BUCKETS = 1024 };
+
+struct peer {
+	const char *own_address;
+	const char *key;
+	uint64_t incarnation;
+	struct clock *clock;
+	struct log log;
+	peer_handler handler;
+	void *user;
+	void *context;
+	void *socket;
+	struct mailbox outgoing;
+	pthread_t thread;
+	_Atomic bool stop;
+	struct cds_list_head links[PEER_BUCKETS];
+	int64_t sweep_us;
+};
+
+bool
+peer_start (struct peer *peer, const char *own_address, const char *key, uint64_t incarnation,
+	struct clock *clock, const struct log *log, peer_handler handler, void *user,
+	struct error *error);
+
+/** Sends from any thread; the data is copied. A message to oneself is handled at once. */
+void
+peer_send (struct peer *peer, const struct route *route, enum peer_class class, const void *data,
+	size_t len);
+
+/** Stops the thread after what was posted has been handed to the socket. */
+void
+peer_stop (struct peer *peer);
--- /dev/null
+++ b/options/options.c
@@ -0,0 +1,276 @@
+#include "options/options.h"
+
+#include <errno.h>
+#include <ini.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum option_type { OPTION_INT, OPTION_TEXT, OPTION_ADDRESS };
+
+struct option {
+	const char *section;
+	const char *name;
+	enum option_type type;
+	size_t offset;
+	size_t size;
+	int64_t min; /* for text: the least length */
+	int64_t max;
+	const char *preset;
+	const char *help;
+};
+
+#define FIELD(member) offsetof (struct options, member), sizeof (((struct options *)0)->member)
+
+static const struct option table[] = {
+	{"node", "name", OPTION_TEXT, FIELD (node_name), 1, 63, "",
+		"Name of this node, unique among all nodes"},
+	{"node", "data_center", OPTION_TEXT, FIELD (node_data_center), 1, 63, "",
+		"Data centre of this VM"},
+	{"node", "caller_address", OPTION_ADDRESS, FIELD (node_caller_address), 1, 0,
+		"127.0.0.1:8080", "IP:port that serves callers"},
+	{"node", "operator_address", OPTION_ADDRESS, FIELD (node_operator_address), 1, 0,
+		"127.0.0.1:8081", "IP:port that serves operators, metrics and dumps"},
+	{"node", "peer_address", OPTION_ADDRESS, FIELD (node_peer_address), 1, 0, "127.0.0.1:8082",
+		"IP:port that other nodes reach"},
+	{"node", "workers", OPTION_INT, FIELD (node_workers), 1, 64, "2",
+		"Threads that run requests and reach targets"},
+	{"node", "http_threads", OPTION_INT, FIELD (node_http_threads), 4, 4096, "64",
+		"Callers served at the same time"},
+	{"node", "stop_wait_ms", OPTION_INT, FIELD (node_stop_wait_ms), 0, 600000, "1000",
+		"Time from failing readiness to closing the callers' address on a planned stop"},
+	{"control", "peers", OPTION_TEXT, FIELD (control_peers), 0, 1023, "",
+		"Peer addresses (IP:port, comma separated) to start from"},
+	{"control", "key", OPTION_TEXT, FIELD (control_key), 16, 255, "",
+		"Shared key of peers and operators, at least 16 characters"},
+	{"control", "data_dir", OPTION_TEXT, FIELD (control_data_dir), 0, 255, "",
+		"Data folder; with it this node is a voter or learner of the control log"},
+	{"control", "voters", OPTION_INT, FIELD (control_voters), 1, 5, "3",
+		"Voters wanted; use an odd number"},
+	{"control", "lease_ms", OPTION_INT, FIELD (control_lease_ms), 500, 10000, "3000",
+		"Length of a lease; the same on all nodes"},
+	{"control", "poll_ms", OPTION_INT, FIELD (control_poll_ms), 50, 5000, "500",
+		"Time between two polls for changes and a lease"},
+	{"control", "compact_entries", OPTION_INT, FIELD (control_compact_entries), 100, 1000000,
+		"8192", "Log entries after which the log is compacted into a snapshot"},
+	{"query", "max_body", OPTION_INT, FIELD (query_max_body), 1024, 67108864, "1048576",
+		"Largest body accepted from a caller or target, in bytes"},
+	{"query", "max_in_flight", OPTION_INT, FIELD (query_max_in_flight), 1, 100000, "512",
+		"Requests in flight on this node above which new ones are refused"},
+	{"query", "hedge", OPTION_INT, FIELD (query_hedge), 0, 1, "1",
+		"1 sends hedged sub-requests, 0 does not"},
+	{"query", "hedge_percent", OPTION_INT, FIELD (query_hedge_percent), 0, 100, "5",
+		"Hedges and retries allowed per 100 first sub-requests of a service"},
+	{"query", "hedge_quantile", OPTION_INT, FIELD (query_hedge_quantile), 50, 99, "95",
+		"Percentile of the service's latency after which a sub-request is hedged"},
+	{"query", "silence_ms", OPTION_INT, FIELD (query_silence_ms), 5, 60000, "100",
+		"Least time after which a sub-request without a reply counts as silent"},
+	{"query", "baseline", OPTION_INT, FIELD (query_baseline), 0, 1, "0",
+		"1 turns replica choice into plain round robin, to measure against"},
+	{"target", "queue", OPTION_INT, FIELD (target_queue), 0, 10000, "64",
+		"Sub-requests that may wait for one target"},
+	{"target", "cold_limit", OPTION_INT, FIELD (target_cold_limit), 1, 1000, "1",
+		"Sub-requests at once to a target in a cold start that declares no limit"},
+	{"target", "probe_ms", OPTION_INT, FIELD (target_probe_ms), 50, 60000, "1000",
+		"Time between two looks at a target's load endpoint"},
+	{"log", "level", OPTION_TEXT, FIELD (log_level), 4, 7, "info",
+		"error, warning, info or debug"},
+	{"platform", "list", OPTION_TEXT, FIELD (platform_list), 0, 255, "",
+		"File with the platform's list of live and leaving VMs"},
+};
+
+enum { OPTIONS = sizeof (table) / sizeof (table[0]) };
+
+struct parse {
+	struct options *options;
+	const char *file;
+	struct error *error;
+	bool seen[OPTIONS];
+};
+
+static bool
+is_address (const char *text)
+{
+	const char *colon = strrchr (text, ':');
+	if (!colon || colon == text)
+		return false;
+	char *end = NULL;
+	long port = strtol (colon + 1, &end, 10);
+	if (*end != '\0' || port < 1 || port > 65535)
+		return false;
+	size_t host = (size_t)(colon - text);
+	return strspn (text, "0123456789.") == host || text[0] == '[';
+}
+
+static bool
+set_int (void *field, const struct option *option, const char *value)
+{
+	char *end = NULL;
+	errno = 0;
+	long long number = strtoll (value, &end, 10);
+	if (errno || end == value || *end != '\0' || number < option->min || number > option->max)
+		return false;
+	*(int64_t *)field = number;
+	return true;
+}
+
+static bool
+set_option (struct options *options, const struct option *option, const char *value)
+{
+	void *field = (char *)options + option->offset;
+	size_t len = strlen (value);
+	switch (option->type) {
+	case OPTION_INT:
+		return set_int (field, option, value);
+	case OPTION_TEXT:
+		if ((int64_t)len < option->min || (int64_t)len > option->max)
+			return false;
+		break;
+	case OPTION_ADDRESS:
+		if (!is_address (value))
+			return false;
+		break;
+	}
+	if (len >= option->size)
+		return false;
+	str_copy (field, option->size, value);
+	return true;
+}
+
+static void
+describe_remedy (const struct option *option, char *out, size_t size)
+{
+	switch (option->type) {
+	case OPTION_INT:
+		snprintf (out, size, "give a whole number from %lld to %lld",
+			(long long)option->min, (long long)option->max);
+		return;
+	case OPTION_TEXT:
+		snprintf (out, size, "give %lld to %lld characters", (long long)option->min,
+			(long long)option->max);
+		return;
+	case OPTION_ADDRESS:
+		snprintf (out, size, "give an IP number and a port, such as 127.0.0.1:8080");
+		return;
+	}
+}
+
+static int
+handle_field (void *user, const char *section, const char *name, const char *value)
+{
+	struct parse *parse = user;
+	if (parse->error->kind != ERROR_NONE)
+		return 0;
+	for (int i = 0; i < OPTIONS; i++) {
+		const struct option *option = &table[i];
+		if (strcmp (option->section, section) != 0 || strcmp (option->name, name) != 0)
+			continue;
+		char remedy[128];
+		describe_remedy (option, remedy, sizeof (remedy));
+		if (parse->seen[i]) {
+			error_set (parse->error, ERROR_CONFIG, "%s.%s: given twice; remove one",
+				section, name);
+			return 0;
+		}
+		parse->seen[i] = true;
+		if (set_option (parse->options, option, value))
+			return 1;
+		error_set (
+			parse->error, ERROR_CONFIG, "%s.%s: bad value; %s", section, name, remedy);
+		return 0;
+	}
+	error_set (parse->error, ERROR_CONFIG,
+		"%.40s.%.40s: unknown field; remove it or correct its name", section, name);
+	return 0;
+}
+
+void
+options_init (struct options *options)
+{
+	memset (options, 0, sizeof (*options));
+	for (int i = 0; i < OPTIONS; i++) {
+		if (table[i].preset[0])
+			set_option (options, &table[i], table[i].preset);
+	}
+}
+
+static bool
+check_required (struct parse *parse)
+{
+	for (int i = 0; i < OPTIONS; i++) {
+		if (table[i].type == OPTION_INT || table[i].min == 0 || table[i].preset[0])
+			continue;
+		if (!parse->seen[i])
+			return error_set (parse->error, ERROR_CONFIG,
+				"%s: %s.%s: missing; add it: %s", parse->file, table[i].section,
+				table[i].name, table[i].help);
+	}
+	const char *level = parse->options->log_level;
+	if (strcmp (level, "error") != 0 && strcmp (level, "warning") != 0 &&
+		strcmp (level, "info") != 0 && strcmp (level, "debug") != 0)
+		return error_set (parse->error, ERROR_CONFIG,
+			"%s: log.level: bad value; give error, warning, info or debug",
+			parse->file);
+	if (parse->options->control_poll_ms * 3 > parse->options->control_lease_ms)
+		return error_set (parse->error, ERROR_CONFIG,
+			"%s: control.poll_ms: too long for the lease; give at most a third of "
+			"control.lease_ms",
+			parse->file);
+	return true;
+}
+
+bool
+options_parse (struct options *options, const char *text, const char *name, struct error *error)
+{
+	struct error scratch = {0};
+	struct parse parse = {.options = options, .file = name, .error = error ? error : &scratch};
+	options_init (options);
+	int line = ini_parse_string (text, handle_field, &parse);
+	if (parse.error->kind != ERROR_NONE) {
+		/* The handler is not told the line; the parser returns that of the first failure.
+		 */
+		char message[ERROR_MESSAGE_SIZE];
+		str_copy (message, sizeof (message), parse.error->message);
+		return error_set (
+			parse.error, ERROR_CONFIG, "%.100s:%d: %.200s", name, line, message);
+	}
+	if (line != 0)
+		return error_set (parse.error, ERROR_CONFIG,
+			"%s:%d: not a [section] or name = value line; correct it", name, line);
+	return check_required (&parse);
+}
+
+bool
+options_load (struct options *options, const char *path, struct error *error)
+{
+	FILE *file = fopen (path, "re");
+	if (!file)
+		return error_set (error, ERROR_CONFIG, "%s: cannot be read (%s); check the path",
+			path, strerror (errno));
+	struct buf text;
+	buf_init (&text);
+	char chunk[4096];
+	size_t len = 0;
+	while ((len = fread (chunk, 1, sizeof (chunk), file)) > 0)
+		buf_add (&text, chunk, len);
+	fclose (file);
+	buf_add (&text, "\n", 1);
+	bool ok = options_parse (options, text.data, path, error);
+	buf_finish (&text);
+	return ok;
+}
+
+void
+options_print_manual (void)
+{
+	printf ("| section | name | type | range | default | meaning "
+		"|\n|---|---|---|---|---|---|\n");
+	for (int i = 0; i < OPTIONS; i++) {
+		char remedy[128];
+		describe_remedy (&table[i], remedy, sizeof (remedy));
+		printf ("| %s | %s | %s | %s | %s | %s |\n", table[i].section, table[i].name,
+			table[i].type == OPTION_INT ? "number" : "text", remedy, table[i].preset,
+			table[i].help);
+	}
+}
--- /dev/null
+++ b/options/options.h
@@ -0,0 +1,62 @@
+/**
+ * @file options.h
+ * The daemon's settings: INI sections described by one declarative table.
+ */
+#pragma once
+
+#include "core/buf.h"
+#include "core/error.h"
+
+#include <stdint.h>
+
+enum { OPTION_TEXT_SIZE = 256 };
+
+/** The values of all settings. Durations are in the unit that the name ends in. */
+struct options {
+	char node_name[OPTION_TEXT_SIZE];
+	char node_data_center[OPTION_TEXT_SIZE];
+	char node_caller_address[OPTION_TEXT_SIZE];
+	char node_operator_address[OPTION_TEXT_SIZE];
+	char node_peer_address[OPTION_TEXT_SIZE];
+	int64_t node_workers;
+	int64_t node_http_threads;
+	int64_t node_stop_wait_ms;
+	char control_peers[4 * OPTION_TEXT_SIZE];
+	char control_key[OPTION_TEXT_SIZE];
+	char control_data_dir[OPTION_TEXT_SIZE];
+	int64_t control_voters;
+	int64_t control_lease_ms;
+	int64_t control_poll_ms;
+	int64_t control_compact_entries;
+	int64_t query_max_body;
+	int64_t query_max_in_flight;
+	int64_t query_hedge_percent;
+	int64_t query_hedge_quantile;
+	int64_t query_hedge;
+	int64_t query_silence_ms;
+	int64_t query_baseline;
+	int64_t target_queue;
+	int64_t target_cold_limit;
+	int64_t target_probe_ms;
+	char log_level[OPTION_TEXT_SIZE];
+	char platform_list[OPTION_TEXT_SIZE];
+};
+
+/** Fills in every default. */
+void
+options_init (struct options *options);
+
+/**
+ * Reads an INI file over the defaults and checks every field.
+ * @return false with ERROR_CONFIG naming file, line, field and remedy.
+ */
+bool
+options_load (struct options *options, const char *path, struct error *error);
+
+/** The same from memory; @p name stands for the file in messages. */
+bool
+options_parse (struct options *options, const char *text, const char *name, struct error *error);
+
+/** Prints the table of all settings as Markdown, for the manual. */
+void
+options_print_manual (void);
--- /dev/null
+++ b/query/budget.c
@@ -0,0 +1,31 @@
+#include "query/budget.h"
+
+void
+budget_init (struct budget *budget)
+{
+	atomic_init (&budget->tokens, (int64_t)BUDGET_UNIT * BUDGET_BURST_UNITS);
+}
+
+void
+budget_earn (struct budget *budget, int percent)
+{
+	const int64_t most = (int64_t)BUDGET_UNIT * BUDGET_BURST_UNITS;
+	int64_t tokens = atomic_load_explicit (&budget->tokens, memory_order_relaxed);
+	int64_t filled = 0;
+	do {
+		filled = tokens + percent > most ? most : tokens + percent;
+	} while (!atomic_compare_exchange_weak_explicit (
+		&budget->tokens, &tokens, filled, memory_order_relaxed, memory_order_relaxed));
+}
+
+bool
+budget_spend (struct budget *budget)
+{
+	int64_t tokens = atomic_load_explicit (&budget->tokens, memory_order_relaxed);
+	do {
+		if (tokens < BUDGET_UNIT)
+			return false;
+	} while (!atomic_compare_exchange_weak_explicit (&budget->tokens, &tokens,
+		tokens - BUDGET_UNIT, memory_order_relaxed, memory_order_relaxed));
+	return true;
+}
--- /dev/null
+++ b/query/budget.h
@@ -0,0 +1,32 @@
+/**
+ * @file budget.h
+ * A budget for hedges and retries as a share of first sub-requests.
+ *
+ * A token bucket that primary work fills: it cannot fill without primary work, so neither a
+ * retry storm nor a hedge storm can start.
+ */
+#pragma once
+
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+enum {
+	BUDGET_UNIT = 100,       /**< tokens that one extra sub-request costs */
+	BUDGET_BURST_UNITS = 10, /**< extra sub-requests that may be saved up */
+};
+
+struct budget {
+	_Atomic int64_t tokens;
+};
+
+void
+budget_init (struct budget *budget);
+
+/** Records one first sub-request, which earns @p percent hundredths of an extra one. */
+void
+budget_earn (struct budget *budget, int percent);
+
+/** Takes one extra sub-request from the budget; false when none is left. */
+bool
+budget_spend (struct budget *budget);
--- /dev/null
+++ b/query/plan.c
@@ -0,0 +1,223 @@
+#include "query/plan.h"
+
+#include <stdatomic.h>
+
+enum { MAX_CANDIDATES = 32 };
+
+/* Costs that order the replicas of a shard; the least is chosen. */
+enum {
+	COST_PER_LOAD = 1000, /* for each sub-request in flight, per slot */
+	COST_AVOIDED = 100000,
+	COST_COLD = 5000,
+	COST_TRIED = 1000000,
+	COST_RANDOM = 200, /* spreads equal replicas */
+};
+
+struct candidates {
+	snapshot_t items[MAX_CANDIDATES];
+	int count;
+};
+
+static void
+add_candidate (struct candidates *candidates, snapshot_t snapshot)
+{
+	int at = 0;
+	while (at < candidates->count && candidates->items[at] > snapshot)
+		at++;
+	if (at < candidates->count && candidates->items[at] == snapshot)
+		return;
+	if (at == MAX_CANDIDATES)
+		return;
+	if (candidates->count == MAX_CANDIDATES)
+		candidates->count--;
+	for (int i = candidates->count; i > at; i--)
+		candidates->items[i] = candidates->items[i - 1];
+	candidates->items[at] = snapshot;
+	candidates->count++;
+}
+
+static bool
+given_up (const struct query *query, snapshot_t snapshot)
+{
+	for (int i = 0; i < query->generation && i < QUERY_MAX_GENERATIONS; i++) {
+		if (query->gone[i] == snapshot)
+			return true;
+	}
+	return false;
+}
+
+static void
+collect_target (const struct query *query, const struct view_target *target, uint32_t layout,
+	struct candidates *candidates)
+{
+	if (!view_target_usable (target))
+		return;
+	for (int i = 0; i < SNAPSHOTS_HELD; i++) {
+		snapshot_t held =
+			atomic_load_explicit (&target->hint->held[i], memory_order_relaxed);
+		if (held && snapshot_layout (held) == layout && !given_up (query, held))
+			add_candidate (candidates, held);
+	}
+}
+
+static void
+collect (const struct query *query, const struct view_layout *layout, struct candidates *candidates)
+{
+	for (int i = 0; i < layout->shard_count; i++) {
+		if (layout->shards[i] < 0)
+			continue;
+		const struct view_service *service = &query->view->services[layout->shards[i]];
+		for (int j = 0; j < service->target_count; j++)
+			collect_target (query, &query->view->targets[service->targets[j]],
+				layout->id, candidates);
+	}
+}
+
+static bool
+shard_covered (const struct query *query, int service_index, snapshot_t snapshot)
+{
+	if (service_index < 0)
+		return false;
+	const struct view_service *service = &query->view->services[service_index];
+	for (int i = 0; i < service->target_count; i++) {
+		const struct view_target *target = &query->view->targets[service->targets[i]];
+		if (view_target_usable (target) && target_hint_holds (target->hint, snapshot))
+			return true;
+	}
+	return false;
+}
+
+static int
+count_covered (const struct query *query, const struct view_layout *layout, snapshot_t snapshot)
+{
+	if (query->single) {
+		uint32_t shard = query_shard_of (query->key_hash, layout->shard_count);
+		return shard_covered (query, layout->shards[shard], snapshot) ? layout->shard_count
+									      : 0;
+	}
+	int covered = 0;
+	for (int i = 0; i < layout->shard_count; i++)
+		covered += shard_covered (query, layout->shards[i], snapshot);
+	return covered;
+}
+
+snapshot_t
+plan_snapshot (const struct query *query)
+{
+	struct candidates candidates = {.count = 0};
+	for (int i = 0; i < query->collection->layout_count; i++)
+		collect (query, &query->collection->layouts[i], &candidates);
+	snapshot_t best = 0;
+	double best_share = -1;
+	for (int i = 0; i < candidates.count; i++) {
+		snapshot_t snapshot = candidates.items[i];
+		const struct view_layout *layout =
+			view_find_layout (query->collection, snapshot_layout (snapshot));
+		int covered = count_covered (query, layout, snapshot);
+		if (covered == layout->shard_count)
+			return snapshot;
+		double share = (double)covered / layout->shard_count;
+		if (share > best_share) {
+			best = snapshot;
+			best_share = share;
+		}
+	}
+	return best;
+}
+
+static bool
+tried (const struct query *query, const struct shard *shard, int target)
+{
+	for (int i = 0; i < shard->tries; i++) {
+		if (query->attempts[shard->ids[i]].target == target)
+			return true;
+	}
+	return false;
+}
+
+/* True when a waiting attempt of the shard is at the same owner as the target. */
+static bool
+waiting_on (const struct query *query, const struct shard *shard, int target)
+{
+	for (int i = 0; i < shard->tries; i++) {
+		const struct attempt *attempt = &query->attempts[shard->ids[i]];
+		if (attempt->state == ATTEMPT_WAITING &&
+			query->view->targets[attempt->target].owner ==
+				query->view->targets[target].owner)
+			return true;
+	}
+	return false;
+}
+
+static int64_t
+cost_of (struct query *query, const struct view_target *target, int64_t now_us)
+{
+	const struct target_hint *hint = target->hint;
+	int64_t cost = (int64_t)rng_below (&query->rng, COST_RANDOM);
+	cost += (int64_t)atomic_load_explicit (&hint->in_flight, memory_order_relaxed) *
+		COST_PER_LOAD / target->slots;
+	if (atomic_load_explicit (&hint->avoid_until_us, memory_order_relaxed) > now_us)
+		cost += COST_AVOIDED;
+	if (atomic_load_explicit (&hint->cold, memory_order_relaxed))
+		cost += COST_COLD;
+	return cost;
+}
+
+/* The baseline policy for measurements: the next usable replica in turn, whatever is known. */
+static int
+round_robin (const struct query *query, const struct view_service *service)
+{
+	static _Atomic unsigned turn;
+	unsigned first = atomic_fetch_add_explicit (&turn, 1, memory_order_relaxed);
+	for (int i = 0; i < service->target_count; i++) {
+		int index =
+			service->targets[(first + (unsigned)i) % (unsigned)service->target_count];
+		if (view_target_usable (&query->view->targets[index]))
+			return index;
+	}
+	return -1;
+}
+
+int
+plan_replica (struct query *query, int shard, bool again, int64_t now_us)
+{
+	int service_index = query->shards[shard].service;
+	if (service_index < 0)
+		return -1;
+	const struct view_service *service = &query->view->services[service_index];
+	if (query->policy->baseline)
+		return round_robin (query, service);
+	int best = -1;
+	int64_t best_cost = INT64_MAX;
+	for (int i = 0; i < service->target_count; i++) {
+		int index = service->targets[i];
+		const struct view_target *target = &query->view->targets[index];
+		if (!view_target_usable (target) ||
+			!target_hint_holds (target->hint, query->snapshot))
+			continue;
+		int64_t cost = cost_of (query, target, now_us);
+		if (tried (query, &query->shards[shard], index)) {
+			if (!again)
+				continue;
+			cost += COST_TRIED;
+		}
+		if (cost < best_cost) {
+			best = index;
+			best_cost = cost;
+		}
+	}
+	return best;
+}
+
+int
+plan_hedge (struct query *query, int shard, int64_t now_us)
+{
+	int target = plan_replica (query, shard, false, now_us);
+	if (target < 0 || waiting_on (query, &query->shards[shard], target))
+		return -1;
+	const struct target_hint *hint = query->view->targets[target].hint;
+	if (atomic_load_explicit (&hint->cold, memory_order_relaxed) ||
+		atomic_load_explicit (&hint->avoid_until_us, memory_order_relaxed) > now_us)
+		return -1;
+	return target;
+}
--- /dev/null
+++ b/query/quantile.h
@@ -0,0 +1,32 @@
+/**
+ * @file quantile.h
+ * A latency histogram with exponential forgetting that threads share without locks.
+ */
+#pragma once
+
+#include <stdatomic.h>
+#include <stdint.h>
+
+enum {
+	QUANTILE_BUCKETS = 96,  /**< four buckets to each doubling, from 1 us up */
+	QUANTILE_WINDOW = 2048, /**< observations after which all counts are halved */
+};
+
+struct quantile {
+	_Atomic uint32_t counts[QUANTILE_BUCKETS];
+	_Atomic uint32_t total;
+};
+
+void
+quantile_init (struct quantile *quantile);
+
+/** Records one latency in microseconds. */
+void
+quantile_observe (struct quantile *quantile, int64_t us);
+
+/**
+ * The upper bound, in microseconds, of the bucket that holds a percentile.
+ * @return @p preset_us with fewer than 20 observations.
+ */
+int64_t
+quantile_get (const struct quantile *quantile, int percent, int64_t preset_us);
--- /dev/null
+++ b/query/query.c
@@ -0,0 +1,548 @@
+#include "query/query.h"
+
+#include "core/buf.h"
+#include "core/metrics.h"
+#include "query/plan.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+enum {
+	AVOID_REFUSED_US = 20000, /* a refusing owner is asked last for this long */
+	AVOID_FAILED_US = 250000, /* so is a target that failed or went silent */
+	SILENCE_FACTOR = 4,       /* an attempt is silent after this many 99th percentiles */
+};
+
+void
+query_actions_init (struct query_actions *actions)
+{
+	memset (actions, 0, sizeof (*actions));
+}
+
+void
+query_actions_finish (struct query_actions *actions)
+{
+	free (actions->items);
+	query_actions_init (actions);
+}
+
+static void
+act (struct query_actions *actions, enum query_action_kind kind, int attempt)
+{
+	if (actions->count == actions->cap) {
+		actions->cap = actions->cap ? actions->cap * 2 : 32;
+		actions->items =
+			xrealloc (actions->items, (size_t)actions->cap * sizeof (*actions->items));
+	}
+	actions->items[actions->count++] =
+		(struct query_action){.kind = kind, .attempt = (uint32_t)attempt};
+}
+
+uint32_t
+query_shard_of (uint64_t key_hash, int shard_count)
+{
+	return (uint32_t)(key_hash % (uint64_t)shard_count);
+}
+
+void
+query_init (struct query *query, struct view *view, const struct view_collection *collection,
+	const char *key, const struct query_policy *policy, int64_t now_us, int64_t deadline_us,
+	uint64_t seed)
+{
+	memset (query, 0, sizeof (*query));
+	view_ref (view);
+	query->view = view;
+	query->collection = collection;
+	query->policy = policy;
+	query->start_us = now_us;
+	query->deadline_us = deadline_us;
+	query->rng.state = seed;
+	query->single = key != NULL;
+	if (key)
+		query->key_hash = XXH64 (key, strlen (key), 0);
+}
+
+static void
+free_shards (struct query *query)
+{
+	for (int i = 0; i < query->shard_count; i++)
+		free (query->shards[i].rows);
+	free (query->shards);
+	query->shards = NULL;
+	query->shard_count = 0;
+	query->answered = 0;
+}
+
+static void
+note_in_flight (const struct query *query, const struct attempt *attempt, int by)
+{
+	struct target_hint *hint = query->view->targets[attempt->target].hint;
+	atomic_fetch_add_explicit (&hint->in_flight, (uint32_t)by, memory_order_relaxed);
+}
+
+static void
+end_attempt (struct query *query, int index)
+{
+	struct attempt *attempt = &query->attempts[index];
+	if (attempt->state == ATTEMPT_ENDED)
+		return;
+	attempt->state = ATTEMPT_ENDED;
+	note_in_flight (query, attempt, -1);
+}
+
+static void
+cancel_attempt (struct query *query, int index, struct query_actions *actions)
+{
+	if (query->attempts[index].state != ATTEMPT_WAITING)
+		return;
+	end_attempt (query, index);
+	act (actions, QUERY_CANCEL, index);
+}
+
+static void
+cancel_all (struct query *query, struct query_actions *actions)
+{
+	for (int i = 0; i < query->attempt_count; i++)
+		cancel_attempt (query, i, actions);
+	query->discovering = 0;
+}
+
+static void
+cancel_shard (struct query *query, struct shard *shard, struct query_actions *actions)
+{
+	for (int i = 0; i < shard->tries; i++)
+		cancel_attempt (query, (int)shard->ids[i], actions);
+	shard->waiting = 0;
+}
+
+void
+query_finish (struct query *query)
+{
+	for (int i = 0; i < query->attempt_count; i++)
+		end_attempt (query, i);
+	free_shards (query);
+	free (query->attempts);
+	view_put (query->view);
+	memset (query, 0, sizeof (*query));
+}
+
+static void
+send_attempt (struct query *query, int shard, int target, bool discover, bool hedge, int64_t now_us,
+	struct query_actions *actions)
+{
+	if (query->attempt_count == query->attempt_cap) {
+		query->attempt_cap = query->attempt_cap ? query->attempt_cap * 2 : 64;
+		query->attempts = xrealloc (
+			query->attempts, (size_t)query->attempt_cap * sizeof (*query->attempts));
+	}
+	struct attempt *attempt = &query->attempts[query->attempt_count];
+	*attempt = (struct attempt){.target = target,
+		.shard = shard,
+		.generation = query->generation,
+		.sent_us = now_us,
+		.state = ATTEMPT_WAITING,
+		.discover = discover,
+		.hedge = hedge};
+	note_in_flight (query, attempt, 1);
+	act (actions, QUERY_SEND, query->attempt_count++);
+}
+
+/* Records the attempt that was just sent as one of the shard's. */
+static void
+note_try (const struct query *query, struct shard *shard)
+{
+	shard->ids[shard->tries++] = (uint32_t)query->attempt_count - 1;
+	shard->waiting++;
+}
+
+static struct service_hint *
+hint_of (const struct query *query, const struct shard *shard)
+{
+	return query->view->services[shard->service].hint;
+}
+
+static void
+set_timers (struct query *query, struct shard *shard, int64_t now_us)
+{
+	const struct query_policy *policy = query->policy;
+	struct quantile *latency = &hint_of (query, shard)->latency;
+	int64_t hedge_us =
+		quantile_get (latency, policy->hedge_percentile, policy->hedge_preset_us);
+	int64_t silence_us = quantile_get (latency, 99, policy->silence_us) * SILENCE_FACTOR;
+	if (silence_us < policy->silence_us)
+		silence_us = policy->silence_us;
+	shard->hedge_us = policy->hedge ? now_us + hedge_us : INT64_MAX;
+	shard->silent_us = now_us + silence_us;
+	shard->retry_us = INT64_MAX;
+}
+
+static void
+plan_retry (struct shard *shard, int64_t now_us)
+{
+	int doublings = shard->refusals < 6 ? shard->refusals : 6;
+	shard->retry_us = now_us + ((int64_t)QUERY_FIRST_BACKOFF_US << doublings);
+	shard->hedge_us = INT64_MAX;
+	shard->silent_us = INT64_MAX;
+}
+
+/* Sends to the best replica; where none can be asked now, plans a later try. */
+static void
+try_shard (struct query *query, int index, int64_t now_us, struct query_actions *actions)
+{
+	struct shard *shard = &query->shards[index];
+	if (shard->tries >= QUERY_MAX_TRIES || shard->service < 0) {
+		shard->retry_us = INT64_MAX;
+		return;
+	}
+	bool again = shard->retry_us <= now_us;
+	int target = plan_replica (query, index, again, now_us);
+	if (target < 0) {
+		shard->refusals++;
+		plan_retry (shard, now_us);
+		return;
+	}
+	metric_add (shard->tries == 0 ? METRIC_SUBS_PRIMARY : METRIC_SUBS_RETRY, 1);
+	shard->charge = false;
+	set_timers (query, shard, now_us);
+	send_attempt (query, index, target, false, false, now_us, actions);
+	note_try (query, shard);
+}
+
+/* The answer stays partial from here on: every shard that can answer has answered. */
+static bool
+all_settled (const struct query *query)
+{
+	for (int i = 0; i < query->shard_count; i++) {
+		const struct shard *shard = &query->shards[i];
+		if (!shard->answered && (shard->waiting > 0 || shard->retry_us != INT64_MAX))
+			return false;
+	}
+	return true;
+}
+
+static void
+finish_if_done (struct query *query, struct query_actions *actions)
+{
+	if (query->phase != QUERY_RUNNING || !all_settled (query))
+		return;
+	cancel_all (query, actions);
+	query->phase = QUERY_DONE;
+	act (actions, QUERY_FINISH, 0);
+}
+
+static void
+run_snapshot (
+	struct query *query, snapshot_t snapshot, int64_t now_us, struct query_actions *actions)
+{
+	const struct view_layout *layout =
+		view_find_layout (query->collection, snapshot_layout (snapshot));
+	free_shards (query);
+	query->snapshot = snapshot;
+	query->phase = QUERY_RUNNING;
+	query->first_shard =
+		query->single ? query_shard_of (query->key_hash, layout->shard_count) : 0;
+	query->shard_count = query->single ? 1 : layout->shard_count;
+	query->shards = xcalloc ((size_t)query->shard_count, sizeof (*query->shards));
+	for (int i = 0; i < query->shard_count; i++) {
+		struct shard *shard = &query->shards[i];
+		shard->service = layout->shards[query->first_shard + (uint32_t)i];
+		shard->hedge_us = shard->silent_us = shard->retry_us = INT64_MAX;
+		if (shard->service >= 0)
+			budget_earn (&hint_of (query, shard)->extra, query->policy->extra_percent);
+		try_shard (query, i, now_us, actions);
+	}
+	finish_if_done (query, actions);
+}
+
+/* Without any known snapshot the shards cannot be asked; the newest layout is counted missing. */
+static void
+finish_unknown (struct query *query, struct query_actions *actions)
+{
+	const struct view_layout *layout = &query->collection->layouts[0];
+	for (int i = 1; i < query->collection->layout_count; i++) {
+		if (query->collection->layouts[i].id > layout->id)
+			layout = &query->collection->layouts[i];
+	}
+	cancel_all (query, actions);
+	free_shards (query);
+	query->first_shard =
+		query->single ? query_shard_of (query->key_hash, layout->shard_count) : 0;
+	query->shard_count = query->single ? 1 : layout->shard_count;
+	query->shards = xcalloc ((size_t)query->shard_count, sizeof (*query->shards));
+	query->phase = QUERY_DONE;
+	act (actions, QUERY_FINISH, 0);
+}
+
+static void
+plan (struct query *query, int64_t now_us, struct query_actions *actions)
+{
+	snapshot_t snapshot = plan_snapshot (query);
+	cancel_all (query, actions);
+	if (snapshot == 0)
+		finish_unknown (query, actions);
+	else
+		run_snapshot (query, snapshot, now_us, actions);
+}
+
+/* Asks every target whose snapshots are unknown; shards[] stands for the targets meanwhile. */
+static void
+discover (struct query *query, const struct view_layout *layout, int64_t now_us,
+	struct query_actions *actions)
+{
+	for (int i = 0; i < layout->shard_count; i++) {
+		if (layout->shards[i] < 0)
+			continue;
+		if (query->single &&
+			query_shard_of (query->key_hash, layout->shard_count) != (uint32_t)i)
+			continue;
+		const struct view_service *service = &query->view->services[layout->shards[i]];
+		for (int j = 0; j < service->target_count; j++) {
+			const struct view_target *target =
+				&query->view->targets[service->targets[j]];
+			if (!view_target_usable (target) ||
+				atomic_load_explicit (
+					&target->hint->held_at_us, memory_order_acquire))
+				continue;
+			send_attempt (query, i, service->targets[j], true, false, now_us, actions);
+			query->discovering++;
+		}
+	}
+}
+
+void
+query_start (struct query *query, int64_t now_us, struct query_actions *actions)
+{
+	query->phase = QUERY_DISCOVERING;
+	for (int i = 0; i < query->collection->layout_count; i++)
+		discover (query, &query->collection->layouts[i], now_us, actions);
+	if (query->discovering == 0 || plan_snapshot (query) != 0)
+		plan (query, now_us, actions);
+}
+
+static void
+learn (struct query *query, const struct attempt *attempt, const struct sub_result *result,
+	int64_t now_us)
+{
+	struct target_hint *hint = query->view->targets[attempt->target].hint;
+	if (result->held_count > 0)
+		target_hint_set_held (hint, result->held, result->held_count, now_us);
+	int64_t avoid_us = 0;
+	switch (result->status) {
+	case SUB_OK:
+		atomic_store_explicit (&hint->cold, result->cold, memory_order_relaxed);
+		break;
+	case SUB_LACKS:
+		break;
+	case SUB_REFUSED:
+		avoid_us = AVOID_REFUSED_US;
+		break;
+	case SUB_FAILED:
+	case SUB_SILENT:
+		avoid_us = AVOID_FAILED_US;
+		break;
+	}
+	atomic_store_explicit (
+		&hint->avoid_until_us, avoid_us ? now_us + avoid_us : 0, memory_order_relaxed);
+}
+
+/* True when no usable replica of the shard holds the pinned snapshot any more. */
+static bool
+snapshot_lost (const struct query *query, const struct shard *shard)
+{
+	const struct view_service *service = &query->view->services[shard->service];
+	bool usable = false;
+	for (int i = 0; i < service->target_count; i++) {
+		const struct view_target *target = &query->view->targets[service->targets[i]];
+		if (!view_target_usable (target))
+			continue;
+		usable = true;
+		if (target_hint_holds (target->hint, query->snapshot))
+			return false;
+	}
+	return usable;
+}
+
+static void
+replan (struct query *query, int64_t now_us, struct query_actions *actions)
+{
+	if (query->generation + 1 >= QUERY_MAX_GENERATIONS)
+		return;
+	query->gone[query->generation] = query->snapshot;
+	query->generation++;
+	snapshot_t next = plan_snapshot (query);
+	if (next == 0) {
+		query->generation--;
+		return;
+	}
+	metric_add (METRIC_QUERIES_REPLANNED, 1);
+	cancel_all (query, actions);
+	run_snapshot (query, next, now_us, actions);
+}
+
+static void
+take_rows (struct query *query, struct shard *shard, const struct sub_result *result,
+	struct query_actions *actions)
+{
+	shard->answered = true;
+	shard->rows = xmemdup (result->body, result->body_len);
+	shard->rows_len = result->body_len;
+	shard->hedge_us = shard->silent_us = shard->retry_us = INT64_MAX;
+	query->answered++;
+	cancel_shard (query, shard, actions);
+}
+
+/* A refusal ran nothing, so asking again adds no load; anything else must fit the budget. */
+static void
+after_failure (struct query *query, int index, enum sub_status status, int64_t now_us,
+	struct query_actions *actions)
+{
+	struct shard *shard = &query->shards[index];
+	if (shard->waiting > 0)
+		return;
+	bool free_of_load = status == SUB_REFUSED || status == SUB_LACKS;
+	bool untried = plan_replica (query, index, false, now_us) >= 0;
+	if (untried && (free_of_load || budget_spend (&hint_of (query, shard)->extra))) {
+		query->retries++;
+		try_shard (query, index, now_us, actions);
+		return;
+	}
+	shard->charge = !free_of_load;
+	shard->refusals++;
+	if (shard->tries < QUERY_MAX_TRIES)
+		plan_retry (shard, now_us);
+}
+
+bool
+query_reply (struct query *query, uint32_t id, const struct sub_result *result, int64_t now_us,
+	struct query_actions *actions)
+{
+	if (query->phase == QUERY_DONE || id >= (uint32_t)query->attempt_count)
+		return false;
+	struct attempt attempt = query->attempts[id];
+	if (attempt.state != ATTEMPT_WAITING || attempt.generation != query->generation)
+		return false;
+	end_attempt (query, (int)id);
+	learn (query, &attempt, result, now_us);
+	if (attempt.discover) {
+		if (query->phase == QUERY_DISCOVERING && --query->discovering == 0)
+			plan (query, now_us, actions);
+		return true;
+	}
+	struct shard *shard = &query->shards[attempt.shard];
+	enum sub_status status = result->status;
+	if (status == SUB_OK &&
+		(result->snapshot != query->snapshot ||
+			result->shard != query->first_shard + (uint32_t)attempt.shard)) {
+		metric_add (METRIC_SUBS_BAD, 1);
+		status = SUB_FAILED;
+	}
+	shard->waiting--;
+	if (status == SUB_OK) {
+		quantile_observe (&hint_of (query, shard)->latency, now_us - attempt.sent_us);
+		take_rows (query, shard, result, actions);
+	} else if (status == SUB_LACKS && snapshot_lost (query, shard)) {
+		int before = query->generation;
+		replan (query, now_us, actions);
+		if (query->generation != before)
+			return true;
+		shard->retry_us = INT64_MAX;
+	} else {
+		after_failure (query, attempt.shard, status, now_us, actions);
+	}
+	finish_if_done (query, actions);
+	return true;
+}
+
+static void
+hedge_shard (struct query *query, int index, int64_t now_us, struct query_actions *actions)
+{
+	struct shard *shard = &query->shards[index];
+	shard->hedge_us = INT64_MAX;
+	if (shard->tries >= QUERY_MAX_TRIES)
+		return;
+	int target = plan_hedge (query, index, now_us);
+	if (target < 0 || !budget_spend (&hint_of (query, shard)->extra))
+		return;
+	metric_add (METRIC_SUBS_HEDGE, 1);
+	query->hedges++;
+	send_attempt (query, index, target, false, true, now_us, actions);
+	note_try (query, shard);
+}
+
+/* Gives the shard's waiting attempts up as silent; their connections are being replaced. */
+static void
+give_up_shard (struct query *query, int index, int64_t now_us, struct query_actions *actions)
+{
+	struct shard *shard = &query->shards[index];
+	for (int i = 0; i < shard->tries; i++) {
+		const struct attempt *attempt = &query->attempts[shard->ids[i]];
+		if (attempt->state == ATTEMPT_WAITING)
+			atomic_store_explicit (
+				&query->view->targets[attempt->target].hint->avoid_until_us,
+				now_us + AVOID_FAILED_US, memory_order_relaxed);
+	}
+	cancel_shard (query, shard, actions);
+	shard->silent_us = INT64_MAX;
+	after_failure (query, index, SUB_SILENT, now_us, actions);
+}
+
+static void
+tick_shard (struct query *query, int index, int64_t now_us, struct query_actions *actions)
+{
+	struct shard *shard = &query->shards[index];
+	if (shard->answered)
+		return;
+	if (shard->silent_us <= now_us)
+		give_up_shard (query, index, now_us, actions);
+	else if (shard->hedge_us <= now_us)
+		hedge_shard (query, index, now_us, actions);
+	if (shard->retry_us > now_us || shard->waiting > 0)
+		return;
+	if (shard->charge && !budget_spend (&hint_of (query, shard)->extra)) {
+		plan_retry (shard, now_us);
+		return;
+	}
+	try_shard (query, index, now_us, actions);
+}
+
+void
+query_tick (struct query *query, int64_t now_us, struct query_actions *actions)
+{
+	if (query->phase == QUERY_DISCOVERING &&
+		now_us >= query->start_us +
+				  (query->deadline_us - query->start_us) / QUERY_DISCOVER_SHARE)
+		plan (query, now_us, actions);
+	if (query->phase != QUERY_RUNNING)
+		return;
+	if (now_us >= query->deadline_us - QUERY_ANSWER_MARGIN_US) {
+		cancel_all (query, actions);
+		query->phase = QUERY_DONE;
+		act (actions, QUERY_FINISH, 0);
+		return;
+	}
+	for (int i = 0; i < query->shard_count; i++)
+		tick_shard (query, i, now_us, actions);
+	finish_if_done (query, actions);
+}
+
+int64_t
+query_wake_us (const struct query *query)
+{
+	if (query->phase == QUERY_DISCOVERING)
+		return query->start_us +
+		       (query->deadline_us - query->start_us) / QUERY_DISCOVER_SHARE;
+	int64_t wake = query->deadline_us - QUERY_ANSWER_MARGIN_US;
+	for (int i = 0; i < query->shard_count; i++) {
+		const struct shard *shard = &query->shards[i];
+		if (shard->answered)
+			continue;
+		if (shard->hedge_us < wake)
+			wake = shard->hedge_us;
+		if (shard->silent_us < wake)
+			wake = shard->silent_us;
+		if (shard->retry_us < wake)
+			wake = shard->retry_us;
+	}
+	return wake;
+}
