--- /dev/null
+++ b/store/store.c
@@ -0,0 +1,426 @@
+#include "store/store.h"
+
+#include "core/buf.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/file.h>
+#include <sys/random.h>
+#include <sys/stat.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+/*
+ * Files: identity (16 bytes: id, checksum), snapshot (one record), log (records). A record is a
+ * header of 16 bytes (length, type, checksum over type and body) and its body.
+ */
+
+enum record_type { RECORD_HARD = 1, RECORD_ENTRY = 2, RECORD_CUT = 3, RECORD_SNAPSHOT = 4 };
+
+enum { HEADER_SIZE = 16, RECORD_MAX = 1 << 30 };
+
+struct header {
+	uint32_t len;
+	uint32_t type;
+	uint64_t sum;
+};
+
+struct reader {
+	const char *data;
+	size_t len;
+	size_t at;
+};
+
+enum read_result { READ_OK, READ_END, READ_TORN };
+
+static bool
+fail (struct error *error, const struct store *store, const char *file, const char *what)
+{
+	if (errno == ENOSPC || errno == EDQUOT)
+		return error_set (error, ERROR_DISK_FULL,
+			"%.180s/%s: cannot %s: the disk is full; free space, then restart",
+			store->dir, file, what);
+	return error_set (error, ERROR_IO,
+		"%.180s/%s: cannot %s (%s); check the disk, then restart", store->dir, file, what,
+		strerror (errno));
+}
+
+static bool
+damaged (struct error *error, const struct store *store, const char *file)
+{
+	return error_set (error, ERROR_DAMAGED,
+		"%.160s/%s: damaged; move the whole folder away and restart: this VM rejoins as a "
+		"new learner",
+		store->dir, file);
+}
+
+static bool
+write_all (int fd, const void *data, size_t len)
+{
+	const char *at = data;
+	while (len > 0) {
+		ssize_t n = write (fd, at, len);
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n <= 0)
+			return false;
+		at += n;
+		len -= (size_t)n;
+	}
+	return true;
+}
+
+static uint64_t
+checksum (uint32_t type, const void *body, size_t len)
+{
+	return XXH64 (body, len, type);
+}
+
+static void
+add_record (struct buf *out, uint32_t type, const struct buf *body)
+{
+	struct header header = {(uint32_t)body->len, type, checksum (type, body->data, body->len)};
+	buf_add (out, &header, sizeof (header));
+	buf_add (out, body->data, body->len);
+}
+
+static enum read_result
+read_record (struct reader *reader, struct header *header, const char **body)
+{
+	size_t left = reader->len - reader->at;
+	if (left == 0)
+		return READ_END;
+	if (left < HEADER_SIZE)
+		return READ_TORN;
+	memcpy (header, reader->data + reader->at, HEADER_SIZE);
+	if (header->len > RECORD_MAX || header->len > left - HEADER_SIZE)
+		return READ_TORN;
+	*body = reader->data + reader->at + HEADER_SIZE;
+	if (checksum (header->type, *body, header->len) != header->sum)
+		return READ_TORN;
+	reader->at += HEADER_SIZE + header->len;
+	return READ_OK;
+}
+
+static bool
+read_file (const struct store *store, const char *name, struct buf *out, bool *exists,
+	struct error *error)
+{
+	char chunk[65536];
+	int fd = openat (store->dir_fd, name, O_RDONLY | O_CLOEXEC);
+	*exists = fd >= 0;
+	buf_add (out, "", 0);
+	if (fd < 0)
+		return errno == ENOENT || fail (error, store, name, "open it");
+	ssize_t n = 0;
+	while ((n = read (fd, chunk, sizeof (chunk))) > 0)
+		buf_add (out, chunk, (size_t)n);
+	close (fd);
+	return n == 0 || fail (error, store, name, "read it");
+}
+
+/* A new file is complete or absent: written aside, synced, renamed, and the folder synced. */
+static bool
+replace_file (
+	const struct store *store, const char *name, const struct buf *content, struct error *error)
+{
+	char aside[64];
+	snprintf (aside, sizeof (aside), "%s.new", name);
+	int fd = openat (store->dir_fd, aside, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+	if (fd < 0)
+		return fail (error, store, aside, "create it");
+	bool ok = write_all (fd, content->data, content->len) && fsync (fd) == 0;
+	int saved = errno;
+	close (fd);
+	errno = saved;
+	if (!ok)
+		return fail (error, store, aside, "write it");
+	if (renameat (store->dir_fd, aside, store->dir_fd, name) != 0 || fsync (store->dir_fd) != 0)
+		return fail (error, store, name, "replace it");
+	return true;
+}
+
+static bool
+create_identity (struct store *store, struct error *error)
+{
+	struct stat st;
+	if (fstatat (store->dir_fd, "log", &st, 0) == 0 ||
+		fstatat (store->dir_fd, "snapshot", &st, 0) == 0)
+		return damaged (error, store, "identity");
+	uint64_t record[2] = {0, 0};
+	while (record[0] == 0) {
+		if (getrandom (&record[0], sizeof (record[0]), 0) != sizeof (record[0]))
+			return fail (error, store, "identity", "draw a random number for it");
+	}
+	record[1] = checksum (0, &record[0], sizeof (record[0]));
+	struct buf content = {.data = (char *)record, .len = sizeof (record)};
+	store->disk_id = record[0];
+	store->fresh = true;
+	return replace_file (store, "identity", &content, error);
+}
+
+static bool
+read_identity (struct store *store, struct error *error)
+{
+	struct buf content;
+	bool exists = false;
+	uint64_t record[2] = {0, 0};
+	buf_init (&content);
+	bool ok = read_file (store, "identity", &content, &exists, error);
+	size_t len = content.len;
+	if (len == sizeof (record))
+		memcpy (record, content.data, sizeof (record));
+	buf_finish (&content);
+	if (!ok)
+		return false;
+	if (!exists)
+		return create_identity (store, error);
+	if (len != sizeof (record) || record[1] != checksum (0, &record[0], sizeof (record[0])))
+		return damaged (error, store, "identity");
+	store->disk_id = record[0];
+	return true;
+}
+
+bool
+store_open (struct store *store, const char *dir, struct error *error)
+{
+	memset (store, 0, sizeof (*store));
+	store->log_fd = -1;
+	str_copy (store->dir, sizeof (store->dir), dir);
+	if (mkdir (dir, 0700) != 0 && errno != EEXIST)
+		return error_set (error, ERROR_IO,
+			"%.200s: cannot be created (%s); create it or correct control.data_dir",
+			dir, strerror (errno));
+	store->dir_fd = open (dir, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+	if (store->dir_fd < 0)
+		return error_set (error, ERROR_IO,
+			"%.200s: cannot be opened (%s); check control.data_dir", dir,
+			strerror (errno));
+	if (flock (store->dir_fd, LOCK_EX | LOCK_NB) != 0) {
+		close (store->dir_fd);
+		return error_set (error, ERROR_IO,
+			"%.200s: in use by another process; give each its own control.data_dir",
+			dir);
+	}
+	if (read_identity (store, error))
+		return true;
+	close (store->dir_fd);
+	return false;
+}
+
+void
+store_close (struct store *store)
+{
+	if (store->log_fd >= 0)
+		close (store->log_fd);
+	close (store->dir_fd);
+	store->log_fd = -1;
+}
+
+static void
+encode_snapshot (struct buf *out, const struct raft *raft)
+{
+	uint64_t numbers[3] = {raft->base, raft->base_term, 0};
+	size_t len = 0;
+	void *config = raft_config_encode (&raft->base_config, &len);
+	numbers[2] = len;
+	buf_add (out, numbers, sizeof (numbers));
+	buf_add (out, config, len);
+	buf_add (out, raft->snapshot, raft->snapshot_len);
+	free (config);
+}
+
+static bool
+load_snapshot (struct store *store, struct raft *raft, struct error *error)
+{
+	struct buf content;
+	struct header header = {0};
+	struct raft_config config = {0};
+	uint64_t numbers[3] = {0};
+	const char *body = NULL;
+	bool exists = false;
+	buf_init (&content);
+	bool ok = read_file (store, "snapshot", &content, &exists, error);
+	if (!ok || !exists) {
+		buf_finish (&content);
+		return ok;
+	}
+	struct reader reader = {content.data, content.len, 0};
+	ok = read_record (&reader, &header, &body) == READ_OK && reader.at == content.len &&
+	     header.type == RECORD_SNAPSHOT && header.len >= sizeof (numbers);
+	if (ok)
+		memcpy (numbers, body, sizeof (numbers));
+	ok = ok && numbers[2] <= header.len - sizeof (numbers) &&
+	     raft_config_decode (&config, body + sizeof (numbers), numbers[2]);
+	if (ok) {
+		size_t skip = sizeof (numbers) + numbers[2];
+		raft_restore_snapshot (raft, numbers[0], numbers[1], &config,
+			xmemdup (body + skip, header.len - skip), header.len - skip);
+	}
+	buf_finish (&content);
+	return ok || damaged (error, store, "snapshot");
+}
+
+static bool
+load_record (struct raft *raft, const struct header *header, const char *body)
+{
+	uint64_t numbers[3] = {0};
+	size_t len = header->len < sizeof (numbers) ? header->len : sizeof (numbers);
+	memcpy (numbers, body, len);
+	switch ((enum record_type)header->type) {
+	case RECORD_HARD:
+		raft_restore_hard (raft, numbers[0], numbers[1]);
+		return len >= 16;
+	case RECORD_CUT:
+		while (raft_last_index (raft) >= numbers[0] && raft_last_index (raft) > raft->base)
+			raft_restore_cut (raft);
+		return len >= 8;
+	case RECORD_ENTRY: {
+		if (len < sizeof (numbers) || numbers[2] > RAFT_CONFIG)
+			return false;
+		/* Left over from before a snapshot that this log was not rewritten after. */
+		if (numbers[0] <= raft->base || numbers[1] < raft->base_term)
+			return true;
+		if (numbers[0] != raft_last_index (raft) + 1)
+			return false;
+		struct raft_entry entry = {
+			.term = numbers[1], .type = (enum raft_entry_type)numbers[2]};
+		entry.len = header->len - sizeof (numbers);
+		entry.data = xmemdup (body + sizeof (numbers), entry.len);
+		raft_restore_entry (raft, numbers[0], entry);
+		return true;
+	}
+	case RECORD_SNAPSHOT:
+		return false;
+	}
+	return false;
+}
+
+/* A bad record followed by a good one is damage, not a torn end. */
+static bool
+good_record_after (const struct reader *reader)
+{
+	struct header header;
+	const char *body = NULL;
+	if (reader->len - reader->at < HEADER_SIZE)
+		return false;
+	for (size_t at = reader->at + 1; at + HEADER_SIZE <= reader->len; at++) {
+		struct reader probe = {reader->data, reader->len, at};
+		memcpy (&header, reader->data + at, HEADER_SIZE);
+		if (header.type < RECORD_HARD || header.type > RECORD_CUT)
+			continue;
+		if (read_record (&probe, &header, &body) == READ_OK)
+			return true;
+	}
+	return false;
+}
+
+static bool
+load_log (struct store *store, struct raft *raft, struct error *error)
+{
+	struct buf content;
+	bool exists = false;
+	buf_init (&content);
+	bool ok = read_file (store, "log", &content, &exists, error);
+	struct reader reader = {content.data, content.len, 0};
+	struct header header;
+	const char *body = NULL;
+	enum read_result result = READ_END;
+	while (ok && (result = read_record (&reader, &header, &body)) == READ_OK)
+		ok = load_record (raft, &header, body) || damaged (error, store, "log");
+	if (ok && result == READ_TORN && good_record_after (&reader))
+		ok = damaged (error, store, "log");
+	store->torn = ok && result == READ_TORN;
+	store->log_size = reader.at;
+	buf_finish (&content);
+	return ok;
+}
+
+bool
+store_load (struct store *store, struct raft *raft, struct error *error)
+{
+	if (!load_snapshot (store, raft, error) || !load_log (store, raft, error))
+		return false;
+	store->log_fd =
+		openat (store->dir_fd, "log", O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+	if (store->log_fd < 0)
+		return fail (error, store, "log", "open it");
+	if (ftruncate (store->log_fd, (off_t)store->log_size) != 0 || fsync (store->log_fd) != 0 ||
+		fsync (store->dir_fd) != 0)
+		return fail (error, store, "log", "cut its torn end");
+	return true;
+}
+
+static void
+add_hard (struct buf *out, const struct raft *raft)
+{
+	uint64_t numbers[2] = {raft->term, raft->voted_for};
+	struct buf body = {.data = (char *)numbers, .len = sizeof (numbers)};
+	add_record (out, RECORD_HARD, &body);
+}
+
+static void
+add_entries (struct buf *out, const struct raft *raft, uint64_t from)
+{
+	struct buf body;
+	buf_init (&body);
+	for (uint64_t index = from; index <= raft_last_index (raft); index++) {
+		const struct raft_entry *entry = raft_entry_at (raft, index);
+		uint64_t numbers[3] = {index, entry->term, entry->type};
+		buf_reset (&body);
+		buf_add (&body, numbers, sizeof (numbers));
+		buf_add (&body, entry->data, entry->len);
+		add_record (out, RECORD_ENTRY, &body);
+	}
+	buf_finish (&body);
+}
+
+/* The snapshot is complete on disk before the log that it replaces goes. */
+static bool
+save_snapshot (struct store *store, const struct raft *raft, struct error *error)
+{
+	struct buf body;
+	struct buf content;
+	buf_init (&body);
+	buf_init (&content);
+	encode_snapshot (&body, raft);
+	add_record (&content, RECORD_SNAPSHOT, &body);
+	bool ok = replace_file (store, "snapshot", &content, error);
+	buf_reset (&content);
+	add_hard (&content, raft);
+	add_entries (&content, raft, raft->base + 1);
+	ok = ok && replace_file (store, "log", &content, error);
+	store->log_size = content.len;
+	buf_finish (&body);
+	buf_finish (&content);
+	if (!ok)
+		return false;
+	close (store->log_fd);
+	store->log_fd = openat (store->dir_fd, "log", O_RDWR | O_APPEND | O_CLOEXEC);
+	return store->log_fd >= 0 || fail (error, store, "log", "open it");
+}
+
+bool
+store_save (struct store *store, const struct raft *raft, struct error *error)
+{
+	if (raft->snapshot_changed)
+		return save_snapshot (store, raft, error);
+	struct buf content;
+	buf_init (&content);
+	if (raft->cut_from != 0) {
+		uint64_t from = raft->cut_from;
+		struct buf body = {.data = (char *)&from, .len = sizeof (from)};
+		add_record (&content, RECORD_CUT, &body);
+	}
+	if (raft->hard_changed)
+		add_hard (&content, raft);
+	add_entries (&content, raft, raft->saved + 1);
+	bool ok = content.len == 0 || (write_all (store->log_fd, content.data, content.len) &&
+					      fdatasync (store->log_fd) == 0);
+	store->log_size += content.len;
+	buf_finish (&content);
+	return ok || fail (error, store, "log", "write it");
+}
--- /dev/null
+++ b/target/hint.h
@@ -0,0 +1,88 @@
+/**
+ * @file hint.h
+ * What this node has learned of a target or a service from replies: advice, never authority.
+ *
+ * Hints outlive the views that point to them. All fields are atomics, because request threads
+ * read and write them without locks.
+ */
+#pragma once
+
+#include "query/budget.h"
+#include "query/quantile.h"
+
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdint.h>
+#include <urcu/list.h>
+
+enum { SNAPSHOTS_HELD = 4, HINT_NAME_SIZE = 64 };
+
+/** A snapshot: layout in the upper 32 bits, index version in the lower 32; 0 is none. */
+typedef uint64_t snapshot_t;
+
+static inline uint32_t
+snapshot_layout (snapshot_t snapshot)
+{
+	return (uint32_t)(snapshot >> 32);
+}
+
+/** Writes "layout.version" and returns @p out. */
+char *
+snapshot_format (snapshot_t snapshot, char out[24]);
+
+/** Parses "layout.version"; returns 0 when malformed. */
+snapshot_t
+snapshot_parse (const char *text);
+
+/** What is known of a target. */
+struct target_hint {
+	_Atomic uint64_t held[SNAPSHOTS_HELD]; /**< snapshots it said it holds */
+	_Atomic int64_t held_at_us;            /**< when it said so; 0: never */
+	_Atomic int64_t avoid_until_us;        /**< a refusal or time-out lowers trust until then */
+	_Atomic uint32_t in_flight;            /**< sub-requests that this node has there */
+	_Atomic uint32_t cold;                 /**< 1 while its owner reports a cold start */
+};
+
+/** What is known of a service. */
+struct service_hint {
+	struct quantile latency;
+	struct budget extra;
+};
+
+/** A named hint in the table. */
+struct hint_entry {
+	struct cds_list_head node;
+	char name[HINT_NAME_SIZE];
+	union {
+		struct target_hint target;
+		struct service_hint service;
+	} u;
+};
+
+enum { HINT_BUCKETS = 4096 };
+
+/** All hints of a process; entries live as long as the table. */
+struct hint_table {
+	pthread_mutex_t lock; /**< held by controllers only, when they build a view */
+	struct cds_list_head targets[HINT_BUCKETS];
+	struct cds_list_head services[HINT_BUCKETS];
+};
+
+void
+hint_table_init (struct hint_table *table);
+void
+hint_table_finish (struct hint_table *table);
+
+/** Finds or creates the hint of a target or service. */
+struct target_hint *
+hint_table_target (struct hint_table *table, const char *name);
+struct service_hint *
+hint_table_service (struct hint_table *table, const char *name);
+
+/** Records the snapshots that a target holds, as it said in a reply. */
+void
+target_hint_set_held (struct target_hint *hint, const snapshot_t *held, int count, int64_t now_us);
+
+/** True when the target said that it holds the snapshot, or when nothing is known of it. */
+int
+target_hint_holds (const struct target_hint *hint, snapshot_t snapshot);
--- /dev/null
+++ b/test/demo.sh
@@ -0,0 +1,52 @@
+#!/usr/bin/env bash
+# Three daemons, eleven stand-in targets, and each kind of request, checked.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+. test/cluster.sh
+trap stop_all EXIT
+
+fail () {
+	echo "demo: $*" >&2
+	tail -n 5 "$RUN"/*.log >&2
+	exit 1
+}
+
+expect () {
+	echo "  $2"
+	grep -q -- "$3" <<< "$2" || fail "$1: expected $3"
+}
+
+start_targets targets --port $((BASE + 300)) --targets 11 --slots 6 --service-us 2000
+start_cluster 3 3 3 || fail "the daemons did not get ready"
+resources 3 3 3 3 1 2 $((BASE + 300)) > "$RUN/resources.json"
+"$BUILD/oleanderctl" apply -f "$RUN/resources.json" || fail "apply"
+wait_for 10 members_are 3 || fail "members"
+
+wait_for 10 eval "query 2 register | grep -q '\"answered\":3'" || fail "the first whole answer"
+echo "broad query:"
+expect "broad query" "$(query 1 register)" '"coverage":{"shards":3,"answered":3,"missing":\[\]}'
+echo "lookup by key:"
+expect "lookup" "$(curl -s --noproxy '*' "http://127.0.0.1:$((BASE + 2))/v1/collections/register/entries/m-1204")" '"answered":1'
+echo "once-only request, and the same again through another node:"
+once () {
+	curl -s --noproxy '*' -X POST -H 'Idempotency-Key: renewal-77' -d '{"renewal":77}' \
+		"http://127.0.0.1:$((BASE + $1))/v1/services/filing/once"
+}
+wait_for 10 eval "once 1 | grep -q '\"outcome\":\"done\"'" || fail "the first once-only request"
+expect "once" "$(once 3)" '"outcome":"done"'
+ran=0
+for port in $((BASE + 309)) $((BASE + 310)); do
+	ran=$((ran + $(curl -s --noproxy '*' "http://127.0.0.1:$port/counters" | sed 's/.*"once":\([0-9]*\).*/\1/')))
+done
+[ "$ran" = 1 ] || fail "the once-only request ran $ran times"
+echo "data centre b leaves:"
+"$BUILD/oleanderctl" leave DataCentre b || fail "leave"
+expect "query while b leaves" "$(query 1 register)" '"answered":3'
+"$BUILD/oleanderctl" status
+"$BUILD/oleanderctl" return DataCentre b || fail "return"
+echo "planned stops:"
+for n in 3 2 1; do
+	stop "n$n" || fail "node $n exited with $?"
+done
+stop targets || fail "targets"
+echo "demo: all answers as expected"
--- /dev/null
+++ b/test/target.c
@@ -0,0 +1,581 @@
+/**
+ * @file target.c
+ * The stand-in target: a target's published protocol, its limits and its ways to fail.
+ *
+ * One process serves many targets, one a port, on one thread. POST /control changes how a
+ * target behaves; GET /counters says what it went through.
+ */
+#include "core/buf.h"
+#include "core/clock.h"
+#include "core/rng.h"
+#include "target/hint.h"
+
+#include <argp.h>
+#include <errno.h>
+#include <jansson.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+enum {
+	LEAVING_GRACE_US = 3000000,
+	FALL_OVER_US = 500000, /* how long an overloaded cold target is down */
+	STEP_US = 200,
+	ONCE_IDS = 1 << 16,
+};
+
+struct settings {
+	int first_port;
+	int count;
+	long service_us;
+	long straggle_per_mille;
+	long straggle_ms;
+	long slots;
+	long cold_limit;
+	long cold_ms;
+	long connect_us;
+	long rows;
+	long max_connections;
+	const char *hold;
+};
+
+struct counters {
+	long requests;
+	long overloads;      /* more at once than the slots */
+	long cold_overloads; /* more at once than a cold start bears */
+	long sheds;
+	long lacks;
+	long cancelled;
+	long once;
+	long doubled;       /* once-only bodies seen again */
+	long after_leaving; /* work that came later than the grace time after leaving began */
+	long silenced;
+	long most_running;
+};
+
+struct target {
+	int port;
+	struct MHD_Daemon *daemon;
+	long running;
+	uint64_t boot;
+	int64_t cold_until_us;
+	int64_t down_until_us;
+	int64_t leaving_us;       /* 0: not leaving */
+	int64_t silent_before_us; /* connections opened before this get no reply */
+	long service_us;
+	long straggle_per_mille;
+	bool malformed;
+	bool mislabelled;
+	char hold[128];
+	struct counters counters;
+};
+
+struct request {
+	struct cds_list_head node; /* in the waiting list */
+	struct target *target;
+	struct MHD_Connection *connection;
+	struct buf body;
+	bool started;
+	bool holds_slot;
+	bool waits;
+	bool silent;
+	bool gone;
+	int64_t due_us;
+};
+
+static struct settings settings = {.first_port = 9001,
+	.count = 1,
+	.service_us = 1000,
+	.slots = 3,
+	.cold_limit = 1,
+	.rows = 2,
+	.straggle_ms = 100,
+	.max_connections = 100,
+	.hold = "1.1"};
+static struct target *targets;
+static struct cds_list_head waiting;
+static struct clock system_clock;
+static struct rng rng;
+static uint64_t once_ids[ONCE_IDS];
+static volatile sig_atomic_t stop;
+
+static int64_t
+now (void)
+{
+	return clock_now_us (&system_clock);
+}
+
+static bool
+is_cold (const struct target *target)
+{
+	return now () < target->cold_until_us;
+}
+
+static void
+restart (struct target *target, int64_t down_us)
+{
+	target->boot = rng_next (&rng) | 1;
+	target->down_until_us = now () + down_us;
+	target->cold_until_us = target->down_until_us + settings.cold_ms * US_PER_MS;
+}
+
+static const char *
+header (struct MHD_Connection *connection, const char *name)
+{
+	const char *value = MHD_lookup_connection_value (connection, MHD_HEADER_KIND, name);
+	return value ? value : "";
+}
+
+static enum MHD_Result
+reply (struct request *request, unsigned status, const char *text, const char *snapshot, bool ran)
+{
+	struct MHD_Connection *connection = request->connection;
+	struct target *target = request->target;
+	char number[32];
+	struct MHD_Response *response = MHD_create_response_from_buffer (
+		strlen (text), (void *)text, MHD_RESPMEM_MUST_COPY);
+	const char *id = header (connection, "X-Request-Id");
+	const char *shard = header (connection, "X-Shard");
+	MHD_add_response_header (response, "Content-Type", "application/json");
+	if (id[0])
+		MHD_add_response_header (response, "X-Request-Id", id);
+	if (shard[0])
+		MHD_add_response_header (response, "X-Shard", target->mislabelled ? "999" : shard);
+	if (snapshot[0])
+		MHD_add_response_header (response, "X-Snapshot", snapshot);
+	MHD_add_response_header (response, "X-Snapshots-Held", target->hold);
+	snprintf (number, sizeof (number), "%016llx", (unsigned long long)target->boot);
+	MHD_add_response_header (response, "X-Boot-Id", number);
+	snprintf (number, sizeof (number), "%ld", target->running);
+	MHD_add_response_header (response, "X-Load", number);
+	if (is_cold (target))
+		MHD_add_response_header (response, "X-Cold", "1");
+	if (!ran)
+		MHD_add_response_header (response, "X-Ran", "no");
+	enum MHD_Result result = MHD_queue_response (connection, status, response);
+	MHD_destroy_response (response);
+	return result;
+}
+
+static void
+release (struct request *request)
+{
+	if (request->holds_slot)
+		request->target->running--;
+	request->holds_slot = false;
+	if (request->waits)
+		cds_list_del (&request->node);
+	request->waits = false;
+}
+
+static enum MHD_Result
+reply_counters (struct request *request)
+{
+	const struct counters *c = &request->target->counters;
+	char text[512];
+	snprintf (text, sizeof (text),
+		"{\"port\":%d,\"requests\":%ld,\"overloads\":%ld,\"cold_overloads\":%ld,"
+		"\"sheds\":%ld,\"lacks\":%ld,\"cancelled\":%ld,\"once\":%ld,\"doubled\":%ld,"
+		"\"after_leaving\":%ld,\"silenced\":%ld,\"most_running\":%ld}",
+		request->target->port, c->requests, c->overloads, c->cold_overloads, c->sheds,
+		c->lacks, c->cancelled, c->once, c->doubled, c->after_leaving, c->silenced,
+		c->most_running);
+	return reply (request, 200, text, "", true);
+}
+
+static enum MHD_Result
+apply_control (struct request *request)
+{
+	struct target *target = request->target;
+	json_t *body = json_loadb (request->body.data, request->body.len, 0, NULL);
+	const json_t *value = NULL;
+	if (json_is_true (json_object_get (body, "silence")))
+		target->silent_before_us = now ();
+	if (json_is_true (json_object_get (body, "restart")))
+		restart (target, 0);
+	if ((value = json_object_get (body, "leaving")))
+		target->leaving_us = json_is_true (value) ? now () : 0;
+	if ((value = json_object_get (body, "malformed")))
+		target->malformed = json_is_true (value);
+	if ((value = json_object_get (body, "mislabelled")))
+		target->mislabelled = json_is_true (value);
+	if ((value = json_object_get (body, "service_us")))
+		target->service_us = (long)json_integer_value (value);
+	if ((value = json_object_get (body, "straggle_per_mille")))
+		target->straggle_per_mille = (long)json_integer_value (value);
+	if ((value = json_object_get (body, "hold")))
+		str_copy (target->hold, sizeof (target->hold), json_string_value (value));
+	if (json_is_true (json_object_get (body, "clear")))
+		memset (&target->counters, 0, sizeof (target->counters));
+	json_decref (body);
+	return reply (request, 200, "{}", "", true);
+}
+
+static bool
+holds (const struct target *target, const char *snapshot)
+{
+	size_t len = strlen (snapshot);
+	for (const char *at = target->hold; len && (at = strstr (at, snapshot)); at += len) {
+		bool starts = at == target->hold || at[-1] == ',';
+		if (starts && (at[len] == ',' || at[len] == '\0'))
+			return true;
+	}
+	return false;
+}
+
+/* Counts once-only bodies that ran before. */
+static void
+note_once (struct request *request)
+{
+	uint64_t id = XXH64 (request->body.data, request->body.len, 0) | 1;
+	uint64_t slot = id % ONCE_IDS;
+	request->target->counters.once++;
+	while (once_ids[slot] && once_ids[slot] != id)
+		slot = (slot + 1) % ONCE_IDS;
+	if (once_ids[slot] == id)
+		request->target->counters.doubled++;
+	once_ids[slot] = id;
+}
+
+static enum MHD_Result
+reply_rows (struct request *request, const char *url)
+{
+	struct MHD_Connection *connection = request->connection;
+	const char *snapshot = header (connection, "X-Snapshot");
+	struct buf rows;
+	bool lookup = strncmp (url, "/entries/", 9) == 0;
+	buf_init (&rows);
+	buf_addf (&rows, "[");
+	for (long i = 0; i < (lookup ? 1 : settings.rows); i++)
+		buf_addf (&rows,
+			"%s{\"key\":\"%s-%ld\",\"shard\":%s,\"snapshot\":\"%s\",\"port\":%d}",
+			i ? "," : "", lookup ? url + 9 : header (connection, "X-Shard"), i,
+			header (connection, "X-Shard"), snapshot, request->target->port);
+	buf_addf (&rows, request->target->malformed ? "" : "]");
+	enum MHD_Result result = reply (request, 200, rows.data, snapshot, true);
+	buf_finish (&rows);
+	return result;
+}
+
+static enum MHD_Result
+answer (struct request *request, const char *url)
+{
+	release (request);
+	if (request->silent || request->gone)
+		return MHD_NO;
+	if (strcmp (url, "/once") == 0)
+		return reply (request, 200, "{\"filed\":true}", "", true);
+	return reply_rows (request, url);
+}
+
+static int64_t
+cost_us (struct request *request)
+{
+	struct target *target = request->target;
+	const union MHD_ConnectionInfo *info =
+		MHD_get_connection_info (request->connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+	int64_t *opened_us = info ? info->socket_context : NULL;
+	int64_t cost = target->service_us;
+	if (opened_us && *opened_us > 0) {
+		request->silent = *opened_us < target->silent_before_us;
+		cost += settings.connect_us;
+		*opened_us = -*opened_us;
+	} else if (opened_us) {
+		request->silent = -*opened_us < target->silent_before_us;
+	}
+	if ((long)rng_below (&rng, 1000) < target->straggle_per_mille)
+		cost += settings.straggle_ms * US_PER_MS;
+	return cost;
+}
+
+/* True when the target has no room; it counts what that did to it. */
+static bool
+overloaded (struct target *target)
+{
+	long limit = is_cold (target) ? settings.cold_limit : settings.slots;
+	if (target->running < limit)
+		return false;
+	target->counters.sheds++;
+	if (!is_cold (target)) {
+		target->counters.overloads++;
+		return true;
+	}
+	target->counters.cold_overloads++;
+	restart (target, FALL_OVER_US);
+	return true;
+}
+
+static enum MHD_Result
+start (struct request *request, const char *url)
+{
+	struct target *target = request->target;
+	int64_t now_us = now ();
+	const char *snapshot = header (request->connection, "X-Snapshot");
+	bool once = strcmp (url, "/once") == 0;
+	request->started = true;
+	int64_t cost = cost_us (request);
+	target->counters.requests++;
+	if (target->leaving_us && now_us > target->leaving_us + LEAVING_GRACE_US)
+		target->counters.after_leaving++;
+	if (request->silent)
+		target->counters.silenced++;
+	else if (now_us < target->down_until_us || overloaded (target))
+		return reply (request, 503, "{}", "", false);
+	else if (!once && !holds (target, snapshot)) {
+		target->counters.lacks++;
+		return reply (request, 409, "{}", "", false);
+	}
+	if (!request->silent) {
+		target->running++;
+		request->holds_slot = true;
+		if (target->running > target->counters.most_running)
+			target->counters.most_running = target->running;
+		if (once)
+			note_once (request);
+	}
+	if (cost == 0 && !request->silent)
+		return answer (request, url);
+	request->due_us = request->silent ? INT64_MAX : now_us + cost;
+	request->waits = true;
+	cds_list_add (&request->node, &waiting);
+	MHD_suspend_connection (request->connection);
+	return MHD_YES;
+}
+
+static enum MHD_Result
+handle (void *user, struct MHD_Connection *connection, const char *url, const char *method,
+	const char *version, const char *data, size_t *len, void **context)
+{
+	struct request *request = *context;
+	(void)version;
+	if (!request) {
+		request = xcalloc (1, sizeof (*request));
+		request->target = user;
+		request->connection = connection;
+		buf_init (&request->body);
+		*context = request;
+		return MHD_YES;
+	}
+	if (*len > 0) {
+		buf_add (&request->body, data, *len);
+		*len = 0;
+		return MHD_YES;
+	}
+	if (request->started)
+		return answer (request, url);
+	if (strcmp (url, "/control") == 0)
+		return apply_control (request);
+	if (strcmp (url, "/counters") == 0)
+		return reply_counters (request);
+	if (strcmp (url, "/load") == 0 || strcmp (url, "/health") == 0)
+		return reply (request, 200, "{}", "", true);
+	(void)method;
+	return start (request, url);
+}
+
+static void
+on_completed (void *user, struct MHD_Connection *connection, void **context,
+	enum MHD_RequestTerminationCode code)
+{
+	struct request *request = *context;
+	(void)user;
+	(void)connection;
+	(void)code;
+	if (!request)
+		return;
+	release (request);
+	buf_finish (&request->body);
+	free (request);
+	*context = NULL;
+}
+
+static void
+on_connection (void *user, struct MHD_Connection *connection, void **context,
+	enum MHD_ConnectionNotificationCode code)
+{
+	(void)user;
+	(void)connection;
+	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+		int64_t *opened_us = xmalloc (sizeof (*opened_us));
+		*opened_us = now ();
+		*context = opened_us;
+	} else {
+		free (*context);
+	}
+}
+
+static bool
+peer_closed (struct MHD_Connection *connection)
+{
+	char byte;
+	const union MHD_ConnectionInfo *info =
+		MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+	return recv (info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+static void
+run_waiting (bool look_closed)
+{
+	struct request *request;
+	struct request *next;
+	int64_t now_us = now ();
+	cds_list_for_each_entry_safe (request, next, &waiting, node) {
+		if (look_closed && peer_closed (request->connection)) {
+			request->gone = true;
+			request->target->counters.cancelled++;
+		}
+		if (!request->gone && request->due_us > now_us)
+			continue;
+		release (request);
+		MHD_resume_connection (request->connection);
+	}
+}
+
+static void
+on_signal (int number)
+{
+	(void)number;
+	stop = 1;
+}
+
+static error_t
+parse_argument (int key, char *arg, struct argp_state *state)
+{
+	long number = arg ? strtol (arg, NULL, 10) : 0;
+	(void)state;
+	switch (key) {
+	case 'p':
+		settings.first_port = (int)number;
+		return 0;
+	case 'n':
+		settings.count = (int)number;
+		return 0;
+	case 's':
+		settings.service_us = number;
+		return 0;
+	case 'S':
+		settings.straggle_per_mille = number;
+		return 0;
+	case 'M':
+		settings.straggle_ms = number;
+		return 0;
+	case 'l':
+		settings.slots = number;
+		return 0;
+	case 'c':
+		settings.cold_limit = number;
+		return 0;
+	case 'C':
+		settings.cold_ms = number;
+		return 0;
+	case 'x':
+		settings.connect_us = number;
+		return 0;
+	case 'r':
+		settings.rows = number;
+		return 0;
+	case 'm':
+		settings.max_connections = number;
+		return 0;
+	case 'H':
+		settings.hold = arg;
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static const struct argp_option options_table[] = {
+	{"port", 'p', "PORT", 0, "First port on 127.0.0.1", 0},
+	{"targets", 'n', "N", 0, "Targets, one a port", 0},
+	{"service-us", 's', "US", 0, "Time a request takes", 0},
+	{"straggle-per-mille", 'S', "N", 0, "Requests in a thousand that straggle", 0},
+	{"straggle-ms", 'M', "MS", 0, "How much longer they take", 0},
+	{"slots", 'l', "N", 0, "Requests at once", 0},
+	{"cold-limit", 'c', "N", 0, "Requests at once during a cold start", 0},
+	{"cold-ms", 'C', "MS", 0, "Length of a cold start; 0: none", 0},
+	{"connect-us", 'x', "US", 0, "Extra time of a connection's first request", 0},
+	{"rows", 'r', "N", 0, "Rows in each reply", 0},
+	{"max-connections", 'm', "N", 0, "Connections at once", 0},
+	{"hold", 'H', "LIST", 0, "Snapshots held, such as 1.1,1.2", 0},
+	{0},
+};
+
+static const struct argp argp = {options_table, parse_argument, NULL,
+	"Stand-in targets for tests and measurements.", NULL, NULL, NULL};
+
+static bool
+start_target (struct target *target, int index, int epoll_fd)
+{
+	target->port = settings.first_port + index;
+	target->service_us = settings.service_us;
+	target->straggle_per_mille = settings.straggle_per_mille;
+	str_copy (target->hold, sizeof (target->hold), settings.hold);
+	restart (target, 0);
+	struct sockaddr_in address = {.sin_family = AF_INET,
+		.sin_port = htons ((uint16_t)target->port),
+		.sin_addr.s_addr = htonl (INADDR_LOOPBACK)};
+	target->daemon = MHD_start_daemon (MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
+		handle, target, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_NOTIFY_COMPLETED,
+		on_completed, NULL, MHD_OPTION_NOTIFY_CONNECTION, on_connection, NULL,
+		MHD_OPTION_CONNECTION_LIMIT, (unsigned)settings.max_connections, MHD_OPTION_END);
+	if (!target->daemon)
+		return false;
+	const union MHD_DaemonInfo *info =
+		MHD_get_daemon_info (target->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+	struct epoll_event event = {.events = EPOLLIN, .data.ptr = target};
+	return epoll_ctl (epoll_fd, EPOLL_CTL_ADD, info->epoll_fd, &event) == 0;
+}
+
+static void
+run (int epoll_fd)
+{
+	struct epoll_event events[64];
+	int64_t look_us = 0;
+	while (!stop) {
+		struct timespec step = {.tv_nsec = STEP_US * 1000L};
+		struct timespec idle = {.tv_nsec = 20 * 1000000L};
+		int count = epoll_pwait2 (
+			epoll_fd, events, 64, cds_list_empty (&waiting) ? &idle : &step, NULL);
+		for (int i = 0; i < count; i++)
+			MHD_run (((struct target *)events[i].data.ptr)->daemon);
+		bool look_closed = now () >= look_us;
+		if (look_closed)
+			look_us = now () + 2000;
+		bool resumed = !cds_list_empty (&waiting);
+		run_waiting (look_closed);
+		for (int i = 0; resumed && i < settings.count; i++)
+			MHD_run (targets[i].daemon);
+	}
+}
+
+int
+main (int argc, char **argv)
+{
+	argp_parse (&argp, argc, argv, 0, NULL, NULL);
+	clock_init_system (&system_clock);
+	rng.state = (uint64_t)settings.first_port;
+	CDS_INIT_LIST_HEAD (&waiting);
+	signal (SIGTERM, on_signal);
+	signal (SIGINT, on_signal);
+	signal (SIGPIPE, SIG_IGN);
+	targets = xcalloc ((size_t)settings.count, sizeof (*targets));
+	int epoll_fd = epoll_create1 (EPOLL_CLOEXEC);
+	for (int i = 0; i < settings.count; i++) {
+		if (!start_target (&targets[i], i, epoll_fd)) {
+			fprintf (stderr, "port %d cannot be served: %s\n", settings.first_port + i,
+				strerror (errno));
+			return EXIT_FAILURE;
+		}
+	}
+	run (epoll_fd);
+	return EXIT_SUCCESS;
+}
