--- a/control/follower.c
+++ b/control/follower.c
@@ -119,18 +119,17 @@
 	recent_add (&follower->recent, change->index, change->data, change->len);
 }
 
+/* Decodes on the side first, so that a malformed snapshot leaves the state as it is. */
 static bool
 load_snapshot (struct follower *follower, const struct poll_reply *reply)
 {
-	struct state fresh;
-	state_init (&fresh);
-	if (!state_decode (&fresh, reply->snapshot, reply->snapshot_len)) {
-		state_finish (&fresh);
+	struct state trial;
+	state_init (&trial);
+	bool ok = state_decode (&trial, reply->snapshot, reply->snapshot_len);
+	state_finish (&trial);
+	if (!ok || !state_decode (&follower->state, reply->snapshot, reply->snapshot_len))
 		return false;
-	}
-	state_finish (&follower->state);
-	follower->state = fresh;
-	recent_reset (&follower->recent, fresh.applied);
+	recent_reset (&follower->recent, follower->state.applied);
 	return true;
 }
 
--- a/control/resources.c
+++ b/control/resources.c
@@ -145,8 +145,12 @@
 find_slot (const struct resources *resources, const char *id)
 {
 	uint32_t at = slot_of (id);
+	if (!resources->results)
+		return &resources->result_slots[at];
 	while (resources->result_slots[at]) {
-		if (strcmp (resources->results[resources->result_slots[at] - 1].id, id) == 0)
+		const struct change_result *result =
+			&resources->results[resources->result_slots[at] - 1];
+		if (strcmp (result->id, id) == 0)
 			break;
 		at = (at + 1) % RESULT_SLOTS;
 	}
--- a/control/schema.c
+++ b/control/schema.c
@@ -1,5 +1,6 @@
 #include "control/resources.h"
 
+#include <stdio.h>
 #include <string.h>
 
 enum field_type { FIELD_TEXT, FIELD_NUMBER, FIELD_FLAG, FIELD_NAMES, FIELD_LAYOUTS, FIELD_CHOICE };
@@ -103,11 +104,10 @@
 static bool
 check_choice (const struct field *field, const char *text)
 {
-	char wrapped[RESOURCE_NAME_MAX + 3] = ",";
+	char wrapped[RESOURCE_NAME_MAX + 3];
 	if (!text || !text[0] || strchr (text, ',') || strlen (text) > RESOURCE_NAME_MAX)
 		return false;
-	strcat (wrapped, text);
-	strcat (wrapped, ",");
+	snprintf (wrapped, sizeof (wrapped), ",%s,", text);
 	return strstr (field->choices, wrapped) != NULL;
 }
 
--- a/control/voter.c
+++ b/control/voter.c
@@ -181,12 +181,46 @@
 	}
 }
 
+/*
+ * Moves the log's messages to the outbox. A new learner knows no addresses yet, so that replies
+ * go back over the link that the message came in on.
+ */
+static void
+flush_raft (struct voter *voter, const struct route *reply)
+{
+	struct raft_message *message;
+	struct raft_message *next;
+	cds_list_for_each_entry_safe (message, next, &voter->raft.outbox, node) {
+		const struct raft_node *node = raft_find_node (&voter->raft, message->to);
+		cds_list_del (&message->node);
+		if (!reply && !node) {
+			raft_message_free (message);
+			continue;
+		}
+		struct route route = reply ? *reply : route_to_address (node->address);
+		struct wire wire = {.kind = WIRE_RAFT, .u.raft = message};
+		outbox_add (&voter->outbox, &route, &wire);
+	}
+}
+
+static void
+receive_raft (struct voter *voter, const struct route *from, const struct raft_message *message,
+	int64_t now_us)
+{
+	bool request = message->type == RAFT_PREVOTE || message->type == RAFT_VOTE ||
+		       message->type == RAFT_APPEND || message->type == RAFT_SNAPSHOT;
+	flush_raft (voter, NULL);
+	raft_receive (&voter->raft, message, now_us);
+	/* Receiving a request posts nothing but the reply to it. */
+	flush_raft (voter, request ? from : NULL);
+}
+
 void
 voter_receive (struct voter *voter, const struct route *from, struct wire *wire, int64_t now_us)
 {
 	switch (wire->kind) {
 	case WIRE_RAFT:
-		raft_receive (&voter->raft, wire->u.raft, now_us);
+		receive_raft (voter, from, wire->u.raft, now_us);
 		return;
 	case WIRE_POLL:
 		add_waiting (voter, from, wire->u.poll.seq,
@@ -479,19 +513,7 @@
 		answer_as_follower (voter);
 		relay_polls (voter, now_us);
 	}
-	struct raft_message *message;
-	struct raft_message *next;
-	cds_list_for_each_entry_safe (message, next, &voter->raft.outbox, node) {
-		const struct raft_node *node = raft_find_node (&voter->raft, message->to);
-		cds_list_del (&message->node);
-		if (!node) {
-			raft_message_free (message);
-			continue;
-		}
-		struct route route = route_to_address (node->address);
-		struct wire wire = {.kind = WIRE_RAFT, .u.raft = message};
-		outbox_add (&voter->outbox, &route, &wire);
-	}
+	flush_raft (voter, NULL);
 }
 
 void
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -48,8 +48,9 @@
 	{0},
 };
 
+/* The signature is argp's. */
 static error_t
-parse_argument (int key, char *arg, struct argp_state *state)
+parse_argument (int key, char *arg, struct argp_state *state) // NOLINT(readability-non-const-parameter)
 {
 	struct arguments *arguments = state->input;
 	switch (key) {
--- a/daemon/owned.c
+++ b/daemon/owned.c
@@ -89,16 +89,13 @@
 may_work (struct owned *owned)
 {
 	struct node *node = owned->worker->node;
-	if (!owned->mine || owned->leaving || !node_has_lease (node))
-		return false;
+	/* The lease is read first: a new lease is stored after its generation. */
+	bool has_lease = node_has_lease (node);
 	uint64_t generation = atomic_load (&node->lease_generation);
-	if (owned->lease_generation != generation) {
-		/* While the lease had lapsed another node may have been the owner. */
-		owned->lease_generation = generation;
-		owned->since_epoch = owned->worker->view->epoch;
+	if (tenure_check_lease (&owned->tenure, owned->worker->view->epoch, generation))
 		gate_cold (&owned->gate, SIGN_NEW_OWNER);
-	}
-	return atomic_load (&node->settled) >= owned->since_epoch;
+	return !owned->leaving &&
+	       tenure_holds (&owned->tenure, has_lease, atomic_load (&node->settled));
 }
 
 static void
@@ -513,9 +510,8 @@
 	if (!owned)
 		owned = add_owned (worker, target, cold_limit);
 	gate_configure (&owned->gate, target->slots, cold_limit);
-	if (!owned->mine) {
-		owned->since_epoch = view->epoch;
-		owned->lease_generation = atomic_load (&worker->node->lease_generation);
+	if (tenure_follow (&owned->tenure, true, view->epoch,
+		    atomic_load (&worker->node->lease_generation))) {
 		gate_cold (&owned->gate, SIGN_NEW_OWNER);
 		log_event (&worker->node->log, EVENT_TARGET_OWNED, "%s", target->name);
 	}
@@ -528,7 +524,6 @@
 	/* A target that returns may have been restarted meanwhile. */
 	if (owned->leaving && !target->leaving)
 		gate_cold (&owned->gate, SIGN_NEW_OWNER);
-	owned->mine = true;
 	owned->leaving = target->leaving;
 	timers_set (&worker->timers, &owned->probe_timer, worker_now_us (worker));
 }
@@ -568,9 +563,9 @@
 		int at = view_find_target (view, owned->name);
 		if (at >= 0 && keep[at])
 			continue;
-		if (owned->mine)
+		if (owned->tenure.mine)
 			log_event (&node->log, EVENT_TARGET_RELEASED, "%s", owned->name);
-		owned->mine = false;
+		tenure_follow (&owned->tenure, false, view->epoch, 0);
 	}
 	/* Closing a gate hands queued work back at once. */
 	cds_list_for_each_entry (owned, &worker->owned, node)
@@ -593,7 +588,7 @@
 		running += owned->gate.running;
 		if (owned->leaving)
 			leaving_work += (uint32_t)owned->gate.running;
-		if (owned->mine)
+		if (owned->tenure.mine)
 			continue;
 		if (occupied > 0)
 			busy = true;
@@ -632,7 +627,7 @@
 			"\"limit\":%d,\"slots\":%d,\"running\":%d,\"occupied\":%d,\"queued\":%d,"
 			"\"cold\":\"%s\",\"usual_us\":%" PRId64 "}",
 			out->len && out->data[out->len - 1] == '}' ? "," : "", owned->name,
-			worker->index, owned->mine ? "true" : "false",
+			worker->index, owned->tenure.mine ? "true" : "false",
 			owned->leaving ? "true" : "false", owned->gate.limit, owned->gate.slots,
 			owned->gate.running, gate_occupied (&owned->gate, now_us),
 			owned->gate.queued, gate_sign_name (owned->gate.sign),
--- a/daemon/owned.h
+++ b/daemon/owned.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "control/tenure.h"
 #include "daemon/worker.h"
 
 /** A target that this worker serves, or still finishes work for. */
@@ -13,10 +14,8 @@
 	char name[RESOURCE_NAME_MAX + 1];
 	char address[ADDRESS_SIZE];
 	int max_connections;
-	bool mine;            /**< this node is the owner in the newest view */
-	bool leaving;         /**< the target gets no new work */
-	uint64_t since_epoch; /**< ownership counts once this is settled */
-	uint64_t lease_generation;
+	struct tenure tenure;
+	bool leaving; /**< the target gets no new work */
 	struct gate gate;
 	struct fetch_pool *pool;
 	struct fetch probe;
--- /dev/null
+++ b/test/control.c
@@ -0,0 +1,418 @@
+/**
+ * @file control.c
+ * Focused tests of control: each causes one of the faults that the brief lists, or two of them.
+ */
+#include "test/world.h"
+
+#include <CUnit/Basic.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+static struct world world;
+
+enum { SECOND = 1000000 };
+
+static void
+begin (int nodes, int voters)
+{
+	world_init (&world, nodes, voters, 42);
+	CU_ASSERT_TRUE_FATAL (world_until (&world, world_settled, 30LL * SECOND));
+}
+
+static void
+end (void)
+{
+	if (world.fault)
+		printf ("\nbroken: %s (line %d)\n", world.fault_text, world.fault);
+	CU_ASSERT_EQUAL (world.fault, 0);
+	world_finish (&world);
+}
+
+static bool
+is_answered (struct world *w)
+{
+	return w->answered;
+}
+
+static int voters_wanted;
+
+static bool
+has_voters (struct world *w)
+{
+	int leader = world_leader (w);
+	return leader >= 0 &&
+	       raft_voter_count (&w->nodes[leader].voter.raft.config) == voters_wanted;
+}
+
+/* Sends a change and waits for its result. */
+static enum error_kind
+change (int node, const char *id, const char *name, uint64_t expect, int value)
+{
+	for (int i = 0; i < 40; i++) {
+		world_change (&world, node, id, name, expect, value);
+		if (world_until (&world, is_answered, SECOND / 4))
+			return world.answer.result.change.kind;
+	}
+	return ERROR_UNAVAILABLE;
+}
+
+static void
+three_voters (void)
+{
+	voters_wanted = 3;
+	CU_ASSERT_TRUE_FATAL (world_until (&world, has_voters, 30LL * SECOND));
+}
+
+static int
+other_than (int a, int b)
+{
+	for (int i = 0; i < 3; i++) {
+		if (i != a && i != b)
+			return i;
+	}
+	return -1;
+}
+
+static void
+test_racing_operators (void)
+{
+	begin (5, 3);
+	CU_ASSERT_EQUAL (change (3, "c1", "s", 0, 100), ERROR_NONE);
+	uint64_t version = world.answer.result.change.version;
+	CU_ASSERT_EQUAL (change (3, "c2", "s", version, 200), ERROR_NONE);
+	CU_ASSERT_EQUAL (change (4, "c3", "s", version, 300), ERROR_CONFLICT);
+	CU_ASSERT_EQUAL (world.answer.result.change.version, version + 1);
+	end ();
+}
+
+static void
+test_resend_survives_leader_and_snapshot (void)
+{
+	char id[16];
+	begin (5, 3);
+	three_voters ();
+	CU_ASSERT_EQUAL (change (3, "first", "s", 0, 1), ERROR_NONE);
+	uint64_t version = world.answer.result.change.version;
+	uint64_t newest = version;
+	for (int i = 0; i < 130; i++) {
+		snprintf (id, sizeof (id), "c%d", i);
+		CU_ASSERT_EQUAL (change (3, id, "s", newest, i), ERROR_NONE);
+		newest = world.answer.result.change.version;
+	}
+	int leader = world_leader (&world);
+	CU_ASSERT_TRUE (world.nodes[leader].voter.raft.base > 0);
+	world_crash (&world, leader);
+	CU_ASSERT_EQUAL (change (4, "first", "s", 0, 1), ERROR_NONE);
+	CU_ASSERT_EQUAL (world.answer.result.change.version, version);
+	world_restart (&world, leader);
+	CU_ASSERT_TRUE (world_until (&world, world_settled, 30LL * SECOND));
+	end ();
+}
+
+static void
+test_restart_far_behind (void)
+{
+	char id[16];
+	begin (4, 3);
+	three_voters ();
+	world_crash (&world, 3);
+	uint64_t version = 0;
+	for (int i = 0; i < 300; i++) {
+		snprintf (id, sizeof (id), "c%d", i);
+		CU_ASSERT_EQUAL (change (0, id, "s", version, i), ERROR_NONE);
+		version = world.answer.result.change.version;
+	}
+	world_restart (&world, 3);
+	int64_t start_us = world.now_us;
+	CU_ASSERT_TRUE (world_until (&world, world_settled, 20LL * SECOND));
+	CU_ASSERT_TRUE (world.now_us - start_us < 10LL * SECOND);
+	end ();
+}
+
+static bool
+without_lease (struct world *w)
+{
+	return w->nodes[4].lease_until_us <= w->now_us + w->nodes[4].clock_skew_us;
+}
+
+static void
+cut_off (int node, bool cut)
+{
+	for (int i = 0; i < world.node_count; i++) {
+		if (i != node)
+			world.cut[i][node] = world.cut[node][i] = cut;
+	}
+}
+
+static void
+test_silent_partition_of_a_node (void)
+{
+	begin (5, 3);
+	three_voters ();
+	CU_ASSERT_EQUAL (change (3, "c1", "s", 0, 1), ERROR_NONE);
+	cut_off (4, true);
+	CU_ASSERT_EQUAL (change (3, "c2", "s", world.newest_accepted, 2), ERROR_NONE);
+	int64_t accepted_us = world.now_us;
+	CU_ASSERT_TRUE (world_until (&world, without_lease, 10LL * SECOND));
+	CU_ASSERT_TRUE (world.now_us - accepted_us < 3200000);
+	world_run (&world, 60LL * SECOND);
+	cut_off (4, false);
+	CU_ASSERT_TRUE (world_until (&world, world_settled, 20LL * SECOND));
+	end ();
+}
+
+static void
+test_cut_off_leader_with_one_way_link (void)
+{
+	begin (5, 3);
+	three_voters ();
+	int leader = world_leader (&world);
+	/* The old leader still sends, but hears nothing. */
+	for (int i = 0; i < world.node_count; i++)
+		world.cut[i][leader] = i != leader;
+	world_run (&world, 5LL * SECOND);
+	CU_ASSERT_EQUAL (change (other_than (leader, -1), "c1", "s", 0, 1), ERROR_NONE);
+	cut_off (leader, false);
+	CU_ASSERT_TRUE (world_until (&world, world_settled, 30LL * SECOND));
+	end ();
+}
+
+static void
+test_emptied_disk_never_votes_as_before (void)
+{
+	begin (5, 3);
+	three_voters ();
+	CU_ASSERT_EQUAL (change (3, "c1", "s", 0, 1), ERROR_NONE);
+	int lost = other_than (world_leader (&world), -1);
+	uint64_t old_id = world.nodes[lost].disk.id;
+	world_crash (&world, lost);
+	world_empty_disk (&world, lost);
+	world_restart (&world, lost);
+	world_run (&world, 20LL * SECOND);
+	const struct raft *raft = &world.nodes[world_leader (&world)].voter.raft;
+	CU_ASSERT_PTR_NULL (raft_find_node (raft, old_id));
+	const struct raft_node *fresh = raft_find_node (raft, world.nodes[lost].disk.id);
+	CU_ASSERT_PTR_NOT_NULL_FATAL (fresh);
+	CU_ASSERT_TRUE (fresh->voter);
+	end ();
+}
+
+static void
+test_second_loss_right_after_a_repair (void)
+{
+	begin (6, 4);
+	three_voters ();
+	CU_ASSERT_EQUAL (change (5, "c1", "s", 0, 1), ERROR_NONE);
+	int first = other_than (world_leader (&world), -1);
+	world_crash (&world, first);
+	world_empty_disk (&world, first);
+	world_restart (&world, first);
+	world_run (&world, 15LL * SECOND);
+	three_voters ();
+	int second = other_than (world_leader (&world), first);
+	world_crash (&world, second);
+	world_empty_disk (&world, second);
+	CU_ASSERT_EQUAL (change (5, "c2", "s", world.newest_accepted, 2), ERROR_NONE);
+	world_restart (&world, second);
+	world_run (&world, 15LL * SECOND);
+	CU_ASSERT_TRUE (world_until (&world, world_settled, 30LL * SECOND));
+	end ();
+}
+
+static void
+test_crash_before_sync (void)
+{
+	begin (5, 3);
+	three_voters ();
+	int leader = world_leader (&world);
+	world.nodes[leader].lose_save = true;
+	world_change (&world, 3, "c1", "s", 0, 1);
+	world_run (&world, 2LL * SECOND);
+	CU_ASSERT_FALSE (world.nodes[leader].up);
+	CU_ASSERT_EQUAL (change (3, "c1", "s", 0, 1), ERROR_NONE);
+	world_restart (&world, leader);
+	CU_ASSERT_TRUE (world_until (&world, world_settled, 30LL * SECOND));
+	end ();
+}
+
+static bool
+targets_owned (struct world *w)
+{
+	for (int i = 0; i < WORLD_TARGETS; i++) {
+		if (world_owner (w, i) < 0)
+			return false;
+	}
+	return true;
+}
+
+static void
+declare_targets (void)
+{
+	char name[8];
+	char id[16];
+	CU_ASSERT_EQUAL (change (0, "svc", "s", 0, 100), ERROR_NONE);
+	for (int i = 0; i < WORLD_TARGETS; i++) {
+		snprintf (name, sizeof (name), "t%d", i);
+		snprintf (id, sizeof (id), "target%d", i);
+		CU_ASSERT_EQUAL (change (0, id, name, 0, 9000 + i), ERROR_NONE);
+	}
+	CU_ASSERT_TRUE_FATAL (world_until (&world, targets_owned, 30LL * SECOND));
+}
+
+static void
+test_owner_crash_hands_targets_over (void)
+{
+	begin (6, 3);
+	three_voters ();
+	declare_targets ();
+	int owner = world_owner (&world, 0);
+	world_crash (&world, owner);
+	int64_t start_us = world.now_us;
+	CU_ASSERT_TRUE (world_until (&world, targets_owned, 20LL * SECOND));
+	CU_ASSERT_TRUE (world.now_us - start_us < 10LL * SECOND);
+	printf (" [no owner for %lld ms after a crash]",
+		(long long)(world.now_us - start_us) / 1000);
+	end ();
+}
+
+static void
+test_paused_owner_and_leader_crash (void)
+{
+	begin (6, 3);
+	three_voters ();
+	declare_targets ();
+	int owner = world_owner (&world, 0);
+	world.nodes[owner].paused_until_us = world.now_us + 20LL * SECOND;
+	int leader = world_leader (&world);
+	if (leader != owner && leader >= 0)
+		world_crash (&world, leader);
+	world_run (&world, 30LL * SECOND);
+	if (leader >= 0)
+		world_restart (&world, leader);
+	CU_ASSERT_TRUE (world_until (&world, targets_owned, 30LL * SECOND));
+	end ();
+}
+
+static void
+test_planned_stop_hands_targets_over (void)
+{
+	begin (6, 3);
+	three_voters ();
+	declare_targets ();
+	int owner = world_owner (&world, 0);
+	world.nodes[owner].follower.leaving = true;
+	follower_poll_soon (&world.nodes[owner].follower, 0);
+	int64_t start_us = world.now_us;
+	while (world_owner (&world, 0) == owner && world.now_us < start_us + 10LL * SECOND)
+		world_run (&world, 5000);
+	int64_t left_us = world.now_us;
+	CU_ASSERT_TRUE (world_until (&world, targets_owned, 10LL * SECOND));
+	CU_ASSERT_TRUE (world.now_us - start_us < 5LL * SECOND);
+	printf (" [no owner for %lld ms at a planned stop]",
+		(long long)(world.now_us - left_us) / 1000);
+	end ();
+}
+
+static bool
+claimed (struct world *w, int node, uint64_t nonce, enum claim_verdict *verdict)
+{
+	for (int i = 0; i < 40; i++) {
+		world_claim (w, node, "renewal", nonce);
+		if (world_until (w, is_answered, SECOND / 4)) {
+			*verdict = w->answer.result.verdict;
+			return true;
+		}
+	}
+	return false;
+}
+
+static void
+test_claim_runs_once_across_crashes (void)
+{
+	enum claim_verdict verdict = VERDICT_REUSED;
+	begin (5, 3);
+	three_voters ();
+	CU_ASSERT_TRUE (claimed (&world, 3, 11, &verdict));
+	CU_ASSERT_EQUAL (verdict, VERDICT_RUN);
+	world_crash (&world, world_leader (&world));
+	CU_ASSERT_TRUE (claimed (&world, 4, 12, &verdict));
+	CU_ASSERT_EQUAL (verdict, VERDICT_PENDING);
+	for (int i = 0; i < 8 && !world.answer.result.ok; i++) {
+		world_outcome (&world, 3, "renewal", 11, CLAIM_DONE);
+		world_until (&world, is_answered, SECOND);
+	}
+	CU_ASSERT_TRUE (claimed (&world, 4, 13, &verdict));
+	CU_ASSERT_EQUAL (verdict, VERDICT_STORED);
+	CU_ASSERT_EQUAL (world.answer.result.claim.status, CLAIM_DONE);
+	end ();
+}
+
+static void
+test_outcome_that_overtakes_its_claim (void)
+{
+	enum claim_verdict verdict = VERDICT_REUSED;
+	begin (5, 3);
+	three_voters ();
+	world_outcome (&world, 3, "renewal", 21, CLAIM_NOT_RUN);
+	CU_ASSERT_TRUE (world_until (&world, is_answered, SECOND));
+	CU_ASSERT_TRUE (claimed (&world, 3, 21, &verdict));
+	CU_ASSERT_EQUAL (verdict, VERDICT_STORED);
+	CU_ASSERT_EQUAL (world.answer.result.claim.status, CLAIM_NOT_RUN);
+	CU_ASSERT_TRUE (claimed (&world, 3, 22, &verdict));
+	CU_ASSERT_EQUAL (verdict, VERDICT_RUN);
+	end ();
+}
+
+static void
+test_lost_quorum_stops_new_work (void)
+{
+	begin (5, 3);
+	three_voters ();
+	world_crash (&world, 0);
+	world_crash (&world, 1);
+	world_run (&world, 4LL * SECOND);
+	for (int i = 2; i < 5; i++)
+		CU_ASSERT_TRUE (world.nodes[i].lease_until_us <=
+				world.now_us + world.nodes[i].clock_skew_us);
+	world_restart (&world, 0);
+	CU_ASSERT_TRUE (world_until (&world, world_settled, 30LL * SECOND));
+	end ();
+}
+
+#define TEST(name)                                                                                 \
+	{                                                                                          \
+#name, test_##name                                                                 \
+	}
+
+int
+main (void)
+{
+	static const struct {
+		const char *name;
+		void (*run) (void);
+	} tests[] = {
+		TEST (racing_operators),
+		TEST (resend_survives_leader_and_snapshot),
+		TEST (restart_far_behind),
+		TEST (silent_partition_of_a_node),
+		TEST (cut_off_leader_with_one_way_link),
+		TEST (emptied_disk_never_votes_as_before),
+		TEST (second_loss_right_after_a_repair),
+		TEST (crash_before_sync),
+		TEST (owner_crash_hands_targets_over),
+		TEST (paused_owner_and_leader_crash),
+		TEST (planned_stop_hands_targets_over),
+		TEST (claim_runs_once_across_crashes),
+		TEST (outcome_that_overtakes_its_claim),
+		TEST (lost_quorum_stops_new_work),
+	};
+	CU_initialize_registry ();
+	CU_pSuite suite = CU_add_suite ("control", NULL, NULL);
+	for (size_t i = 0; i < sizeof (tests) / sizeof (tests[0]); i++)
+		CU_add_test (suite, tests[i].name, tests[i].run);
+	CU_basic_set_mode (CU_BRM_VERBOSE);
+	CU_basic_run_tests ();
+	unsigned failures = CU_get_number_of_failures ();
+	CU_cleanup_registry ();
+	return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+}
