control: hold the release back while another node acts on an epoch that was jumped over

Cause: found by the Spin model of leases. An epoch counts as settled once every node that may hold a lease has applied it. A node that jumps from epoch 0 to 2 reports 2 as released although it never stopped working on a target that was another node's at epoch 1; that node, still at 1, then takes 1 as settled and works too: two owners. Ruled out: starting ownership that has not settled anew after a jump. Change: after a jump a node reports what it had released before, until the epoch it jumped to is in force (nobody acts on one between); up to 8 jumps are held apart, so that a burst of changes does not keep handovers waiting.

--- a/control/follower.c
+++ b/control/follower.c
@@ -82,6 +82,8 @@
 	poll->applied = follower->state.applied;
 	poll->acting = follower->acting;
 	poll->released = follower->released;
+	if (follower->hold_count > 0 && follower->holds[0].reported < poll->released)
+		poll->released = follower->holds[0].reported;
 	poll->leaving_work = follower->leaving_work;
 	poll->leaving = follower->leaving;
 	poll->gone = follower->gone;
@@ -90,8 +92,7 @@
 	follower->sent_us = now_us;
 	follower->next_us = now_us + follower->settings.poll_us;
 	/* Owners that wait for an epoch to settle hear of it sooner. */
-	if (follower->settled < follower->state.epoch &&
-		FOLLOWER_HURRY_US < follower->settings.poll_us)
+	if (follower->settled < follower->state.epoch || follower->hold_count > 0)
 		follower->next_us = now_us + FOLLOWER_HURRY_US;
 }
 
@@ -152,6 +153,29 @@
 	}
 }
 
+static void
+hold_release (struct follower *follower, uint64_t reported, uint64_t until)
+{
+	int at = follower->hold_count;
+	if (at == FOLLOWER_HOLDS) {
+		follower->holds[at - 1].until = until;
+		return;
+	}
+	follower->holds[at] = (struct follower_hold){reported, until};
+	follower->hold_count++;
+}
+
+static void
+end_holds (struct follower *follower)
+{
+	int kept = 0;
+	for (int i = 0; i < follower->hold_count; i++) {
+		if (kept > 0 || follower->in_force < follower->holds[i].until)
+			follower->holds[kept++] = follower->holds[i];
+	}
+	follower->hold_count = kept;
+}
+
 static bool
 apply_reply (struct follower *follower, const struct poll_reply *reply)
 {
@@ -165,6 +189,8 @@
 		if (reply->changes[i].index > follower->state.applied)
 			apply_change (follower, &reply->changes[i]);
 	}
+	if (reply->snapshot_len > 0 || reply->change_count > 1)
+		hold_release (follower, applied, follower->state.epoch);
 	follower->state.applied = reply->revision;
 	return follower->state.epoch != epoch || reply->snapshot_len > 0;
 }
@@ -193,6 +219,7 @@
 		follower->settled = reply->settled;
 	if (reply->in_force > follower->in_force)
 		follower->in_force = reply->in_force;
+	end_holds (follower);
 	follower->all_leaving_work = reply->leaving_work;
 	follower->node_count = reply->node_count;
 	return changed;
--- a/control/follower.h
+++ b/control/follower.h
@@ -11,9 +11,19 @@
 enum {
 	FOLLOWER_TRY_US = 400000,   /**< an unanswered poll moves on to the next voter */
 	FOLLOWER_HURRY_US = 100000, /**< time between polls while an epoch is not settled */
+	FOLLOWER_HOLDS = 8,         /**< jumps whose release is held back at once */
 	FOLLOWER_DRIFT_PERCENT = 1, /**< taken off the lease */
 };
 
+/**
+ * A jump over several epochs. While another node still acts on one that was jumped over, it may
+ * take itself for the owner of what this node kept, so the release is not reported yet.
+ */
+struct follower_hold {
+	uint64_t reported; /**< what is reported as released meanwhile */
+	uint64_t until;    /**< epoch that has to be in force */
+};
+
 struct follower_settings {
 	struct poll self; /**< name, data centre, address, incarnation, disk id */
 	int64_t lease_us;
@@ -26,6 +36,8 @@
 	struct state state;
 	uint64_t acting;   /**< set by the shell: revision that the request path follows */
 	uint64_t released; /**< set by the shell: and whose lost targets have no work left */
+	struct follower_hold holds[FOLLOWER_HOLDS]; /**< oldest first */
+	int hold_count;
 	uint32_t leaving_work;
 	bool leaving;
 	bool gone;
--- a/test/control.c
+++ b/test/control.c
@@ -313,6 +313,36 @@
 	end ();
 }
 
+/*
+ * A node that jumps over epochs reports its release only once nobody acts on an epoch between:
+ * the lease model found two owners without that.
+ */
+static void
+test_jump_holds_the_release_back (void)
+{
+	char id[16];
+	bool held = false;
+	begin (5, 3);
+	three_voters ();
+	declare_targets ();
+	struct follower *follower = &world.nodes[4].follower;
+	world.nodes[4].paused_until_us = world.now_us + SECOND;
+	for (int i = 0; i < 4; i++) {
+		snprintf (id, sizeof (id), "service%d", i);
+		CU_ASSERT_EQUAL (change (3, id, id, 0, i), ERROR_NONE);
+	}
+	for (int i = 0; i < 400 && !held; i++) {
+		world_run (&world, WORLD_STEP_US);
+		held = follower->hold_count > 0;
+	}
+	CU_ASSERT_TRUE_FATAL (held);
+	CU_ASSERT_TRUE (follower->holds[0].reported < follower->state.epoch);
+	CU_ASSERT_TRUE (world_until (&world, world_settled, 10LL * SECOND));
+	world_run (&world, SECOND);
+	CU_ASSERT_EQUAL (follower->hold_count, 0);
+	end ();
+}
+
 static bool
 claimed (struct world *w, int node, uint64_t nonce, enum claim_verdict *verdict)
 {
@@ -402,6 +432,7 @@
 		TEST (owner_crash_hands_targets_over),
 		TEST (paused_owner_and_leader_crash),
 		TEST (planned_stop_hands_targets_over),
+		TEST (jump_holds_the_release_back),
 		TEST (claim_runs_once_across_crashes),
 		TEST (outcome_that_overtakes_its_claim),
 		TEST (lost_quorum_stops_new_work),
--- /dev/null
+++ b/test/fuzz/messages.c
@@ -0,0 +1,123 @@
+/**
+ * @file messages.c
+ * Arbitrary bytes as peer messages, log commands, states and resource documents.
+ */
+#include "control/view.h"
+#include "control/wire.h"
+#include "query/subwire.h"
+
+#include "control/members.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static void
+try_wire (const uint8_t *data, size_t size)
+{
+	struct wire wire;
+	if (wire_decode (&wire, data, size)) {
+		size_t len = 0;
+		struct wire again;
+		void *bytes = wire_encode (&wire, &len);
+		if (!wire_decode (&again, bytes, len))
+			abort ();
+		wire_finish (&again);
+		free (bytes);
+	}
+	wire_finish (&wire);
+}
+
+static void
+try_command (const uint8_t *data, size_t size)
+{
+	struct state state;
+	struct state_result result;
+	state_init (&state);
+	state_apply (&state, 1, data, size, &result);
+	state_finish (&state);
+}
+
+static void
+try_state (const uint8_t *data, size_t size)
+{
+	struct state state;
+	state_init (&state);
+	if (state_decode (&state, data, size)) {
+		size_t len = 0;
+		void *bytes = state_encode (&state, true, &len);
+		if (!state_decode (&state, bytes, len))
+			abort ();
+		free (bytes);
+	}
+	state_finish (&state);
+}
+
+static void
+try_sub (const uint8_t *data, size_t size)
+{
+	struct sub_batch batch;
+	struct sub_reply reply;
+	struct sub_cancel cancel;
+	subwire_decode_batch (&batch, data, size);
+	free (batch.items);
+	subwire_decode_reply (&reply, data, size);
+	subwire_decode_cancel (&cancel, data, size);
+	free (cancel.attempts);
+}
+
+/* A document that passes its checks has to build a view. */
+static void
+try_document (enum resource_kind kind, const uint8_t *data, size_t size)
+{
+	struct error error = {0};
+	json_t *spec = json_loadb ((const char *)data, size, 0, NULL);
+	if (!spec || !resource_validate (kind, spec, &error)) {
+		json_decref (spec);
+		return;
+	}
+	struct resources resources;
+	struct members members;
+	struct hint_table *hints = malloc (sizeof (*hints));
+	char *text = json_dumps (spec, JSON_COMPACT);
+	struct change change = {.id = "c", .kind = kind, .name = "n", .spec = text};
+	resources_init (&resources);
+	members_init (&members);
+	hint_table_init (hints);
+	resources_apply (&resources, &change, 1);
+	view_put (view_new (&resources, &members, 1, 1, hints));
+	hint_table_finish (hints);
+	members_finish (&members);
+	resources_finish (&resources);
+	free (hints);
+	free (text);
+	json_decref (spec);
+}
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+{
+	if (size == 0)
+		return 0;
+	switch (data[0] % 5) {
+	case 0:
+		try_wire (data + 1, size - 1);
+		break;
+	case 1:
+		try_command (data + 1, size - 1);
+		break;
+	case 2:
+		try_state (data + 1, size - 1);
+		break;
+	case 3:
+		try_sub (data + 1, size - 1);
+		break;
+	default:
+		try_document (
+			(enum resource_kind) (data[0] / 5 % RESOURCE_KINDS), data + 1, size - 1);
+		break;
+	}
+	return 0;
+}
--- /dev/null
+++ b/test/fuzz/run.sh
@@ -0,0 +1,35 @@
+#!/usr/bin/env bash
+# Runs one fuzz target with a fixed seed and a fixed number of runs over its corpus.
+# Usage: run.sh --list | run.sh NAME [RUNS [SEED]]
+set -eu
+cd "$(dirname "$0")/../.."
+
+runs_of () {
+	case $1 in
+	messages) echo 200000 ;;
+	settings) echo 20000 ;;
+	gate) echo 100000 ;;
+	query) echo 20000 ;;
+	control) echo 600 ;;
+	esac
+}
+
+if [ "$1" = --list ]; then
+	printf '%s\n' messages settings gate query control
+	exit 0
+fi
+name=$1
+runs=${2:-$(runs_of "$name")}
+seed=${3:-1}
+[ -f build-fuzz/build.ninja ] || CC=clang meson setup build-fuzz -Dfuzz=true -Db_lundef=false > /dev/null
+ninja -C build-fuzz > /dev/null
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+mkdir -p "test/fuzz/corpus/$name"
+build-fuzz/test/fuzz/"$name" -seed="$seed" -runs="$runs" -len_control=0 -max_len=2048 -timeout=60 -rss_limit_mb=4096 \
+	-artifact_prefix="$scratch/" "$scratch" "test/fuzz/corpus/$name" 2>&1 || {
+	for file in "$scratch"/crash-* "$scratch"/timeout-* "$scratch"/leak-*; do
+		[ -f "$file" ] && echo "input: $(base64 -w0 "$file")"
+	done
+	exit 1
+}
--- /dev/null
+++ b/test/model/run.sh
@@ -0,0 +1,29 @@
+#!/usr/bin/env bash
+# Checks one Spin model, or shows that it fails once the guard it rests on is taken out.
+# Usage: run.sh --list | run.sh MODEL | run.sh MODEL-without-GUARD
+set -eu
+cd "$(dirname "$0")"
+
+if [ "$1" = --list ]; then
+	printf '%s\n' lease lease-without-SETTLED lease-without-LEASE lease-without-LAPSE \
+		lease-without-HOLD \
+		log log-without-IDENTITY log-without-CURRENT log-without-ONE_VOTE \
+		claim claim-without-CLAIM claim-without-HOLDER claim-without-CERTAIN
+	exit 0
+fi
+model=${1%%-without-*}
+guard=
+[ "$model" = "$1" ] || guard=${1##*-without-}
+here=$PWD
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+cd "$scratch"
+spin -a ${guard:+-DNO_$guard} "$here/$model.pml"
+gcc -O2 -DSAFETY -DCOLLAPSE -DMEMLIM=4096 -w -o pan pan.c
+./pan -m1000000 > out 2>&1 || true
+grep -E 'errors:|states, stored|elapsed' out || cat out
+if [ -z "$guard" ]; then
+	grep -q 'errors: 0' out && ! grep -q 'max search depth too small\|out of memory' out
+else
+	grep -q 'assertion violated' out
+fi
