query: give a silent sub-request up only for a replica that can be asked

Cause: after silence_ms the only attempt of a shard was cancelled even when the budget had nothing left for a retry, so the shard stayed missing until the deadline.

--- /dev/null
+++ b/bench/load.c
@@ -0,0 +1,362 @@
+/**
+ * @file load.c
+ * Load on callers' addresses with every answer checked, or the same fan-out without the tier.
+ *
+ * Prints one JSON line: how many answers were whole, partial, refused, wrong or mixed, and the
+ * quantiles of their latency in microseconds.
+ */
+#include "core/buf.h"
+#include "core/clock.h"
+#include "core/rng.h"
+
+#include <argp.h>
+#include <curl/curl.h>
+#include <jansson.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+enum { MAX_ADDRESSES = 64, MAX_SAMPLES = 1 << 20 };
+
+struct settings {
+	char addresses[MAX_ADDRESSES][64];
+	int address_count;
+	const char *collection;
+	long threads;
+	long seconds;
+	long rate; /* requests a second in all; 0: as fast as the threads go */
+	long first_port;
+	long fan_out; /* > 0: call the targets directly, one connection each */
+	long stride;  /* ports between two shards */
+	bool once;
+};
+
+struct result {
+	_Atomic long answers;
+	_Atomic long complete;
+	_Atomic long partial;
+	_Atomic long missing; /* shards */
+	_Atomic long refused;
+	_Atomic long wrong; /* malformed, or rows that do not match the coverage */
+	_Atomic long mixed; /* rows of more than one snapshot */
+	_Atomic long failed;
+	_Atomic long unknown;
+	_Atomic long samples;
+	int64_t *latency_us;
+};
+
+static struct settings settings = {
+	.collection = "register", .threads = 8, .seconds = 5, .stride = 3};
+static struct result result;
+static struct clock system_clock;
+static _Atomic long ticket;
+static int64_t start_us;
+static int64_t end_us;
+
+static size_t
+on_body (char *data, size_t size, size_t count, void *user)
+{
+	buf_add (user, data, size * count);
+	return size * count;
+}
+
+static size_t
+on_ignored (char *data, size_t size, size_t count, void *user)
+{
+	(void)data;
+	(void)user;
+	return size * count;
+}
+
+/* Every row has to be of the answer's snapshot, and every shard answered or named missing. */
+static void
+check_answer (const struct buf *body)
+{
+	json_t *answer = json_loadb (body->data, body->len, 0, NULL);
+	const json_t *coverage = json_object_get (answer, "coverage");
+	const json_t *rows = json_object_get (answer, "rows");
+	const json_t *missing = json_object_get (coverage, "missing");
+	const char *snapshot = json_string_value (json_object_get (answer, "snapshot"));
+	json_int_t shards = json_integer_value (json_object_get (coverage, "shards"));
+	json_int_t answered = json_integer_value (json_object_get (coverage, "answered"));
+	bool seen[4096] = {false};
+	json_int_t distinct = 0;
+	bool mixed = false;
+	for (size_t i = 0; i < json_array_size (rows); i++) {
+		const json_t *row = json_array_get (rows, i);
+		const char *of = json_string_value (json_object_get (row, "snapshot"));
+		json_int_t shard = json_integer_value (json_object_get (row, "shard"));
+		if (!of || !snapshot || strcmp (of, snapshot) != 0)
+			mixed = true;
+		if (shard >= 0 && shard < 4096 && !seen[shard]) {
+			seen[shard] = true;
+			distinct++;
+		}
+	}
+	if (mixed)
+		atomic_fetch_add (&result.mixed, 1);
+	if (!answer || distinct != answered ||
+		answered + (json_int_t)json_array_size (missing) != shards)
+		atomic_fetch_add (&result.wrong, 1);
+	atomic_fetch_add (answered == shards ? &result.complete : &result.partial, 1);
+	atomic_fetch_add (&result.missing, (long)(shards - answered));
+	json_decref (answer);
+}
+
+static void
+note_latency (int64_t us)
+{
+	long at = atomic_fetch_add (&result.samples, 1);
+	if (at < MAX_SAMPLES)
+		result.latency_us[at] = us;
+}
+
+static void
+call_tier (CURL *easy, struct rng *rng, struct buf *body, struct curl_slist *headers)
+{
+	char url[256];
+	char text[96] = "{\"status\":\"accredited\"}";
+	const char *address = settings.addresses[rng_below (rng, (uint64_t)settings.address_count)];
+	if (settings.once) {
+		snprintf (text, sizeof (text), "{\"renewal\":\"%016llx\"}",
+			(unsigned long long)rng_next (rng));
+		snprintf (url, sizeof (url), "http://%s/v1/services/%s/once", address,
+			settings.collection);
+	} else {
+		snprintf (url, sizeof (url), "http://%s/v1/collections/%s/query", address,
+			settings.collection);
+	}
+	long status = 0;
+	buf_reset (body);
+	curl_easy_setopt (easy, CURLOPT_URL, url);
+	curl_easy_setopt (easy, CURLOPT_COPYPOSTFIELDS, text);
+	curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
+	int64_t before_us = clock_now_us (&system_clock);
+	CURLcode code = curl_easy_perform (easy);
+	int64_t took_us = clock_now_us (&system_clock) - before_us;
+	curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &status);
+	if (code != CURLE_OK) {
+		atomic_fetch_add (&result.failed, 1);
+		return;
+	}
+	if (status == 503)
+		atomic_fetch_add (&result.refused, 1);
+	else if (status == 504)
+		atomic_fetch_add (&result.unknown, 1);
+	else if (status != 200)
+		atomic_fetch_add (&result.failed, 1);
+	if (status != 200)
+		return;
+	atomic_fetch_add (&result.answers, 1);
+	note_latency (took_us);
+	if (!settings.once)
+		check_answer (body);
+}
+
+/* Holds a thread back until its turn at the given rate; false when time is over. */
+static bool
+next_turn (void)
+{
+	int64_t now_us = clock_now_us (&system_clock);
+	if (settings.rate > 0) {
+		long turn = atomic_fetch_add (&ticket, 1);
+		int64_t due_us = start_us + turn * US_PER_S / settings.rate;
+		while (now_us < due_us && now_us < end_us) {
+			struct timespec wait = {.tv_nsec = 200000};
+			nanosleep (&wait, NULL);
+			now_us = clock_now_us (&system_clock);
+		}
+	}
+	return now_us < end_us;
+}
+
+static void *
+run_tier (void *arg)
+{
+	struct rng rng = {.state = 17 + (uintptr_t)arg};
+	struct buf body;
+	CURL *easy = curl_easy_init ();
+	struct curl_slist *headers = curl_slist_append (NULL, "Expect:");
+	buf_init (&body);
+	curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt (easy, CURLOPT_PROXY, "");
+	curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, 10000L);
+	curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt (easy, CURLOPT_WRITEDATA, &body);
+	while (next_turn ())
+		call_tier (easy, &rng, &body, headers);
+	curl_easy_cleanup (easy);
+	curl_slist_free_all (headers);
+	buf_finish (&body);
+	return NULL;
+}
+
+static CURL *
+direct_handle (long shard)
+{
+	char url[128];
+	char header[64];
+	CURL *easy = curl_easy_init ();
+	snprintf (url, sizeof (url), "http://127.0.0.1:%ld/query",
+		settings.first_port + shard * settings.stride);
+	snprintf (header, sizeof (header), "X-Shard: %ld", shard);
+	struct curl_slist *headers = curl_slist_append (NULL, header);
+	headers = curl_slist_append (headers, "X-Snapshot: 1.1");
+	headers = curl_slist_append (headers, "Expect:");
+	curl_easy_setopt (easy, CURLOPT_URL, url);
+	curl_easy_setopt (easy, CURLOPT_PROXY, "");
+	curl_easy_setopt (easy, CURLOPT_POSTFIELDS, "{\"status\":\"accredited\"}");
+	curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
+	curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_ignored);
+	return easy;
+}
+
+/* The same fan-out by the client itself, over kept connections and without any tier. */
+static void *
+run_direct (void *arg)
+{
+	(void)arg;
+	CURLM *multi = curl_multi_init ();
+	CURL **handles = xcalloc ((size_t)settings.fan_out, sizeof (*handles));
+	for (long i = 0; i < settings.fan_out; i++)
+		handles[i] = direct_handle (i);
+	curl_multi_setopt (multi, CURLMOPT_MAXCONNECTS, settings.fan_out * 2);
+	while (next_turn ()) {
+		int running = 0;
+		int64_t before_us = clock_now_us (&system_clock);
+		for (long i = 0; i < settings.fan_out; i++)
+			curl_multi_add_handle (multi, handles[i]);
+		do {
+			curl_multi_perform (multi, &running);
+			if (running)
+				curl_multi_poll (multi, NULL, 0, 1000, NULL);
+		} while (running);
+		note_latency (clock_now_us (&system_clock) - before_us);
+		atomic_fetch_add (&result.answers, 1);
+		for (long i = 0; i < settings.fan_out; i++)
+			curl_multi_remove_handle (multi, handles[i]);
+	}
+	return NULL;
+}
+
+static int
+compare (const void *a, const void *b)
+{
+	int64_t x = *(const int64_t *)a;
+	int64_t y = *(const int64_t *)b;
+	return x < y ? -1 : x > y;
+}
+
+static long long
+quantile (long count, double share)
+{
+	if (count == 0)
+		return 0;
+	long at = (long)((double)count * share);
+	return (long long)result.latency_us[at < count ? at : count - 1];
+}
+
+static void
+report (void)
+{
+	long count = atomic_load (&result.samples);
+	count = count < MAX_SAMPLES ? count : MAX_SAMPLES;
+	qsort (result.latency_us, (size_t)count, sizeof (int64_t), compare);
+	printf ("{\"answers\":%ld,\"per_s\":%.0f,\"complete\":%ld,\"partial\":%ld,\"missing\":%ld,"
+		"\"refused\":%ld,\"unknown\":%ld,\"failed\":%ld,\"wrong\":%ld,\"mixed\":%ld,"
+		"\"p50\":%lld,\"p90\":%lld,\"p99\":%lld,\"p999\":%lld}\n",
+		atomic_load (&result.answers),
+		(double)atomic_load (&result.answers) / (double)settings.seconds,
+		atomic_load (&result.complete), atomic_load (&result.partial),
+		atomic_load (&result.missing), atomic_load (&result.refused),
+		atomic_load (&result.unknown), atomic_load (&result.failed),
+		atomic_load (&result.wrong), atomic_load (&result.mixed), quantile (count, 0.5),
+		quantile (count, 0.9), quantile (count, 0.99), quantile (count, 0.999));
+}
+
+static void
+parse_addresses (const char *list)
+{
+	while (*list && settings.address_count < MAX_ADDRESSES) {
+		size_t len = strcspn (list, ",");
+		if (len > 0 && len < 64)
+			memcpy (settings.addresses[settings.address_count++], list, len);
+		list += len + (list[len] == ',');
+	}
+}
+
+static error_t
+parse_argument (int key, char *arg, struct argp_state *state)
+{
+	(void)state;
+	switch (key) {
+	case 'a':
+		parse_addresses (arg);
+		return 0;
+	case 'c':
+		settings.collection = arg;
+		return 0;
+	case 't':
+		settings.threads = strtol (arg, NULL, 10);
+		return 0;
+	case 's':
+		settings.seconds = strtol (arg, NULL, 10);
+		return 0;
+	case 'r':
+		settings.rate = strtol (arg, NULL, 10);
+		return 0;
+	case 'p':
+		settings.first_port = strtol (arg, NULL, 10);
+		return 0;
+	case 'f':
+		settings.fan_out = strtol (arg, NULL, 10);
+		return 0;
+	case 'd':
+		settings.stride = strtol (arg, NULL, 10);
+		return 0;
+	case 'o':
+		settings.once = true;
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static const struct argp_option options_table[] = {
+	{"addresses", 'a', "LIST", 0, "Callers' addresses of the nodes", 0},
+	{"collection", 'c', "NAME", 0, "Collection, or service with --once", 0},
+	{"threads", 't', "N", 0, "Requests at once", 0},
+	{"seconds", 's', "N", 0, "Length of the run", 0},
+	{"rate", 'r', "N", 0, "Requests a second; 0: as many as the threads manage", 0},
+	{"direct-port", 'p', "PORT", 0, "First target's port for --fan-out", 0},
+	{"fan-out", 'f', "N", 0, "Call N targets directly instead of the tier", 0},
+	{"stride", 'd', "N", 0, "Ports between two targets for --fan-out", 0},
+	{"once", 'o', NULL, 0, "Send once-only requests", 0},
+	{0},
+};
+
+static const struct argp argp = {
+	options_table, parse_argument, NULL, "Load with every answer checked.", NULL, NULL, NULL};
+
+int
+main (int argc, char **argv)
+{
+	argp_parse (&argp, argc, argv, 0, NULL, NULL);
+	curl_global_init (CURL_GLOBAL_DEFAULT);
+	clock_init_system (&system_clock);
+	result.latency_us = xcalloc (MAX_SAMPLES, sizeof (int64_t));
+	pthread_t *threads = xcalloc ((size_t)settings.threads, sizeof (*threads));
+	start_us = clock_now_us (&system_clock);
+	end_us = start_us + settings.seconds * US_PER_S;
+	for (long i = 0; i < settings.threads; i++)
+		pthread_create (&threads[i], NULL, settings.fan_out ? run_direct : run_tier,
+			(void *)(uintptr_t)i);
+	for (long i = 0; i < settings.threads; i++)
+		pthread_join (threads[i], NULL);
+	report ();
+	return EXIT_SUCCESS;
+}
--- a/query/query.c
+++ b/query/query.c
@@ -470,11 +470,19 @@
 	note_try (query, shard);
 }
 
-/* Gives the shard's waiting attempts up as silent; their connections are being replaced. */
+/*
+ * Gives the shard's waiting attempts up as silent when another replica can be asked instead.
+ * Without one, or without budget, a late reply is still better than none.
+ */
 static void
 give_up_shard (struct query *query, int index, int64_t now_us, struct query_actions *actions)
 {
 	struct shard *shard = &query->shards[index];
+	if (shard->tries >= QUERY_MAX_TRIES || plan_replica (query, index, false, now_us) < 0 ||
+		!budget_spend (&hint_of (query, shard)->extra)) {
+		shard->silent_us = now_us + query->policy->silence_us;
+		return;
+	}
 	for (int i = 0; i < shard->tries; i++) {
 		const struct attempt *attempt = &query->attempts[shard->ids[i]];
 		if (attempt->state == ATTEMPT_WAITING)
@@ -483,8 +491,8 @@
 				now_us + AVOID_FAILED_US, memory_order_relaxed);
 	}
 	cancel_shard (query, shard, actions);
-	shard->silent_us = INT64_MAX;
-	after_failure (query, index, SUB_SILENT, now_us, actions);
+	query->retries++;
+	try_shard (query, index, now_us, actions);
 }
 
 static void
--- a/test/cluster.sh
+++ b/test/cluster.sh
@@ -83,6 +83,7 @@
 # start_cluster NODES VOTERS DATA-CENTRES: nodes are spread over data centres a, b, c, ...
 start_cluster () {
 	local nodes=$1 voters=$2 dcs=$3 i
+	rm -rf "$RUN"/data*
 	export OLEANDERSTILE_NODES
 	OLEANDERSTILE_NODES=$(operators "$nodes")
 	for i in $(seq 1 "$nodes"); do
