target: silent work holds its slot for a few usual latencies, not until its deadline

Cause: a sub-request given up as silent counted as running until its deadline (1 s). With 1% stragglers some target of 75 was always full by that count, in a cold start with a limit of 1 even closed, and each broad query waited for it. The target accepts cancellation: closing the connection ends the work within some milliseconds; where the path is dead, the request either never arrived or ends in its usual time.

--- a/target/gate.c
+++ b/target/gate.c
@@ -263,6 +263,19 @@
 	grow (gate);
 }
 
+/*
+ * How long a silent sub-request may still occupy the target. Its connection is closed, which the
+ * target takes as a cancel. Where the path is dead and the cancel is lost, the request either
+ * never arrived or ends within its usual time.
+ */
+static int64_t
+hold_us (const struct gate *gate, const struct gate_item *item, int64_t now_us)
+{
+	int64_t hold = GATE_CANCEL_HOLD_US + gate->reference_us * GATE_HOLD_REFERENCES;
+	int64_t left = item->deadline_us - now_us;
+	return hold < left ? hold : left;
+}
+
 static void
 observe_failure (struct gate *gate, enum gate_sign sign, int64_t now_us)
 {
@@ -290,7 +303,7 @@
 		observe_failure (gate, SIGN_RESET, now_us);
 		return;
 	case GATE_SILENT:
-		add_ghost (gate, item->deadline_us);
+		add_ghost (gate, now_us + hold_us (gate, item, now_us));
 		observe_failure (gate, SIGN_SILENT, now_us);
 		return;
 	case GATE_CANCELLED:
--- a/target/gate.h
+++ b/target/gate.h
@@ -16,6 +16,7 @@
 enum {
 	GATE_GHOSTS = 64,           /**< abandoned sub-requests that are counted at once */
 	GATE_CANCEL_HOLD_US = 5000, /**< time a target needs to notice a cancel */
+	GATE_HOLD_REFERENCES = 4,   /**< usual latencies that silent work may go on for */
 	GATE_WARM_SUCCESSES = 8,    /**< prompt successes per step of growth */
 	GATE_SLOW_FACTOR = 3,       /**< slower than this many references is not prompt */
 	GATE_STEP_FACTOR = 8,       /**< a latency step: this many references ... */
--- a/test/fuzz/gate.c
+++ b/test/fuzz/gate.c
@@ -107,7 +107,10 @@
 	model->state[at] = ITEM_FREE;
 	if (outcome == GATE_SILENT) {
 		model->state[at] = ITEM_GHOST;
-		model->busy_until_us[at] = model->items[at].deadline_us;
+		/* The close is a cancel; where it is lost, the work ends within its usual time. */
+		model->busy_until_us[at] = model->now_us + GATE_CANCEL_HOLD_US;
+		if (model->busy_until_us[at] > model->items[at].deadline_us)
+			model->busy_until_us[at] = model->items[at].deadline_us;
 	} else if (outcome == GATE_CANCELLED) {
 		model->state[at] = ITEM_GHOST;
 		model->busy_until_us[at] = model->now_us + GATE_CANCEL_HOLD_US;
