target: a silence is doubted until the next reply, and cold targets still get the work that warms them

Cause: each straggler that ran into silence_ms counted as a cold start of its target, which then needed 24 prompt successes; meanwhile no hedge may go there, so more stragglers ran into silence_ms. In a dump 46 of 75 targets were cold for this reason. Change: a silence drops the limit at once as before, but one reply of the same boot id restores it, since that proves there was no restart. A cold target's hint fades and costs about as much as one sub-request in flight, so it gets the work that warms it; hedges are chosen among the replicas that may take one, not only the cheapest.

--- a/query/plan.c
+++ b/query/plan.c
@@ -8,7 +8,7 @@
 enum {
 	COST_PER_LOAD = 1000, /* for each sub-request in flight, per slot */
 	COST_AVOIDED = 100000,
-	COST_COLD = 5000,
+	COST_COLD = 300, /* a warm target with one sub-request in flight costs about as much */
 	COST_TRIED = 1000000,
 	COST_RANDOM = 200, /* spreads equal replicas */
 };
@@ -149,20 +149,50 @@
 	return false;
 }
 
+static bool
+is_avoided (const struct target_hint *hint, int64_t now_us)
+{
+	return atomic_load_explicit (&hint->avoid_until_us, memory_order_relaxed) > now_us;
+}
+
+static bool
+is_cold (const struct target_hint *hint, int64_t now_us)
+{
+	return atomic_load_explicit (&hint->cold_until_us, memory_order_relaxed) > now_us;
+}
+
+/* A cold target counts as having one slot, so that it gets the work that warms it. */
 static int64_t
 cost_of (struct query *query, const struct view_target *target, int64_t now_us)
 {
 	const struct target_hint *hint = target->hint;
+	bool cold = is_cold (hint, now_us);
 	int64_t cost = (int64_t)rng_below (&query->rng, COST_RANDOM);
 	cost += (int64_t)atomic_load_explicit (&hint->in_flight, memory_order_relaxed) *
-		COST_PER_LOAD / target->slots;
-	if (atomic_load_explicit (&hint->avoid_until_us, memory_order_relaxed) > now_us)
+		COST_PER_LOAD / (cold ? 1 : target->slots);
+	if (is_avoided (hint, now_us))
 		cost += COST_AVOIDED;
-	if (atomic_load_explicit (&hint->cold, memory_order_relaxed))
+	if (cold)
 		cost += COST_COLD;
 	return cost;
 }
 
+static bool
+may_use (const struct query *query, const struct shard *shard, int index, enum plan_use use,
+	int64_t now_us)
+{
+	const struct view_target *target = &query->view->targets[index];
+	if (!view_target_usable (target) || !target_hint_holds (target->hint, query->snapshot))
+		return false;
+	if (use == PLAN_AGAIN)
+		return true;
+	if (tried (query, shard, index))
+		return false;
+	return use == PLAN_FIRST ||
+	       (!is_cold (target->hint, now_us) && !is_avoided (target->hint, now_us) &&
+		       !waiting_on (query, shard, index));
+}
+
 /* The baseline policy for measurements: the next usable replica in turn, whatever is known. */
 static int
 round_robin (const struct query *query, const struct view_service *service)
@@ -179,45 +209,27 @@
 }
 
 int
-plan_replica (struct query *query, int shard, bool again, int64_t now_us)
+plan_replica (struct query *query, int index, enum plan_use use, int64_t now_us)
 {
-	int service_index = query->shards[shard].service;
-	if (service_index < 0)
+	const struct shard *shard = &query->shards[index];
+	if (shard->service < 0)
 		return -1;
-	const struct view_service *service = &query->view->services[service_index];
+	const struct view_service *service = &query->view->services[shard->service];
 	if (query->policy->baseline)
 		return round_robin (query, service);
 	int best = -1;
 	int64_t best_cost = INT64_MAX;
 	for (int i = 0; i < service->target_count; i++) {
-		int index = service->targets[i];
-		const struct view_target *target = &query->view->targets[index];
-		if (!view_target_usable (target) ||
-			!target_hint_holds (target->hint, query->snapshot))
+		int target = service->targets[i];
+		if (!may_use (query, shard, target, use, now_us))
 			continue;
-		int64_t cost = cost_of (query, target, now_us);
-		if (tried (query, &query->shards[shard], index)) {
-			if (!again)
-				continue;
+		int64_t cost = cost_of (query, &query->view->targets[target], now_us);
+		if (use == PLAN_AGAIN && tried (query, shard, target))
 			cost += COST_TRIED;
-		}
 		if (cost < best_cost) {
-			best = index;
+			best = target;
 			best_cost = cost;
 		}
 	}
 	return best;
 }
-
-int
-plan_hedge (struct query *query, int shard, int64_t now_us)
-{
-	int target = plan_replica (query, shard, false, now_us);
-	if (target < 0 || waiting_on (query, &query->shards[shard], target))
-		return -1;
-	const struct target_hint *hint = query->view->targets[target].hint;
-	if (atomic_load_explicit (&hint->cold, memory_order_relaxed) ||
-		atomic_load_explicit (&hint->avoid_until_us, memory_order_relaxed) > now_us)
-		return -1;
-	return target;
-}
--- a/query/plan.h
+++ b/query/plan.h
@@ -13,16 +13,13 @@
 snapshot_t
 plan_snapshot (const struct query *query);
 
-/**
- * The best replica of a shard for the pinned snapshot, or -1.
- * Replicas already tried in this generation come last and only when @p again is set.
- */
-int
-plan_replica (struct query *query, int shard, bool again, int64_t now_us);
+/** What a replica is chosen for. */
+enum plan_use {
+	PLAN_FIRST, /**< one that was not tried in this generation */
+	PLAN_AGAIN, /**< any; tried ones come last */
+	PLAN_HEDGE, /**< untried, warm, not avoided, and not at an owner that is being waited for */
+};
 
-/**
- * A replica for a hedge: untried, warm, not avoided and on another owner than those waiting.
- * @return a target index, or -1.
- */
+/** The best replica of a shard for the pinned snapshot, as a target index; -1 when none fits. */
 int
-plan_hedge (struct query *query, int shard, int64_t now_us);
+plan_replica (struct query *query, int shard, enum plan_use use, int64_t now_us);
--- a/query/query.c
+++ b/query/query.c
@@ -11,6 +11,7 @@
 enum {
 	AVOID_REFUSED_US = 20000, /* a refusing owner is asked last for this long */
 	AVOID_FAILED_US = 250000, /* so is a target that failed or went silent */
+	COLD_HINT_US = 300000,    /* a reported cold start is believed for this long */
 	SILENCE_FACTOR = 4,       /* an attempt is silent after this many 99th percentiles */
 };
 
@@ -196,7 +197,7 @@
 		return;
 	}
 	bool again = shard->retry_us <= now_us;
-	int target = plan_replica (query, index, again, now_us);
+	int target = plan_replica (query, index, again ? PLAN_AGAIN : PLAN_FIRST, now_us);
 	if (target < 0) {
 		shard->refusals++;
 		plan_retry (shard, now_us);
@@ -330,7 +331,8 @@
 	int64_t avoid_us = 0;
 	switch (result->status) {
 	case SUB_OK:
-		atomic_store_explicit (&hint->cold, result->cold, memory_order_relaxed);
+		atomic_store_explicit (&hint->cold_until_us,
+			result->cold ? now_us + COLD_HINT_US : 0, memory_order_relaxed);
 		break;
 	case SUB_LACKS:
 		break;
@@ -401,7 +403,7 @@
 	if (shard->waiting > 0)
 		return;
 	bool free_of_load = status == SUB_REFUSED || status == SUB_LACKS;
-	bool untried = plan_replica (query, index, false, now_us) >= 0;
+	bool untried = plan_replica (query, index, PLAN_FIRST, now_us) >= 0;
 	if (untried && (free_of_load || budget_spend (&hint_of (query, shard)->extra))) {
 		query->retries++;
 		try_shard (query, index, now_us, actions);
@@ -461,7 +463,7 @@
 	shard->hedge_us = INT64_MAX;
 	if (shard->tries >= QUERY_MAX_TRIES)
 		return;
-	int target = plan_hedge (query, index, now_us);
+	int target = plan_replica (query, index, PLAN_HEDGE, now_us);
 	if (target < 0 || !budget_spend (&hint_of (query, shard)->extra))
 		return;
 	metric_add (METRIC_SUBS_HEDGE, 1);
@@ -478,7 +480,8 @@
 give_up_shard (struct query *query, int index, int64_t now_us, struct query_actions *actions)
 {
 	struct shard *shard = &query->shards[index];
-	if (shard->tries >= QUERY_MAX_TRIES || plan_replica (query, index, false, now_us) < 0 ||
+	if (shard->tries >= QUERY_MAX_TRIES ||
+		plan_replica (query, index, PLAN_FIRST, now_us) < 0 ||
 		!budget_spend (&hint_of (query, shard)->extra)) {
 		shard->silent_us = now_us + query->policy->silence_us;
 		return;
--- a/target/gate.c
+++ b/target/gate.c
@@ -62,6 +62,7 @@
 gate_cold (struct gate *gate, enum gate_sign sign)
 {
 	gate->limit = gate->cold_limit;
+	gate->trusted_limit = 0;
 	gate->successes = 0;
 	gate->slow_count = 0;
 	gate->sign = gate_is_cold (gate) ? sign : SIGN_NONE;
@@ -237,10 +238,35 @@
 		gate->sign = SIGN_NONE;
 }
 
+/*
+ * A silence may hide a restart. Until a reply shows the boot id, the target gets no more than in
+ * a cold start; one reply of the same boot proves that there was none.
+ */
+static void
+doubt (struct gate *gate)
+{
+	int trusted = gate->trusted_limit > gate->limit ? gate->trusted_limit : gate->limit;
+	gate_cold (gate, SIGN_SILENT);
+	if (gate->boot_id != 0 && trusted > gate->limit)
+		gate->trusted_limit = trusted;
+}
+
+static void
+end_doubt (struct gate *gate)
+{
+	if (gate->trusted_limit == 0)
+		return;
+	gate->limit = gate->trusted_limit < gate->slots ? gate->trusted_limit : gate->slots;
+	gate->trusted_limit = 0;
+	if (!gate_is_cold (gate))
+		gate->sign = SIGN_NONE;
+}
+
 static void
 observe_success (struct gate *gate, int64_t latency_us)
 {
 	gate->failures = 0;
+	end_doubt (gate);
 	if (gate->reference_us == 0) {
 		gate->reference_us = latency_us + 1;
 		grow (gate);
@@ -279,7 +305,10 @@
 static void
 observe_failure (struct gate *gate, enum gate_sign sign, int64_t now_us)
 {
-	gate_cold (gate, sign);
+	if (sign == SIGN_SILENT)
+		doubt (gate);
+	else
+		gate_cold (gate, sign);
 	if (++gate->failures >= GATE_EJECT_FAILURES)
 		gate->rest_until_us = now_us + GATE_EJECT_US;
 }
--- a/target/gate.h
+++ b/target/gate.h
@@ -77,6 +77,7 @@
 	int64_t rest_until_us;
 	int64_t reference_us; /**< smoothed latency; 0 while unknown */
 	uint64_t boot_id;     /**< 0 while unknown */
+	int trusted_limit;    /**< limit before a silence; back with one reply of the same boot */
 	enum gate_sign sign;  /**< why it is cold, or SIGN_NONE */
 	bool open;            /**< false: refuses new work (leaving or not owned) */
 	int64_t ghosts[GATE_GHOSTS];
--- a/target/hint.h
+++ b/target/hint.h
@@ -40,7 +40,7 @@
 	_Atomic int64_t held_at_us;            /**< when it said so; 0: never */
 	_Atomic int64_t avoid_until_us;        /**< a refusal or time-out lowers trust until then */
 	_Atomic uint32_t in_flight;            /**< sub-requests that this node has there */
-	_Atomic uint32_t cold;                 /**< 1 while its owner reports a cold start */
+	_Atomic int64_t cold_until_us; /**< its owner reported a cold start; fades by then */
 };
 
 /** What is known of a service. */
