query: hedge after two medians at least, and let a loser that ends soon end by itself

Cause: latencies of a service lie close together, so the 95th percentile hedges ordinary work; and each loser that is cancelled costs its connection, 6 ms at the next use.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -50,7 +50,8 @@
 
 /* The signature is argp's. */
 static error_t
-parse_argument (int key, char *arg, struct argp_state *state) // NOLINT(readability-non-const-parameter)
+parse_argument (
+	int key, char *arg, struct argp_state *state) // NOLINT(readability-non-const-parameter)
 {
 	struct arguments *arguments = state->input;
 	switch (key) {
--- a/daemon/owned.c
+++ b/daemon/owned.c
@@ -12,6 +12,8 @@
 	PROBE_TIMEOUT_US = 500000,
 	PROBE_BODY_MAX = 65536,
 	LEAST_TIMEOUT_US = 1000,
+	CUT_OFF_REFERENCES =
+		2, /* work that is given up is cut off after this many usual latencies */
 	SILENT_REFERENCES = 8, /* given up after this many usual latencies: silent */
 	RECHECK_US = 100000,   /* how soon a gate that waits for a lease or an epoch looks again */
 };
@@ -36,6 +38,8 @@
 static void
 send_reply (struct worker *worker, const struct work *work, const struct sub_reply *reply)
 {
+	if (work->orphan)
+		return;
 	if (work->origin.local) {
 		worker_post_reply (worker->node, reply);
 		return;
@@ -452,12 +456,26 @@
 	return now_us - work->item.started_us >= (usual_us > least_us ? usual_us : least_us);
 }
 
+/*
+ * A cancel costs the connection. Work that has not run longer than usual is about to end by
+ * itself, so it is left to; a straggler is cut off.
+ */
+static bool
+ends_soon (const struct owned *owned, const struct work *work, int64_t now_us)
+{
+	int64_t usual_us = owned->gate.reference_us * CUT_OFF_REFERENCES;
+	return now_us - work->item.started_us < usual_us;
+}
+
 static void
 cancel_work (struct owned *owned, struct work *work)
 {
 	int64_t now_us = worker_now_us (owned->worker);
 	if (work->item.queued) {
 		gate_remove (&owned->gate, &work->item);
+	} else if (work->item.running && ends_soon (owned, work, now_us)) {
+		work->orphan = true;
+		return;
 	} else if (work->item.running) {
 		bool silent = is_silent (owned, work, now_us);
 		fetch_cancel (&work->fetch);
--- a/daemon/worker.h
+++ b/daemon/worker.h
@@ -84,6 +84,7 @@
 	uint32_t shard;
 	int64_t deadline_us;
 	struct blob *text;
+	bool orphan; /**< given up, but left to end since that costs less than its connection */
 };
 
 struct reply_mail {
--- a/query/query.c
+++ b/query/query.c
@@ -12,6 +12,7 @@
 	AVOID_REFUSED_US = 20000, /* a refusing owner is asked last for this long */
 	AVOID_FAILED_US = 250000, /* so is a target that failed or went silent */
 	COLD_HINT_US = 300000,    /* a reported cold start is believed for this long */
+	HEDGE_MEDIANS = 2,        /* never hedge before this many medians */
 	SILENCE_FACTOR = 4,       /* an attempt is silent after this many 99th percentiles */
 };
 
@@ -170,6 +171,10 @@
 	struct quantile *latency = &hint_of (query, shard)->latency;
 	int64_t hedge_us =
 		quantile_get (latency, policy->hedge_percentile, policy->hedge_preset_us);
+	/* Where latencies lie close together, the quantile alone would hedge ordinary work. */
+	int64_t least_us = quantile_get (latency, 50, 0) * HEDGE_MEDIANS;
+	if (hedge_us < least_us)
+		hedge_us = least_us;
 	int64_t silence_us = quantile_get (latency, 99, policy->silence_us) * SILENCE_FACTOR;
 	if (silence_us < policy->silence_us)
 		silence_us = policy->silence_us;
