query: avoid all targets of an owner that leaves a sub-request unanswered

Cause: after a daemon was killed each entry learned of it target by target, for 250 ms at a time, until its lease ran out; hedges and retries used their budgets up on it. Change: a silent sub-request also lowers trust in its owner for 1 s; any reply from that owner ends it. Once-only requests take the same hint when they choose a target.

--- a/control/view.c
+++ b/control/view.c
@@ -274,6 +274,8 @@
 		view->targets[i].hint = hint_table_target (hints, view->targets[i].name);
 	for (int i = 0; i < view->service_count; i++)
 		view->services[i].hint = hint_table_service (hints, view->services[i].name);
+	for (int i = 0; i < view->member_count; i++)
+		view->members[i].hint = hint_table_member (hints, view->members[i].name);
 }
 
 struct view *
--- a/control/view.h
+++ b/control/view.h
@@ -32,6 +32,7 @@
 	char address[ADDRESS_SIZE]; /**< peer address */
 	uint64_t incarnation;       /**< of the process */
 	bool leaving;               /**< owns nothing: itself, its VM or its data centre leaves */
+	struct member_hint *hint;
 };
 
 struct view_target {
--- a/query/once.c
+++ b/query/once.c
@@ -6,7 +6,13 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum { COST_RANDOM = 200, COST_PER_LOAD = 1000, COST_AVOIDED = 100000, AVOID_US = 20000 };
+enum {
+	COST_RANDOM = 200,
+	COST_PER_LOAD = 1000,
+	COST_AVOIDED = 100000,
+	AVOID_US = 20000,
+	AVOID_OWNER_US = 1000000
+};
 
 void
 once_init (struct once *once, struct view *view, int service, bool keyed, int64_t deadline_us,
@@ -64,6 +70,9 @@
 		if (atomic_load_explicit (&target->hint->avoid_until_us, memory_order_relaxed) >
 			now_us)
 			cost += COST_AVOIDED;
+		if (atomic_load_explicit (&once->view->members[target->owner].hint->avoid_until_us,
+			    memory_order_relaxed) > now_us)
+			cost += COST_AVOIDED;
 		if (cost < best_cost) {
 			best = i;
 			best_cost = cost;
@@ -145,7 +154,11 @@
 static void
 note_end (const struct once *once, enum sub_status status, int64_t now_us)
 {
-	struct target_hint *hint = once->view->targets[once->target].hint;
+	const struct view_target *target = &once->view->targets[once->target];
+	struct target_hint *hint = target->hint;
+	struct member_hint *owner = once->view->members[target->owner].hint;
+	atomic_store_explicit (&owner->avoid_until_us,
+		status == SUB_SILENT ? now_us + AVOID_OWNER_US : 0, memory_order_relaxed);
 	atomic_fetch_sub_explicit (&hint->in_flight, 1, memory_order_relaxed);
 	if (status != SUB_OK)
 		atomic_store_explicit (
--- a/query/plan.c
+++ b/query/plan.c
@@ -10,7 +10,8 @@
 	COST_AVOIDED = 100000,
 	COST_COLD = 300, /* a warm target with one sub-request in flight costs about as much */
 	COST_TRIED = 1000000,
-	COST_RANDOM = 200, /* spreads equal replicas */
+	COST_OWNER_SILENT = 50000, /* its owner left a sub-request unanswered */
+	COST_RANDOM = 200,         /* spreads equal replicas */
 };
 
 struct candidates {
@@ -161,6 +162,13 @@
 	return atomic_load_explicit (&hint->cold_until_us, memory_order_relaxed) > now_us;
 }
 
+static bool
+owner_is_silent (const struct query *query, const struct view_target *target, int64_t now_us)
+{
+	const struct member_hint *hint = query->view->members[target->owner].hint;
+	return atomic_load_explicit (&hint->avoid_until_us, memory_order_relaxed) > now_us;
+}
+
 /* A cold target counts as having one slot, so that it gets the work that warms it. */
 static int64_t
 cost_of (struct query *query, const struct view_target *target, int64_t now_us)
@@ -172,6 +180,8 @@
 		COST_PER_LOAD / (cold ? 1 : target->slots);
 	if (is_avoided (hint, now_us))
 		cost += COST_AVOIDED;
+	if (owner_is_silent (query, target, now_us))
+		cost += COST_OWNER_SILENT;
 	if (cold)
 		cost += COST_COLD;
 	return cost;
--- a/query/query.c
+++ b/query/query.c
@@ -10,6 +10,7 @@
 
 enum {
 	AVOID_REFUSED_US = 20000, /* a refusing owner is asked last for this long */
+	AVOID_OWNER_US = 1000000, /* so are all targets of an owner that does not answer */
 	AVOID_FAILED_US = 250000, /* so is a target that failed or went silent */
 	COLD_HINT_US = 300000,    /* a reported cold start is believed for this long */
 	HEDGE_MEDIANS = 2,        /* never hedge before this many medians */
@@ -330,7 +331,10 @@
 learn (struct query *query, const struct attempt *attempt, const struct sub_result *result,
 	int64_t now_us)
 {
-	struct target_hint *hint = query->view->targets[attempt->target].hint;
+	const struct view_target *target = &query->view->targets[attempt->target];
+	struct target_hint *hint = target->hint;
+	atomic_store_explicit (
+		&query->view->members[target->owner].hint->avoid_until_us, 0, memory_order_relaxed);
 	if (result->held_count > 0)
 		target_hint_set_held (hint, result->held, result->held_count, now_us);
 	int64_t avoid_us = 0;
@@ -477,6 +481,23 @@
 	note_try (query, shard);
 }
 
+/* The target is avoided for a while, and so is its owner until anything is heard from it. */
+static void
+note_silence (const struct query *query, const struct shard *shard, int64_t now_us)
+{
+	for (int i = 0; i < shard->tries; i++) {
+		const struct attempt *attempt = &query->attempts[shard->ids[i]];
+		const struct view_target *target = &query->view->targets[attempt->target];
+		if (attempt->state != ATTEMPT_WAITING ||
+			attempt->sent_us + query->policy->silence_us > now_us)
+			continue;
+		atomic_store_explicit (&target->hint->avoid_until_us, now_us + AVOID_FAILED_US,
+			memory_order_relaxed);
+		atomic_store_explicit (&query->view->members[target->owner].hint->avoid_until_us,
+			now_us + AVOID_OWNER_US, memory_order_relaxed);
+	}
+}
+
 /*
  * Gives the shard's waiting attempts up as silent when another replica can be asked instead.
  * Without one, or without budget, a late reply is still better than none.
@@ -485,19 +506,13 @@
 give_up_shard (struct query *query, int index, int64_t now_us, struct query_actions *actions)
 {
 	struct shard *shard = &query->shards[index];
+	note_silence (query, shard, now_us);
 	if (shard->tries >= QUERY_MAX_TRIES ||
 		plan_replica (query, index, PLAN_FIRST, now_us) < 0 ||
 		!budget_spend (&hint_of (query, shard)->extra)) {
 		shard->silent_us = now_us + query->policy->silence_us;
 		return;
 	}
-	for (int i = 0; i < shard->tries; i++) {
-		const struct attempt *attempt = &query->attempts[shard->ids[i]];
-		if (attempt->state == ATTEMPT_WAITING)
-			atomic_store_explicit (
-				&query->view->targets[attempt->target].hint->avoid_until_us,
-				now_us + AVOID_FAILED_US, memory_order_relaxed);
-	}
 	cancel_shard (query, shard, actions);
 	query->retries++;
 	try_shard (query, index, now_us, actions);
--- a/target/hint.c
+++ b/target/hint.c
@@ -36,6 +36,7 @@
 	for (int i = 0; i < HINT_BUCKETS; i++) {
 		CDS_INIT_LIST_HEAD (&table->targets[i]);
 		CDS_INIT_LIST_HEAD (&table->services[i]);
+		CDS_INIT_LIST_HEAD (&table->members[i]);
 	}
 }
 
@@ -54,6 +55,7 @@
 	for (int i = 0; i < HINT_BUCKETS; i++) {
 		free_bucket (&table->targets[i]);
 		free_bucket (&table->services[i]);
+		free_bucket (&table->members[i]);
 	}
 	pthread_mutex_destroy (&table->lock);
 }
@@ -85,6 +87,16 @@
 	return &entry->u.target;
 }
 
+struct member_hint *
+hint_table_member (struct hint_table *table, const char *name)
+{
+	int added = 0;
+	pthread_mutex_lock (&table->lock);
+	struct hint_entry *entry = find_or_add (table->members, name, &added);
+	pthread_mutex_unlock (&table->lock);
+	return &entry->u.member;
+}
+
 struct service_hint *
 hint_table_service (struct hint_table *table, const char *name)
 {
--- a/target/hint.h
+++ b/target/hint.h
@@ -15,7 +15,7 @@
 #include <stdint.h>
 #include <urcu/list.h>
 
-enum { SNAPSHOTS_HELD = 4, HINT_NAME_SIZE = 64 };
+enum { SNAPSHOTS_HELD = 4, HINT_NAME_SIZE = 72 };
 
 /** A snapshot: layout in the upper 32 bits, index version in the lower 32; 0 is none. */
 typedef uint64_t snapshot_t;
@@ -49,6 +49,12 @@
 	struct budget extra;
 };
 
+/** What is known of another node. */
+struct member_hint {
+	_Atomic int64_t
+		avoid_until_us; /**< it left a sub-request unanswered; ends with any reply */
+};
+
 /** A named hint in the table. */
 struct hint_entry {
 	struct cds_list_head node;
@@ -56,6 +62,7 @@
 	union {
 		struct target_hint target;
 		struct service_hint service;
+		struct member_hint member;
 	} u;
 };
 
@@ -66,6 +73,7 @@
 	pthread_mutex_t lock; /**< held by controllers only, when they build a view */
 	struct cds_list_head targets[HINT_BUCKETS];
 	struct cds_list_head services[HINT_BUCKETS];
+	struct cds_list_head members[HINT_BUCKETS];
 };
 
 void
@@ -73,12 +81,14 @@
 void
 hint_table_finish (struct hint_table *table);
 
-/** Finds or creates the hint of a target or service. */
+/** Finds or creates the hint of a target, service or node. */
 struct target_hint *
 hint_table_target (struct hint_table *table, const char *name);
 struct service_hint *
 hint_table_service (struct hint_table *table, const char *name);
 
+struct member_hint *hint_table_member (struct hint_table *table, const char *name);
+
 /** Records the snapshots that a target holds, as it said in a reply. */
 void
 target_hint_set_held (struct target_hint *hint, const snapshot_t *held, int count, int64_t now_us);
