control: owners by data centre group, grants by hash, controllers every 50 ms

Change: a target scores only members of its data centre while one of them is free, with a hash computed once a member; grants are found by a hash index; the leader looks through members every 50 ms instead of every 10 ms.

--- a/bench/faults.sh
+++ b/bench/faults.sh
@@ -44,7 +44,7 @@
 	sleep 2
 	control $((PORT + 6)) '{"restart":true}'
 	sleep 2
-	control $((PORT + 9)) '{"restart":true}'
+	control $((PORT + 9)) '{"cold":true}'
 	wait $load $once
 	local first extra
 	first=$(sum_metric 5 subrequests_primary_total)
@@ -52,7 +52,8 @@
 	echo "$name: $(cat "$RUN/load.json")"
 	echo "$name once: $(cat "$RUN/once.json")"
 	echo "$name targets: overloads $(sum_counter $PORT $TARGETS overloads)," \
-		"cold overloads $(sum_counter $PORT $TARGETS cold_overloads)," \
+		"cold overloads $(sum_counter $PORT $TARGETS cold_overloads)" \
+		"(and before a reply could tell: $(sum_counter $PORT $TARGETS unwarned))," \
 		"work sent to what is leaving after 3 s $(sum_counter $PORT $TARGETS after_leaving)," \
 		"doubled runs $(sum_counter $((PORT + TARGETS)) 10 doubled)," \
 		"extra load $(ratio "$extra" "$first") (hedges $(sum_metric 5 subrequests_hedge_total))"
--- /dev/null
+++ b/bench/slopes.c
@@ -0,0 +1,301 @@
+/**
+ * @file slopes.c
+ * Costs of the parts that grow with the size of the fleet, each at several sizes.
+ */
+#include "control/members.h"
+#include "control/view.h"
+#include "control/voter.h"
+#include "core/buf.h"
+#include "core/clock.h"
+#include "query/merge.h"
+#include "query/query.h"
+#include "query/subwire.h"
+#include "store/store.h"
+#include "target/gate.h"
+
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+static struct hint_table hints;
+
+static int64_t
+cpu_us (void)
+{
+	struct timespec ts;
+	clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &ts);
+	return (int64_t)ts.tv_sec * US_PER_S + ts.tv_nsec / 1000;
+}
+
+static size_t
+heap_bytes (void)
+{
+	return mallinfo2 ().uordblks + mallinfo2 ().hblkhd;
+}
+
+static void
+put (struct resources *resources, enum resource_kind kind, const char *name, const char *spec)
+{
+	static uint64_t index;
+	struct change change = {.kind = kind, .spec = spec};
+	index++;
+	snprintf (change.id, sizeof (change.id), "c%llu", (unsigned long long)index);
+	str_copy (change.name, sizeof (change.name), name);
+	resources_apply (resources, &change, index);
+}
+
+static void
+fill (struct resources *resources, struct members *members, int targets, int nodes)
+{
+	char name[64];
+	char spec[256];
+	for (int i = 0; i < nodes; i++) {
+		struct member member = {.incarnation = (uint64_t)i + 1};
+		snprintf (member.name, sizeof (member.name), "node%04d", i);
+		snprintf (member.data_centre, sizeof (member.data_centre), "dc%02d", i % 16);
+		snprintf (member.address, sizeof (member.address), "10.0.%d.%d:8082", i / 250,
+			i % 250);
+		members_put (members, &member, 1);
+	}
+	for (int i = 0; i < targets; i++) {
+		snprintf (name, sizeof (name), "target%05d", i);
+		snprintf (spec, sizeof (spec),
+			"{\"address\":\"10.1.%d.%d:80\",\"cold_limit\":1,\"data_centre\":\"dc%"
+			"02d\","
+			"\"max_connections\":30,\"service\":\"service%05d\",\"slots\":3}",
+			i / 250, i % 250, i % 16, i / 3);
+		put (resources, RESOURCE_TARGET, name, spec);
+		if (i % 3)
+			continue;
+		snprintf (name, sizeof (name), "service%05d", i / 3);
+		put (resources, RESOURCE_SERVICE, name, "{\"mode\":\"query\"}");
+	}
+}
+
+static void
+measure_view (int targets, int nodes)
+{
+	struct resources resources;
+	struct members members;
+	size_t before = heap_bytes ();
+	resources_init (&resources);
+	members_init (&members);
+	fill (&resources, &members, targets, nodes);
+	size_t state = heap_bytes () - before;
+	before = heap_bytes ();
+	int64_t start = cpu_us ();
+	struct view *view = view_new (&resources, &members, 1, 1, &hints);
+	int64_t spent = cpu_us () - start;
+	printf ("view: %d targets, %d nodes: build %lld us, view and hints %zu KB, state %zu KB\n",
+		targets, nodes, (long long)spent, (heap_bytes () - before) / 1024, state / 1024);
+	view_put (view);
+	members_finish (&members);
+	resources_finish (&resources);
+}
+
+static void
+measure_snapshot (int targets)
+{
+	struct state state;
+	size_t len = 0;
+	state_init (&state);
+	fill (&state.resources, &state.members, targets, 1000);
+	int64_t start = cpu_us ();
+	void *data = state_encode (&state, false, &len);
+	int64_t encoded = cpu_us ();
+	state_decode (&state, data, len);
+	printf ("snapshot for a follower: %d targets: %zu KB, encode %lld us, decode %lld us\n",
+		targets, len / 1024, (long long)(encoded - start),
+		(long long)(cpu_us () - encoded));
+	free (data);
+	state_finish (&state);
+}
+
+/* A single voter leads; nodes poll it twice a second. Counts the leader's time a second. */
+static void
+measure_leader (int nodes)
+{
+	struct voter voter;
+	struct voter_settings settings = {.lease_us = 3000000,
+		.voters_wanted = 1,
+		.compact_entries = 100000,
+		.disk_id = 7,
+		.name = "v",
+		.address = "v"};
+	struct raft_times times = {300000, 75000};
+	int64_t now = 1000000;
+	size_t bytes = 0;
+	voter_init (&voter, &settings, &times, 1, now);
+	raft_bootstrap (&voter.raft, "v", "v");
+	for (int i = 0; i < 200; i++) {
+		now += 10000;
+		voter_tick (&voter, now, now / 1000);
+		voter_step (&voter, now);
+		voter_saved (&voter, now);
+	}
+	struct route route = route_to_address ("n");
+	int64_t start = 0;
+	for (int turn = 0; turn < 20; turn++) {
+		if (turn == 10)
+			start = cpu_us ();
+		bytes = 0;
+		for (int i = 0; i < nodes; i++) {
+			struct wire wire = {.kind = WIRE_POLL};
+			struct poll *poll = &wire.u.poll.poll;
+			snprintf (poll->name, sizeof (poll->name), "node%04d", i);
+			str_copy (poll->address, sizeof (poll->address), "10.0.0.1:8082");
+			poll->incarnation = (uint64_t)i + 1;
+			poll->applied = poll->released = poll->acting = voter.state.applied;
+			size_t len = 0;
+			void *data = wire_encode (&wire, &len);
+			struct wire arrived;
+			wire_decode (&arrived, data, len);
+			voter_receive (&voter, &route, &arrived, now);
+			wire_finish (&arrived);
+			free (data);
+		}
+		for (int i = 0; i < 50; i++) {
+			now += 10000;
+			voter_tick (&voter, now, now / 1000);
+			voter_step (&voter, now);
+			voter_saved (&voter, now);
+		}
+		struct outgoing *outgoing;
+		while ((outgoing = outbox_take (&voter.outbox))) {
+			size_t len = 0;
+			free (wire_encode (&outgoing->wire, &len));
+			bytes += len;
+			wire_finish (&outgoing->wire);
+			free (outgoing);
+		}
+	}
+	printf ("leader: %d nodes polling twice a second: %lld us of processor time a second, "
+		"%zu reply bytes a poll\n",
+		nodes, (long long)(cpu_us () - start) / 5, nodes ? bytes / (size_t)nodes : 0);
+	voter_finish (&voter);
+}
+
+static void
+measure_query (int fan_out)
+{
+	struct resources resources;
+	struct members members;
+	struct buf spec;
+	struct query_policy policy = {.hedge = true,
+		.hedge_percentile = 95,
+		.extra_percent = 5,
+		.hedge_preset_us = 50000,
+		.silence_us = 100000};
+	resources_init (&resources);
+	members_init (&members);
+	fill (&resources, &members, fan_out * 3, 100);
+	buf_init (&spec);
+	buf_addf (&spec, "{\"layouts\":[{\"id\":1,\"shards\":[");
+	for (int i = 0; i < fan_out; i++)
+		buf_addf (&spec, "%s\"service%05d\"", i ? "," : "", i);
+	buf_addf (&spec, "]}]}");
+	put (&resources, RESOURCE_COLLECTION, "c", spec.data);
+	struct view *view = view_new (&resources, &members, 1, 1, &hints);
+	const snapshot_t held = 1ULL << 32 | 1;
+	for (int i = 0; i < view->target_count; i++)
+		target_hint_set_held (view->targets[i].hint, &held, 1, 1);
+	int64_t start = cpu_us ();
+	enum { ROUNDS = 200 };
+	for (int round = 0; round < ROUNDS; round++) {
+		struct query query;
+		struct query_actions actions;
+		struct buf answer;
+		buf_init (&answer);
+		query_actions_init (&actions);
+		query_init (&query, view, view_find_collection (view, "c"), NULL, &policy, 1000,
+			1000000, (uint64_t)round);
+		query_start (&query, 1000, &actions);
+		for (int i = 0; i < fan_out; i++) {
+			struct sub_result result = {.snapshot = held,
+				.shard = (uint32_t)i,
+				.held = {held},
+				.held_count = 1,
+				.body = "[{\"key\":\"k\"},{\"key\":\"l\"}]"};
+			result.body_len = strlen (result.body);
+			merge_count_rows (result.body, result.body_len);
+			query_reply (&query, (uint32_t)i, &result, 4000, &actions);
+		}
+		merge_answer (&query, &answer);
+		buf_finish (&answer);
+		query_finish (&query);
+		query_actions_finish (&actions);
+	}
+	printf ("query decisions: fan-out %d: %lld ns a sub-request\n", fan_out,
+		(long long)(cpu_us () - start) * 1000 / ROUNDS / fan_out);
+	view_put (view);
+	buf_finish (&spec);
+	members_finish (&members);
+	resources_finish (&resources);
+}
+
+/* Commits of a single voter with a real sync each, by entries in a batch. */
+static void
+measure_commits (int batch)
+{
+	char dir[] = "/tmp/slopes-XXXXXX";
+	char command[64];
+	struct error error = {0};
+	struct store store;
+	struct raft raft;
+	struct raft_times times = {300000, 75000};
+	struct clock clock;
+	clock_init_system (&clock);
+	if (!mkdtemp (dir) || !store_open (&store, dir, &error))
+		return;
+	raft_init (&raft, store.disk_id, &times, 1, 0);
+	store_load (&store, &raft, &error);
+	raft_bootstrap (&raft, "v", "v");
+	raft_tick (&raft, 10000000);
+	int64_t start = clock_now_us (&clock);
+	enum { SYNCS = 100 };
+	char data[200] = {0};
+	for (int i = 0; i < SYNCS; i++) {
+		for (int j = 0; j < batch; j++)
+			raft_propose (&raft, RAFT_COMMAND, data, sizeof (data), 10000000);
+		store_save (&store, &raft, &error);
+		raft_saved (&raft, 10000000);
+	}
+	int64_t spent = clock_now_us (&clock) - start;
+	printf ("commits: %d in a batch: %lld a second, %lld us a sync\n", batch,
+		(long long)SYNCS * batch * US_PER_S / (spent ? spent : 1),
+		(long long)spent / SYNCS);
+	raft_finish (&raft);
+	store_close (&store);
+	snprintf (command, sizeof (command), "%s/log", dir);
+	unlink (command);
+	snprintf (command, sizeof (command), "%s/identity", dir);
+	unlink (command);
+	rmdir (dir);
+}
+
+int
+main (void)
+{
+	static const int targets[] = {1000, 2000, 4000, 7700};
+	static const int nodes[] = {100, 250, 500, 1000};
+	static const int fan_outs[] = {10, 25, 50, 91, 182};
+	static const int batches[] = {1, 8, 64, 512};
+	hint_table_init (&hints);
+	for (int i = 0; i < 4; i++)
+		measure_view (targets[i], 1000);
+	for (int i = 0; i < 4; i++)
+		measure_view (7700, nodes[i]);
+	for (int i = 0; i < 4; i++)
+		measure_snapshot (targets[i]);
+	for (int i = 0; i < 4; i++)
+		measure_leader (nodes[i]);
+	for (int i = 0; i < 5; i++)
+		measure_query (fan_outs[i]);
+	for (int i = 0; i < 4; i++)
+		measure_commits (batches[i]);
+	hint_table_finish (&hints);
+	return EXIT_SUCCESS;
+}
--- a/control/grants.c
+++ b/control/grants.c
@@ -15,6 +15,7 @@
 grants_finish (struct grants *grants)
 {
 	free (grants->items);
+	free (grants->slots);
 	grants_init (grants);
 }
 
@@ -24,14 +25,45 @@
 	grants->count = 0;
 }
 
+/* The slot of an incarnation, or the empty one where it belongs. */
+static uint32_t *
+find_slot (const struct grants *grants, uint64_t incarnation)
+{
+	uint32_t at = (uint32_t)(incarnation * 0x9e3779b97f4a7c15ULL >> 32) % grants->slot_count;
+	while (grants->slots[at] &&
+		grants->items[grants->slots[at] - 1].poll.incarnation != incarnation)
+		at = (at + 1) % grants->slot_count;
+	return &grants->slots[at];
+}
+
+/* At most half of the slots are used. */
+static void
+reindex (struct grants *grants)
+{
+	uint32_t wanted = (uint32_t)grants->cap * 2 + 2;
+	if (grants->slot_count < wanted) {
+		free (grants->slots);
+		grants->slots = xcalloc (wanted, sizeof (*grants->slots));
+		grants->slot_count = wanted;
+	}
+	memset (grants->slots, 0, grants->slot_count * sizeof (*grants->slots));
+	for (int i = 0; i < grants->count; i++)
+		*find_slot (grants, grants->items[i].poll.incarnation) = (uint32_t)i + 1;
+}
+
 static struct grant *
 find_incarnation (const struct grants *grants, uint64_t incarnation)
 {
-	for (int i = 0; i < grants->count; i++) {
-		if (grants->items[i].poll.incarnation == incarnation)
-			return &grants->items[i];
-	}
-	return NULL;
+	if (grants->count == 0)
+		return NULL;
+	uint32_t slot = *find_slot (grants, incarnation);
+	return slot ? &grants->items[slot - 1] : NULL;
+}
+
+const struct grant *
+grants_get (const struct grants *grants, uint64_t incarnation)
+{
+	return find_incarnation (grants, incarnation);
 }
 
 static struct grant *
@@ -49,6 +81,8 @@
 	struct grant *grant = &grants->items[grants->count++];
 	memset (grant, 0, sizeof (*grant));
 	grant->first_heard_us = now_us;
+	grant->poll = *poll;
+	reindex (grants);
 	return grant;
 }
 
@@ -91,7 +125,10 @@
 		if (grant->granted_until_us > now_us || grant->heard_us + keep_us > now_us)
 			grants->items[kept++] = *grant;
 	}
+	if (kept == grants->count)
+		return;
 	grants->count = kept;
+	reindex (grants);
 }
 
 struct grants_summary
--- a/control/grants.h
+++ b/control/grants.h
@@ -19,6 +19,8 @@
 	struct grant *items;
 	int count;
 	int cap;
+	uint32_t *slots; /**< open-addressing index by incarnation; position plus one */
+	uint32_t slot_count;
 };
 
 /** What the table says of all leases together. */
@@ -54,6 +56,10 @@
 struct grants_summary
 grants_summarise (const struct grants *grants, uint64_t commit, int64_t now_us);
 
+/** The entry of an incarnation; NULL when unknown. */
+const struct grant *
+grants_get (const struct grants *grants, uint64_t incarnation);
+
 /** The current entry of a name: the newest incarnation; NULL when unknown. */
 const struct grant *
 grants_find (const struct grants *grants, const char *name);
--- a/control/leader.c
+++ b/control/leader.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 enum {
+	CONTROLLERS_US = 50000,     /* how often members and voters are looked through */
 	LEAVE_CHECK_US = 500000,    /* how often dates are compared with the time */
 	GRANT_KEEP_US = 10000000,   /* how long a silent process is remembered */
 	MEMBER_SILENT_US = 2000000, /* a process that was heard this recently still joins */
@@ -49,14 +50,10 @@
 static bool
 may_hold_lease (const struct voter *voter, const struct member *member, int64_t now_us)
 {
-	for (int i = 0; i < voter->grants.count; i++) {
-		const struct grant *grant = &voter->grants.items[i];
-		if (grant->poll.incarnation != member->incarnation || grant->poll.gone)
-			continue;
-		return grant->granted_until_us > now_us ||
-		       grant->heard_us + MEMBER_SILENT_US > now_us;
-	}
-	return false;
+	const struct grant *grant = grants_get (&voter->grants, member->incarnation);
+	if (!grant || grant->poll.gone)
+		return false;
+	return grant->granted_until_us > now_us || grant->heard_us + MEMBER_SILENT_US > now_us;
 }
 
 static void
@@ -270,6 +267,9 @@
 {
 	if (!raft_commit_is_current (&voter->raft) || voter->state.applied < voter->own_index)
 		return;
+	if (voter->controllers_us > now_us)
+		return;
+	voter->controllers_us = now_us + CONTROLLERS_US;
 	grants_expire (&voter->grants, now_us, GRANT_KEEP_US);
 	join_members (voter, now_us);
 	remove_members (voter, now_us);
--- a/control/owner.c
+++ b/control/owner.c
@@ -4,55 +4,148 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* Ranks of a candidate; separating replicas counts more than staying in the data centre. */
-enum { RANK_SEPARATE = 2, RANK_SAME_DATA_CENTRE = 1 };
+/* Members grouped by data centre, so that a target looks only at those that may own it. */
+struct group {
+	char data_centre[RESOURCE_NAME_MAX + 1];
+	int first; /* in candidates.order */
+	int count;
+};
+
+struct candidates {
+	int *order;       /* member indices, sorted by data centre */
+	uint64_t *hashes; /* by member index */
+	bool *used;       /* by member index: owns another replica of the service */
+	struct group *groups;
+	int group_count;
+	int count;
+};
 
 static int
-rank_of (const struct view_target *target, const struct view_member *member, bool used)
+compare_data_centre (const void *a, const void *b, void *user)
+{
+	const struct view *view = user;
+	int x = *(const int *)a;
+	int y = *(const int *)b;
+	int order = strcmp (view->members[x].data_centre, view->members[y].data_centre);
+	return order ? order : x - y;
+}
+
+static void
+add_to_group (struct candidates *candidates, const struct view_member *member, int at)
+{
+	struct group *last =
+		candidates->group_count ? &candidates->groups[candidates->group_count - 1] : NULL;
+	if (!last || strcmp (last->data_centre, member->data_centre) != 0) {
+		last = &candidates->groups[candidates->group_count++];
+		str_copy (last->data_centre, sizeof (last->data_centre), member->data_centre);
+		last->first = at;
+		last->count = 0;
+	}
+	last->count++;
+}
+
+static void
+candidates_init (struct candidates *candidates, struct view *view)
+{
+	size_t count = (size_t)view->member_count;
+	candidates->order = xcalloc (count, sizeof (int));
+	candidates->hashes = xcalloc (count, sizeof (uint64_t));
+	candidates->used = xcalloc (count, sizeof (bool));
+	candidates->groups = xcalloc (count, sizeof (struct group));
+	candidates->group_count = 0;
+	candidates->count = 0;
+	for (int i = 0; i < view->member_count; i++) {
+		const char *name = view->members[i].name;
+		candidates->hashes[i] = XXH64 (name, strlen (name), 0);
+		if (!view->members[i].leaving)
+			candidates->order[candidates->count++] = i;
+	}
+	qsort_r (candidates->order, (size_t)candidates->count, sizeof (int), compare_data_centre,
+		view);
+	for (int i = 0; i < candidates->count; i++)
+		add_to_group (candidates, &view->members[candidates->order[i]], i);
+}
+
+static void
+candidates_finish (struct candidates *candidates)
+{
+	free (candidates->order);
+	free (candidates->hashes);
+	free (candidates->used);
+	free (candidates->groups);
+}
+
+static uint64_t
+score_of (uint64_t member, uint64_t target)
 {
-	int rank = used ? 0 : RANK_SEPARATE;
-	if (strcmp (target->data_centre, member->data_centre) == 0)
-		rank += RANK_SAME_DATA_CENTRE;
-	return rank;
+	uint64_t z = (member ^ target) * 0xbf58476d1ce4e5b9ULL;
+	z = (z ^ (z >> 29)) * 0x94d049bb133111ebULL;
+	return z ^ (z >> 32);
 }
 
+/* The best score among a run of candidates; used ones only when asked for. */
 static int
-choose (const struct view *view, const struct view_target *target, const bool *used)
+best_of (const struct candidates *candidates, int first, int count, uint64_t seed, bool used)
 {
 	int best = -1;
-	int best_rank = -1;
 	uint64_t best_score = 0;
-	uint64_t seed = XXH64 (target->name, strlen (target->name), 0);
-	for (int i = 0; i < view->member_count; i++) {
-		const struct view_member *member = &view->members[i];
-		if (member->leaving)
-			continue;
-		int rank = rank_of (target, member, used[i]);
-		uint64_t score = XXH64 (member->name, strlen (member->name), seed);
-		if (rank > best_rank || (rank == best_rank && score > best_score)) {
-			best = i;
-			best_rank = rank;
+	for (int i = first; i < first + count; i++) {
+		int member = candidates->order[i];
+		uint64_t score = score_of (candidates->hashes[member], seed);
+		if ((!candidates->used[member] || used) && (best < 0 || score > best_score)) {
+			best = member;
 			best_score = score;
 		}
 	}
 	return best;
 }
 
+static const struct group *
+find_group (const struct candidates *candidates, const char *data_centre)
+{
+	for (int i = 0; i < candidates->group_count; i++) {
+		if (strcmp (candidates->groups[i].data_centre, data_centre) == 0)
+			return &candidates->groups[i];
+	}
+	return NULL;
+}
+
+/* Separate replicas count more than the data centre, so its used members come third. */
+static int
+choose (const struct candidates *candidates, const struct view_target *target)
+{
+	uint64_t seed = XXH64 (target->name, strlen (target->name), 0);
+	const struct group *near = find_group (candidates, target->data_centre);
+	int best = near ? best_of (candidates, near->first, near->count, seed, false) : -1;
+	if (best < 0)
+		best = best_of (candidates, 0, candidates->count, seed, false);
+	if (best < 0 && near)
+		best = best_of (candidates, near->first, near->count, seed, true);
+	if (best < 0)
+		best = best_of (candidates, 0, candidates->count, seed, true);
+	return best;
+}
+
 void
 owner_assign (struct view *view)
 {
-	bool *used = xcalloc ((size_t)view->member_count, sizeof (bool));
+	struct candidates candidates;
+	candidates_init (&candidates, view);
 	for (int i = 0; i < view->target_count; i++)
 		view->targets[i].owner = -1;
 	for (int i = 0; i < view->service_count; i++) {
-		struct view_service *service = &view->services[i];
-		memset (used, 0, (size_t)view->member_count * sizeof (bool));
+		const struct view_service *service = &view->services[i];
 		for (int j = 0; j < service->target_count; j++) {
 			struct view_target *target = &view->targets[service->targets[j]];
-			target->owner = choose (view, target, used);
+			target->owner = choose (&candidates, target);
 			if (target->owner >= 0)
-				used[target->owner] = true;
+				candidates.used[target->owner] = true;
+		}
+		for (int j = 0; j < service->target_count; j++) {
+			int owner = view->targets[service->targets[j]].owner;
+			if (owner >= 0)
+				candidates.used[owner] = false;
 		}
 	}
-	free (used);
+	candidates_finish (&candidates);
 }
--- a/control/voter.h
+++ b/control/voter.h
@@ -70,6 +70,7 @@
 	bool was_leader;
 	uint64_t own_index; /**< newest proposal of the leader's controllers */
 	int64_t leave_check_us;
+	int64_t controllers_us;
 	int64_t wall_ms;
 	uint64_t in_force; /**< newest known, for status */
 };
