--- a/query/query.c
+++ b/query/query.c
@@ -176,7 +176,7 @@
 	int64_t least_us = quantile_get (latency, 50, 0) * HEDGE_MEDIANS;
 	if (hedge_us < least_us)
 		hedge_us = least_us;
-	int64_t silence_us = quantile_get (latency, 99, policy->silence_us) * SILENCE_FACTOR;
+	int64_t silence_us = quantile_get (latency, 99, 0) * SILENCE_FACTOR;
 	if (silence_us < policy->silence_us)
 		silence_us = policy->silence_us;
 	shard->hedge_us = policy->hedge ? now_us + hedge_us : INT64_MAX;
