--- a/control/grants.c
+++ b/control/grants.c
@@ -69,7 +69,7 @@
 		if (strcmp (grants->items[i].poll.name, poll->name) == 0)
 			grants->items[i].superseded = true;
 	}
-	if (grants->count == grants->cap) {
+	if (!grants->items || grants->count == grants->cap) {
 		grants->cap = grants->cap ? grants->cap * 2 : 16;
 		grants->items =
 			xrealloc (grants->items, (size_t)grants->cap * sizeof (*grants->items));
