--- a/control/raft.c
+++ b/control/raft.c
@@ -77,8 +77,8 @@
 	return count * 2 > raft_voter_count (&raft->config);
 }
 
-static struct raft_message *
-post (struct raft *raft, enum raft_message_type type, uint64_t to)
+struct raft_message *
+raft_post (struct raft *raft, enum raft_message_type type, uint64_t to)
 {
 	struct raft_message *message = xcalloc (1, sizeof (*message));
 	message->type = type;
@@ -96,8 +96,8 @@
 			       (int64_t)rng_below (&raft->rng, (uint64_t)raft->times.election_us);
 }
 
-static void
-become_follower (struct raft *raft, uint64_t term, uint64_t leader, int64_t now_us)
+void
+raft_become_follower (struct raft *raft, uint64_t term, uint64_t leader, int64_t now_us)
 {
 	if (term > raft->term) {
 		raft->term = term;
@@ -159,25 +159,6 @@
 	return raft->role == RAFT_LEADER && raft->commit >= raft->term_start;
 }
 
-static void
-send_snapshot (struct raft *raft, int peer, int64_t now_us)
-{
-	struct raft_progress *progress = &raft->progress[peer];
-	struct raft_message *message = post (raft, RAFT_SNAPSHOT, raft->config.nodes[peer].id);
-	size_t left = raft->snapshot_len - progress->snapshot_offset;
-	size_t len = left < RAFT_CHUNK_BYTES ? left : RAFT_CHUNK_BYTES;
-	message->index = raft->base;
-	message->log_term = raft->base_term;
-	message->round = raft->round;
-	message->offset = progress->snapshot_offset;
-	message->chunk = xmemdup ((char *)raft->snapshot + progress->snapshot_offset, len);
-	message->chunk_len = len;
-	message->done = len == left;
-	message->config = raft->base_config;
-	progress->snapshotting = true;
-	progress->sent_us = now_us;
-}
-
 static void
 add_entries (struct raft *raft, struct raft_message *message, uint64_t from)
 {
@@ -194,15 +175,15 @@
 	}
 }
 
-static void
-send_append (struct raft *raft, int peer, int64_t now_us)
+void
+raft_send_append (struct raft *raft, int peer, int64_t now_us)
 {
 	struct raft_progress *progress = &raft->progress[peer];
 	if (progress->next <= raft->base) {
-		send_snapshot (raft, peer, now_us);
+		raft_send_snapshot (raft, peer, now_us);
 		return;
 	}
-	struct raft_message *message = post (raft, RAFT_APPEND, raft->config.nodes[peer].id);
+	struct raft_message *message = raft_post (raft, RAFT_APPEND, raft->config.nodes[peer].id);
 	message->index = progress->next - 1;
 	message->log_term = raft_term_at (raft, message->index);
 	message->commit = raft->commit;
@@ -226,7 +207,7 @@
 	for (int i = 0; i < raft->config.count; i++) {
 		if (raft->config.nodes[i].id != raft->id &&
 			!in_transit (raft, &raft->progress[i], now_us))
-			send_append (raft, i, now_us);
+			raft_send_append (raft, i, now_us);
 	}
 	raft->heartbeat_at_us = now_us + raft->times.heartbeat_us;
 }
@@ -247,7 +228,7 @@
 	for (int i = 0; i < raft->config.count; i++) {
 		if (raft->config.nodes[i].id != raft->id && !raft->progress[i].snapshotting &&
 			raft->progress[i].next <= raft_last_index (raft))
-			send_append (raft, i, now_us);
+			raft_send_append (raft, i, now_us);
 	}
 }
 
@@ -300,7 +281,7 @@
 		const struct raft_node *node = &raft->config.nodes[i];
 		if (!node->voter || node->id == raft->id)
 			continue;
-		struct raft_message *message = post (raft, type, node->id);
+		struct raft_message *message = raft_post (raft, type, node->id);
 		message->term = raft->term + (type == RAFT_PREVOTE ? 1 : 0);
 		message->index = raft_last_index (raft);
 		message->log_term = raft_term_at (raft, message->index);
@@ -354,7 +335,7 @@
 {
 	if (!hears_quorum (raft, now_us) ||
 		(!raft_is_voter (raft) && raft->commit >= raft->config_index)) {
-		become_follower (raft, raft->term, 0, now_us);
+		raft_become_follower (raft, raft->term, 0, now_us);
 		return;
 	}
 	if (raft->heartbeat_at_us <= now_us)
@@ -389,7 +370,7 @@
 static void
 receive_prevote (struct raft *raft, const struct raft_message *message, int64_t now_us)
 {
-	struct raft_message *reply = post (raft, RAFT_PREVOTE_REPLY, message->from);
+	struct raft_message *reply = raft_post (raft, RAFT_PREVOTE_REPLY, message->from);
 	reply->ok = message->term > raft->term && log_is_current (raft, message) &&
 		    !has_live_leader (raft, now_us);
 	reply->term = reply->ok ? message->term : raft->term;
@@ -406,7 +387,7 @@
 	}
 	if (grant)
 		reset_election (raft, now_us);
-	struct raft_message *reply = post (raft, RAFT_VOTE_REPLY, message->from);
+	struct raft_message *reply = raft_post (raft, RAFT_VOTE_REPLY, message->from);
 	reply->ok = grant;
 }
 
@@ -468,9 +449,9 @@
 static void
 receive_append (struct raft *raft, const struct raft_message *message, int64_t now_us)
 {
-	become_follower (raft, message->term, message->from, now_us);
+	raft_become_follower (raft, message->term, message->from, now_us);
 	raft->heard_us = now_us;
-	struct raft_message *reply = post (raft, RAFT_APPEND_REPLY, message->from);
+	struct raft_message *reply = raft_post (raft, RAFT_APPEND_REPLY, message->from);
 	reply->round = message->round;
 	reply->ok = holds_previous (raft, message);
 	if (!reply->ok) {
@@ -485,8 +466,8 @@
 		raft->commit = commit;
 }
 
-static int
-find_peer (const struct raft *raft, uint64_t id)
+int
+raft_find_peer (const struct raft *raft, uint64_t id)
 {
 	for (int i = 0; i < raft->config.count; i++) {
 		if (raft->config.nodes[i].id == id)
@@ -495,8 +476,8 @@
 	return -1;
 }
 
-static void
-note_heard (struct raft_progress *progress, const struct raft_message *message, int64_t now_us)
+void
+raft_note_heard (struct raft_progress *progress, const struct raft_message *message, int64_t now_us)
 {
 	progress->heard_us = now_us;
 	if (message->round > progress->round)
@@ -506,11 +487,11 @@
 static void
 receive_append_reply (struct raft *raft, const struct raft_message *message, int64_t now_us)
 {
-	int peer = find_peer (raft, message->from);
+	int peer = raft_find_peer (raft, message->from);
 	if (raft->role != RAFT_LEADER || peer < 0)
 		return;
 	struct raft_progress *progress = &raft->progress[peer];
-	note_heard (progress, message, now_us);
+	raft_note_heard (progress, message, now_us);
 	if (message->ok) {
 		if (message->index > progress->match)
 			progress->match = message->index;
@@ -521,66 +502,8 @@
 	}
 	if (message->index + 1 > progress->match) {
 		progress->next = message->index + 1;
-		send_append (raft, peer, now_us);
-	}
-}
-
-static void
-receive_snapshot (struct raft *raft, const struct raft_message *message, int64_t now_us)
-{
-	become_follower (raft, message->term, message->from, now_us);
-	raft->heard_us = now_us;
-	struct raft_message *reply = post (raft, RAFT_SNAPSHOT_REPLY, message->from);
-	reply->round = message->round;
-	reply->index = message->index;
-	if (message->index <= raft->commit) {
-		reply->done = true;
-		return;
-	}
-	if (message->offset == 0 || raft->incoming_index != message->index) {
-		raft->incoming_len = 0;
-		raft->incoming_index = message->index;
-	}
-	if (message->offset == raft->incoming_len) {
-		raft->incoming =
-			xrealloc (raft->incoming, raft->incoming_len + message->chunk_len + 1);
-		memcpy (raft->incoming + raft->incoming_len, message->chunk, message->chunk_len);
-		raft->incoming_len += message->chunk_len;
-	}
-	reply->offset = raft->incoming_len;
-	if (!message->done || message->offset + message->chunk_len != raft->incoming_len)
-		return;
-	raft_log_install (raft, message->index, message->log_term, &message->config, raft->incoming,
-		raft->incoming_len);
-	raft->incoming = NULL;
-	raft->incoming_len = 0;
-	raft->snapshot_changed = true;
-	reply->done = true;
-}
-
-static void
-receive_snapshot_reply (struct raft *raft, const struct raft_message *message, int64_t now_us)
-{
-	int peer = find_peer (raft, message->from);
-	if (raft->role != RAFT_LEADER || peer < 0)
-		return;
-	struct raft_progress *progress = &raft->progress[peer];
-	note_heard (progress, message, now_us);
-	progress->snapshotting = false;
-	if (message->done) {
-		if (message->index > progress->match)
-			progress->match = message->index;
-		if (progress->next <= message->index)
-			progress->next = message->index + 1;
-		progress->snapshot_offset = 0;
-	} else if (message->index == raft->base) {
-		progress->snapshot_offset =
-			message->offset <= raft->snapshot_len ? message->offset : 0;
-	} else {
-		progress->snapshot_offset = 0;
+		raft_send_append (raft, peer, now_us);
 	}
-	if (progress->next <= raft_last_index (raft))
-		send_append (raft, peer, now_us);
 }
 
 /* A higher term deposes; pre-votes carry a term that nobody has taken on yet. */
@@ -593,12 +516,12 @@
 		/* While a leader is alive, a vote for another one is ignored altogether. */
 		if (message->type == RAFT_VOTE && has_live_leader (raft, now_us))
 			return false;
-		become_follower (raft, message->term, 0, now_us);
+		raft_become_follower (raft, message->term, 0, now_us);
 	}
 	if (message->term >= raft->term || prevote)
 		return true;
 	if (message->type == RAFT_APPEND || message->type == RAFT_SNAPSHOT)
-		post (raft, RAFT_APPEND_REPLY, message->from)->index = raft->commit;
+		raft_post (raft, RAFT_APPEND_REPLY, message->from)->index = raft->commit;
 	return false;
 }
 
@@ -630,10 +553,10 @@
 		receive_append_reply (raft, message, now_us);
 		break;
 	case RAFT_SNAPSHOT:
-		receive_snapshot (raft, message, now_us);
+		raft_receive_snapshot (raft, message, now_us);
 		break;
 	case RAFT_SNAPSHOT_REPLY:
-		receive_snapshot_reply (raft, message, now_us);
+		raft_receive_snapshot_reply (raft, message, now_us);
 		break;
 	case RAFT_MESSAGE_TYPES:
 		break;
--- a/control/schema.c
+++ b/control/schema.c
@@ -43,6 +43,7 @@
 
 static const struct field service_fields[] = {
 	{"mode", FIELD_CHOICE, true, 0, 0, ",query,once,"},
+	{"retention_s", FIELD_NUMBER, false, 60, 31536000, NULL},
 	{"deadline_ms", FIELD_NUMBER, false, 1, 600000, NULL},
 	{NULL, FIELD_TEXT, false, 0, 0, NULL},
 };
--- a/control/view.c
+++ b/control/view.c
@@ -6,7 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum { DEFAULT_DEADLINE_MS = 1000, DEFAULT_MAX_CONNECTIONS = 25 };
+enum { DEFAULT_DEADLINE_MS = 1000, DEFAULT_MAX_CONNECTIONS = 25, DEFAULT_RETENTION_S = 86400 };
 
 static void
 copy_text (char *to, size_t size, const json_t *spec, const char *field)
@@ -176,6 +176,7 @@
 	const char *mode = json_string_value (json_object_get (spec, "mode"));
 	service->mode = mode && strcmp (mode, "once") == 0 ? SERVICE_ONCE : SERVICE_QUERY;
 	service->deadline_ms = number_or (spec, "deadline_ms", DEFAULT_DEADLINE_MS);
+	service->retention_ms = 1000LL * number_or (spec, "retention_s", DEFAULT_RETENTION_S);
 }
 
 static void
--- a/control/view.h
+++ b/control/view.h
@@ -54,7 +54,8 @@
 	char name[RESOURCE_NAME_MAX + 1];
 	enum service_mode mode;
 	int deadline_ms;
-	int *targets; /**< target indices */
+	int64_t retention_ms; /**< how long outcomes of once-only requests are kept */
+	int *targets;         /**< target indices */
 	int target_count;
 	struct service_hint *hint;
 };
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -9,8 +9,6 @@
 #include <string.h>
 #include <xxhash.h>
 
-enum { DEFAULT_RETENTION_MS = 86400000, LEAST_DEADLINE_US = 10000 };
-
 static struct cds_list_head *
 bucket_of (struct worker *worker, uint64_t id)
 {
@@ -379,7 +377,7 @@
 	str_copy (claim->key, sizeof (claim->key), request->idempotency_key);
 	claim->digest = digest_of (request);
 	claim->nonce = worker->node->incarnation ^ entry->id * 0x9e3779b97f4a7c15ULL;
-	claim->retention_ms = DEFAULT_RETENTION_MS;
+	claim->retention_ms = entry->view->services[entry->u.once.service].retention_ms;
 	control_propose (worker->node->control, &command, entry->id);
 }
 
--- a/test/world.c
+++ b/test/world.c
@@ -247,6 +247,70 @@
 	}
 }
 
+static uint64_t *
+model_version (struct world_model *model, enum resource_kind kind, const char *name)
+{
+	for (int i = 0; i < model->document_count; i++) {
+		if (model->documents[i].kind == kind &&
+			strcmp (model->documents[i].name, name) == 0)
+			return &model->documents[i].version;
+	}
+	if (model->document_count == WORLD_DOCUMENTS)
+		return NULL;
+	int at = model->document_count++;
+	model->documents[at].kind = kind;
+	str_copy (model->documents[at].name, sizeof (model->documents[at].name), name);
+	return &model->documents[at].version;
+}
+
+static bool
+model_knows (struct world_model *model, const char *id)
+{
+	for (int i = 0; i < model->id_count; i++) {
+		if (strcmp (model->ids[i], id) == 0)
+			return true;
+	}
+	if (model->id_count < WORLD_IDS)
+		str_copy (model->ids[model->id_count++], CHANGE_ID_MAX + 1, id);
+	return false;
+}
+
+static void
+model_apply (struct world_model *model, const struct raft_entry *entry)
+{
+	struct command command;
+	model->index++;
+	void *storage = entry->type == RAFT_COMMAND
+				? command_decode (&command, entry->data, entry->len)
+				: NULL;
+	if (storage && command.kind == COMMAND_CHANGE) {
+		const struct change *change = &command.u.change;
+		uint64_t *version = model_version (model, change->kind, change->name);
+		if (!model_knows (model, change->id) && version && *version == change->expect)
+			*version = model->index;
+	}
+	command_decode_finish (storage);
+}
+
+/* Operators that race with equal versions: exactly the first in the log wins, on every voter. */
+static void
+check_documents (struct world *world, const struct voter *voter)
+{
+	struct world_model *model = &world->model;
+	const struct raft_entry *entry = NULL;
+	while (model->index < voter->raft.commit &&
+		(entry = raft_entry_at (&voter->raft, model->index + 1)))
+		model_apply (model, entry);
+	if (voter->state.applied != model->index)
+		return;
+	for (int i = 0; i < model->document_count; i++) {
+		const struct resource *resource = resources_find (&voter->state.resources,
+			model->documents[i].kind, model->documents[i].name);
+		if (model->documents[i].version != (resource ? resource->version : 0))
+			BREAK (world, "a document is not what its accepted changes make it");
+	}
+}
+
 static void
 check_leader (struct world *world, const struct raft *raft)
 {
@@ -471,6 +535,7 @@
 	send_outbox (world, index, &voter->outbox);
 	check_leader (world, &voter->raft);
 	check_commit (world, &voter->raft);
+	check_documents (world, voter);
 }
 
 static void
--- a/test/world.h
+++ b/test/world.h
@@ -14,6 +14,8 @@
 	WORLD_NODES = 10,
 	WORLD_TARGETS = 6,
 	WORLD_CHANGES = 4096,
+	WORLD_DOCUMENTS = 64,
+	WORLD_IDS = 1024,
 	WORLD_STEP_US = 5000,
 	WORLD_LEASE_US = 3000000,
 	WORLD_IN_FORCE_US = 5000000, /**< the users' bound */
@@ -69,6 +71,19 @@
 	int64_t at_us;
 };
 
+/** The oracle's own idea of the documents: compare-and-set, each change id once. */
+struct world_model {
+	uint64_t index; /**< newest committed index that it took in */
+	struct {
+		char name[RESOURCE_NAME_MAX + 1];
+		enum resource_kind kind;
+		uint64_t version; /**< 0: never written */
+	} documents[WORLD_DOCUMENTS];
+	int document_count;
+	char ids[WORLD_IDS][CHANGE_ID_MAX + 1];
+	int id_count;
+};
+
 struct world {
 	int64_t now_us;
 	struct rng rng;
@@ -87,7 +102,7 @@
 	struct world_accepted accepted[WORLD_CHANGES];
 	int accepted_count;
 	uint64_t newest_accepted;
-	uint64_t run_nonce; /**< nonce that may run the claim now */
+	struct world_model model;
 	int claim_runs;
 	int fault; /**< line of the first broken rule; 0: none */
 	const char *fault_text;
