--- a/core/buf.c
+++ b/core/buf.c
@@ -113,3 +113,13 @@
 	}
 	va_end (again);
 }
+
+bool
+secret_equal (const char *given, const char *expected, size_t expected_len)
+{
+	size_t given_len = strlen (given);
+	unsigned char different = given_len != expected_len;
+	for (size_t i = 0; i < given_len && expected_len > 0; i++)
+		different |= (unsigned char)given[i] ^ (unsigned char)expected[i % expected_len];
+	return different == 0;
+}
--- a/core/buf.h
+++ b/core/buf.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -40,3 +41,7 @@
 /** Copies a string into a fixed array and cuts it where it is too long. */
 void
 str_copy (char *to, size_t size, const char *from);
+
+/** Compares two secrets in a time that does not depend on where they differ. */
+bool
+secret_equal (const char *given, const char *expected, size_t expected_len);
--- a/daemon/http.c
+++ b/daemon/http.c
@@ -146,13 +146,6 @@
 http_authorised (const struct mg_connection *connection, const char *key)
 {
 	const char *header = mg_get_header (connection, "Authorization");
-	size_t key_len = strlen (key);
-	if (!header || strncmp (header, "Bearer ", 7) != 0)
-		return false;
-	const char *given = header + 7;
-	size_t given_len = strlen (given);
-	unsigned char different = given_len != key_len;
-	for (size_t i = 0; i < given_len; i++)
-		different |= (unsigned char)given[i] ^ (unsigned char)key[i % key_len];
-	return different == 0;
+	return header && strncmp (header, "Bearer ", 7) == 0 &&
+	       secret_equal (header + 7, key, strlen (key));
 }
--- a/net/peer.c
+++ b/net/peer.c
@@ -89,16 +89,6 @@
 	send_frames (peer, id, (size_t)id_len, mail->data, mail->len);
 }
 
-/* Compares in a time that does not depend on where the keys differ. */
-static bool
-same_key (const char *a, size_t a_len, const char *b, size_t b_len)
-{
-	unsigned char different = a_len != b_len;
-	for (size_t i = 0; i < a_len; i++)
-		different |= (unsigned char)a[i] ^ (unsigned char)b[b_len ? i % b_len : 0];
-	return different == 0;
-}
-
 static void
 drop (struct peer *peer, const char *why)
 {
@@ -119,7 +109,10 @@
 		drop (peer, "malformed prefix");
 		return;
 	}
-	if (!same_key (data + PREFIX_SIZE, key_len, peer->key, strlen (peer->key))) {
+	char key[UINT8_MAX + 1];
+	memcpy (key, data + PREFIX_SIZE, key_len);
+	key[key_len] = '\0';
+	if (!secret_equal (key, peer->key, strlen (peer->key))) {
 		drop (peer, "wrong cluster key");
 		return;
 	}
