--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -12,6 +12,7 @@
 #include "query/subwire.h"
 #include "store/store.h"
 #include "target/gate.h"
+#include "test/fixture.h"
 
 #include <malloc.h>
 #include <stdio.h>
@@ -36,17 +37,6 @@
 	return mallinfo2 ().uordblks + mallinfo2 ().hblkhd;
 }
 
-static void
-put (struct resources *resources, enum resource_kind kind, const char *name, const char *spec)
-{
-	static uint64_t index;
-	struct change change = {.kind = kind, .spec = spec};
-	index++;
-	snprintf (change.id, sizeof (change.id), "c%llu", (unsigned long long)index);
-	str_copy (change.name, sizeof (change.name), name);
-	resources_apply (resources, &change, index);
-}
-
 static void
 fill (struct resources *resources, struct members *members, int targets, int nodes)
 {
@@ -67,11 +57,11 @@
 			"02d\","
 			"\"max_connections\":30,\"service\":\"service%05d\",\"slots\":3}",
 			i / 250, i % 250, i % 16, i / 3);
-		put (resources, RESOURCE_TARGET, name, spec);
+		fixture_put (resources, RESOURCE_TARGET, name, spec);
 		if (i % 3)
 			continue;
 		snprintf (name, sizeof (name), "service%05d", i / 3);
-		put (resources, RESOURCE_SERVICE, name, "{\"mode\":\"query\"}");
+		fixture_put (resources, RESOURCE_SERVICE, name, "{\"mode\":\"query\"}");
 	}
 }
 
@@ -197,7 +187,7 @@
 	for (int i = 0; i < fan_out; i++)
 		buf_addf (&spec, "%s\"service%05d\"", i ? "," : "", i);
 	buf_addf (&spec, "]}]}");
-	put (&resources, RESOURCE_COLLECTION, "c", spec.data);
+	fixture_put (&resources, RESOURCE_COLLECTION, "c", spec.data);
 	struct view *view = view_new (&resources, &members, 1, 1, &hints);
 	const snapshot_t held = 1ULL << 32 | 1;
 	for (int i = 0; i < view->target_count; i++)
--- a/store/store.c
+++ b/store/store.c
@@ -158,7 +158,6 @@
 	record[1] = checksum (0, &record[0], sizeof (record[0]));
 	struct buf content = {.data = (char *)record, .len = sizeof (record)};
 	store->disk_id = record[0];
-	store->fresh = true;
 	return replace_file (store, "identity", &content, error);
 }
 
--- a/store/store.h
+++ b/store/store.h
@@ -16,8 +16,7 @@
 	int log_fd;
 	uint64_t log_size; /**< bytes of whole records */
 	uint64_t disk_id;
-	bool fresh; /**< the folder was empty */
-	bool torn;  /**< a torn tail was cut on opening */
+	bool torn; /**< a torn tail was cut on opening */
 };
 
 /** Opens or creates the folder, locks it and reads its identity. */
--- a/test/fuzz/query.c
+++ b/test/fuzz/query.c
@@ -7,6 +7,7 @@
 #include "control/members.h"
 #include "core/buf.h"
 #include "query/merge.h"
+#include "test/fixture.h"
 #include "test/fuzz/input.h"
 
 #include <jansson.h>
@@ -35,17 +36,6 @@
 	int64_t now_us;
 };
 
-static void
-put (struct resources *resources, enum resource_kind kind, const char *name, const char *spec)
-{
-	static uint64_t index;
-	struct change change = {.kind = kind, .spec = spec};
-	index++;
-	snprintf (change.id, sizeof (change.id), "c%llu", (unsigned long long)index);
-	str_copy (change.name, sizeof (change.name), name);
-	resources_apply (resources, &change, index);
-}
-
 /* Layout 1 has four shards, layout 2 the first three of them. */
 static struct view *
 make_view (struct hint_table *hints, unsigned leaving)
@@ -67,13 +57,13 @@
 			"{\"service\":\"s%d\",\"address\":\"127.0.0.1:1\",\"data_centre\":\"a\","
 			"\"slots\":2,\"leaving\":%s}",
 			i / REPLICAS, leaving >> i & 1 ? "true" : "false");
-		put (&resources, RESOURCE_TARGET, name, spec);
+		fixture_put (&resources, RESOURCE_TARGET, name, spec);
 	}
 	for (int i = 0; i < SHARDS; i++) {
 		snprintf (name, sizeof (name), "s%d", i);
-		put (&resources, RESOURCE_SERVICE, name, "{\"mode\":\"query\"}");
+		fixture_put (&resources, RESOURCE_SERVICE, name, "{\"mode\":\"query\"}");
 	}
-	put (&resources, RESOURCE_COLLECTION, "c",
+	fixture_put (&resources, RESOURCE_COLLECTION, "c",
 		"{\"deadline_ms\":500,\"layouts\":[{\"id\":1,\"shards\":[\"s0\",\"s1\",\"s2\","
 		"\"s3\"]},{\"id\":2,\"shards\":[\"s0\",\"s1\",\"s2\"]}]}");
 	struct view *view = view_new (&resources, &members, 1, 1, hints);
--- a/test/units.c
+++ b/test/units.c
@@ -13,6 +13,7 @@
 #include "query/query.h"
 #include "store/store.h"
 #include "target/gate.h"
+#include "test/fixture.h"
 
 #include <CUnit/Basic.h>
 #include <fcntl.h>
@@ -267,17 +268,6 @@
 	int64_t now_us;
 };
 
-static void
-put (struct resources *resources, enum resource_kind kind, const char *name, const char *spec)
-{
-	static uint64_t index;
-	struct change change = {.kind = kind, .spec = spec};
-	index++;
-	snprintf (change.id, sizeof (change.id), "c%llu", (unsigned long long)index);
-	str_copy (change.name, sizeof (change.name), name);
-	resources_apply (resources, &change, index);
-}
-
 static struct view *
 make_view (const char *leaving_data_centre, int nodes)
 {
@@ -295,7 +285,7 @@
 	}
 	for (int i = 0; i < 3; i++) {
 		snprintf (name, sizeof (name), "%c", 'a' + i);
-		put (&resources, RESOURCE_DATA_CENTRE, name,
+		fixture_put (&resources, RESOURCE_DATA_CENTRE, name,
 			strcmp (name, leaving_data_centre) == 0 ? "{\"leaving\":true}" : "{}");
 	}
 	for (int i = 0; i < SHARDS * REPLICAS; i++) {
@@ -304,13 +294,13 @@
 			"{\"service\":\"s%d\",\"address\":\"127.0.0.1:1\",\"data_centre\":\"%c\","
 			"\"slots\":2}",
 			i / REPLICAS, 'a' + i % REPLICAS);
-		put (&resources, RESOURCE_TARGET, name, spec);
+		fixture_put (&resources, RESOURCE_TARGET, name, spec);
 	}
 	for (int i = 0; i < SHARDS; i++) {
 		snprintf (name, sizeof (name), "s%d", i);
-		put (&resources, RESOURCE_SERVICE, name, "{\"mode\":\"query\"}");
+		fixture_put (&resources, RESOURCE_SERVICE, name, "{\"mode\":\"query\"}");
 	}
-	put (&resources, RESOURCE_COLLECTION, "c",
+	fixture_put (&resources, RESOURCE_COLLECTION, "c",
 		"{\"layouts\":[{\"id\":1,\"shards\":[\"s0\",\"s1\",\"s2\"]}]}");
 	struct view *view = view_new (&resources, &members, 1, 1, &hints);
 	members_finish (&members);
--- a/test/world.c
+++ b/test/world.c
@@ -456,14 +456,6 @@
 		tenure_check_lease (&node->tenures[i], node->view->epoch, node->lease_generation);
 }
 
-static void
-note_claim (struct world *world, const struct propose_reply *reply)
-{
-	if (reply->result.kind != COMMAND_CLAIM || reply->result.verdict != VERDICT_RUN)
-		return;
-	world->claim_runs++;
-}
-
 static void
 receive_propose_reply (struct world *world, struct propose_reply *reply)
 {
@@ -473,7 +465,6 @@
 	free (world->answer.body);
 	world->answer = *reply;
 	reply->body = NULL;
-	note_claim (world, reply);
 	const struct change_result *change = &reply->result.change;
 	if (reply->result.kind != COMMAND_CHANGE || change->kind != ERROR_NONE ||
 		world->accepted_count == WORLD_CHANGES)
--- a/test/world.h
+++ b/test/world.h
@@ -104,7 +104,6 @@
 	int accepted_count;
 	uint64_t newest_accepted;
 	struct world_model model;
-	int claim_runs;
 	int fault; /**< line of the first broken rule; 0: none */
 	const char *fault_text;
 	/* Answers of the newest proposal */
