--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -11,7 +11,7 @@
 #include "query/query.h"
 #include "query/subwire.h"
 #include "store/store.h"
-#include "target/gate.h"
+#include "targets/gate.h"
 #include "test/fixture.h"
 
 #include <malloc.h>
@@ -111,6 +111,7 @@
 	struct voter voter;
 	struct voter_settings settings = {.lease_us = 3000000,
 		.voters_wanted = 1,
+		.replace_us = 300000000,
 		.compact_entries = 100000,
 		.disk_id = 7,
 		.name = "v",
--- a/control/command.c
+++ b/control/command.c
@@ -8,7 +8,7 @@
 bool
 command_is_for_all (enum command_kind kind)
 {
-	return kind == COMMAND_CHANGE || kind == COMMAND_MEMBER || kind == COMMAND_MEMBER_GONE;
+	return kind != COMMAND_CLAIM && kind != COMMAND_OUTCOME && kind != COMMAND_KINDS;
 }
 
 static void
@@ -55,6 +55,22 @@
 	pack_str (writer, outcome->body ? outcome->body : "");
 }
 
+static void
+write_routing (struct pack_writer *writer, const struct command_routing *routing)
+{
+	pack_array (writer, 2);
+	pack_u64 (writer, routing->version);
+	pack_bytes (writer, routing->document, routing->len);
+}
+
+static void
+write_leaving (struct pack_writer *writer, const struct command_leaving *leaving)
+{
+	pack_array (writer, 2);
+	pack_str (writer, leaving->data_centre);
+	pack_bool (writer, leaving->leaving);
+}
+
 void *
 command_encode (const struct command *command, size_t *len)
 {
@@ -77,6 +93,12 @@
 	case COMMAND_OUTCOME:
 		write_outcome (&writer, &command->u.outcome);
 		break;
+	case COMMAND_ROUTING:
+		write_routing (&writer, &command->u.routing);
+		break;
+	case COMMAND_LEAVING:
+		write_leaving (&writer, &command->u.leaving);
+		break;
 	case COMMAND_KINDS:
 		pack_nil (&writer);
 		break;
@@ -142,6 +164,26 @@
 	return body;
 }
 
+static char *
+read_routing (struct pack_node node, struct command_routing *routing)
+{
+	routing->version = pack_get_u64 (pack_at (node, 0));
+	const char *bytes = pack_get_bytes (pack_at (node, 1), &routing->len);
+	char *document = xmalloc (routing->len + 1);
+	if (routing->len)
+		memcpy (document, bytes, routing->len);
+	document[routing->len] = '\0';
+	routing->document = document;
+	return document;
+}
+
+static void
+read_leaving (struct pack_node node, struct command_leaving *leaving)
+{
+	read_chars (node, 0, leaving->data_centre, sizeof (leaving->data_centre));
+	leaving->leaving = pack_get_bool (pack_at (node, 1));
+}
+
 void *
 command_decode (struct command *command, const void *data, size_t len)
 {
@@ -167,6 +209,12 @@
 	case COMMAND_OUTCOME:
 		storage = read_outcome (body, &command->u.outcome);
 		break;
+	case COMMAND_ROUTING:
+		storage = read_routing (body, &command->u.routing);
+		break;
+	case COMMAND_LEAVING:
+		read_leaving (body, &command->u.leaving);
+		break;
 	case COMMAND_KINDS:
 		pack_fail (root);
 		break;
--- a/control/command.h
+++ b/control/command.h
@@ -14,6 +14,8 @@
 	COMMAND_MEMBER_GONE, /**< a node is gone */
 	COMMAND_CLAIM,       /**< a once-only request is about to run */
 	COMMAND_OUTCOME,     /**< a once-only request ended */
+	COMMAND_ROUTING,     /**< the routes and services as a whole; the highest version holds */
+	COMMAND_LEAVING,     /**< a data centre leaves or returns, whatever its document says */
 	COMMAND_KINDS,
 };
 
@@ -34,6 +36,19 @@
 	const char *body; /**< not owned */
 };
 
+/** A declared routing; kept as the bytes that the operator sent. */
+struct command_routing {
+	uint64_t version;
+	const char *document; /**< not owned */
+	size_t len;
+};
+
+/** A data centre that leaves or returns. */
+struct command_leaving {
+	char data_centre[RESOURCE_NAME_MAX + 1];
+	bool leaving;
+};
+
 /** One command; the kind says which member counts. */
 struct command {
 	enum command_kind kind;
@@ -43,6 +58,8 @@
 		struct member member; /**< COMMAND_MEMBER and COMMAND_MEMBER_GONE */
 		struct command_claim claim;
 		struct command_outcome outcome;
+		struct command_routing routing;
+		struct command_leaving leaving;
 	} u;
 };
 
--- a/control/leader.c
+++ b/control/leader.c
@@ -171,7 +171,7 @@
 		return false;
 	for (int i = 0; i < config->count; i++) {
 		if (!config->nodes[i].voter ||
-			heard_voter_us (voter, i, now_us) + VOTER_REPLACE_US > now_us)
+			heard_voter_us (voter, i, now_us) + voter->settings.replace_us > now_us)
 			continue;
 		remove_node (config, i);
 		return true;
--- a/control/resources.c
+++ b/control/resources.c
@@ -234,6 +234,25 @@
 	return &answer;
 }
 
+bool
+resources_set_leaving (struct resources *resources, enum resource_kind kind, const char *name,
+	bool leaving, uint64_t index)
+{
+	const struct resource *item = find (resources, kind, name);
+	json_t *spec = item ? json_loads (item->spec, 0, NULL) : json_object ();
+	if (!spec || json_is_true (json_object_get (spec, "leaving")) == leaving) {
+		json_decref (spec);
+		return false;
+	}
+	json_object_set_new (spec, "leaving", json_boolean (leaving));
+	char *text = json_dumps (spec, JSON_COMPACT | JSON_SORT_KEYS);
+	put (resources, kind, name, index, text);
+	resources->revision = index;
+	free (text);
+	json_decref (spec);
+	return true;
+}
+
 void
 resources_write (const struct resources *resources, bool results, struct pack_writer *writer)
 {
--- a/control/resources.h
+++ b/control/resources.h
@@ -97,6 +97,15 @@
 const struct change_result *
 resources_apply (struct resources *resources, const struct change *change, uint64_t index);
 
+/**
+ * Marks a document as leaving or returned at a log index, whatever its version; a document that
+ * does not exist yet is written.
+ * @return false when it says so already.
+ */
+bool
+resources_set_leaving (struct resources *resources, enum resource_kind kind, const char *name,
+	bool leaving, uint64_t index);
+
 /** Writes all documents, and with @p results the remembered results, as one map. */
 void
 resources_write (const struct resources *resources, bool results, struct pack_writer *writer);
--- a/control/state.c
+++ b/control/state.c
@@ -1,5 +1,8 @@
 #include "control/state.h"
 
+#include "core/buf.h"
+
+#include <stdlib.h>
 #include <string.h>
 
 void
@@ -17,6 +20,7 @@
 	resources_finish (&state->resources);
 	members_finish (&state->members);
 	ledger_finish (&state->ledger);
+	free (state->routing.document);
 }
 
 static void
@@ -29,6 +33,20 @@
 		result->claim = *claim;
 }
 
+static bool
+set_routing (struct state_routing *routing, uint64_t version, const char *document, size_t len)
+{
+	if (version <= routing->version)
+		return false;
+	char *copy = xmalloc (len + 1);
+	if (len)
+		memcpy (copy, document, len);
+	copy[len] = '\0';
+	free (routing->document);
+	*routing = (struct state_routing){version, copy, len};
+	return true;
+}
+
 static void
 apply (struct state *state, uint64_t index, const struct command *command,
 	struct state_result *result)
@@ -60,6 +78,20 @@
 			command->u.outcome.http_status, command->u.outcome.body,
 			state->log_time_ms);
 		return;
+	case COMMAND_ROUTING:
+		/* A version that is not higher was overtaken; it is accepted and changes nothing.
+		 */
+		result->ok = true;
+		if (set_routing (&state->routing, command->u.routing.version,
+			    command->u.routing.document, command->u.routing.len))
+			state->epoch = index;
+		return;
+	case COMMAND_LEAVING:
+		result->ok = true;
+		if (resources_set_leaving (&state->resources, RESOURCE_DATA_CENTRE,
+			    command->u.leaving.data_centre, command->u.leaving.leaving, index))
+			state->epoch = index;
+		return;
 	case COMMAND_KINDS:
 		return;
 	}
@@ -89,7 +121,7 @@
 {
 	struct pack_writer writer;
 	pack_start (&writer);
-	pack_array (&writer, 6);
+	pack_array (&writer, 8);
 	pack_u64 (&writer, state->applied);
 	pack_u64 (&writer, state->epoch);
 	pack_i64 (&writer, state->log_time_ms);
@@ -100,6 +132,9 @@
 	} else {
 		pack_array (&writer, 0);
 	}
+	pack_u64 (&writer, state->routing.version);
+	pack_bytes (&writer, state->routing.document ? state->routing.document : "",
+		state->routing.len);
 	return pack_end (&writer, len);
 }
 
@@ -114,5 +149,11 @@
 	bool ok = pack_ok (root) && resources_read (&state->resources, pack_at (root, 3)) &&
 		  members_read (&state->members, pack_at (root, 4)) &&
 		  ledger_read (&state->ledger, pack_at (root, 5));
+	size_t routing_len = 0;
+	uint64_t version = pack_get_u64 (pack_at (root, 6));
+	const char *document = pack_get_bytes (pack_at (root, 7), &routing_len);
+	state->routing.version = 0;
+	if (ok && version > 0)
+		set_routing (&state->routing, version, document, routing_len);
 	return pack_free (&tree) && ok;
 }
--- a/control/state.h
+++ b/control/state.h
@@ -15,10 +15,18 @@
 	bool ok;                     /**< other kinds */
 };
 
+/** The accepted routing document, as the operator sent it. */
+struct state_routing {
+	uint64_t version; /**< 0: none yet */
+	char *document;   /**< owned, NUL-terminated */
+	size_t len;
+};
+
 struct state {
 	struct resources resources;
 	struct members members;
 	struct ledger ledger;
+	struct state_routing routing;
 	uint64_t applied;    /**< newest applied log index */
 	uint64_t epoch;      /**< newest index that could change an owner */
 	int64_t log_time_ms; /**< never runs back */
--- a/control/view.h
+++ b/control/view.h
@@ -8,7 +8,7 @@
 #pragma once
 
 #include "control/resources.h"
-#include "target/hint.h"
+#include "targets/hint.h"
 
 #include <urcu/ref.h>
 
--- a/control/voter.c
+++ b/control/voter.c
@@ -116,6 +116,14 @@
 	return index;
 }
 
+/* A log on too few disks could lose what it accepted together with one of them. */
+static bool
+is_forming (const struct voter *voter)
+{
+	return voter->state.routing.version == 0 &&
+	       raft_voter_count (&voter->raft.config) < voter->settings.voters_least;
+}
+
 static void
 receive_propose (
 	struct voter *voter, const struct route *from, const struct wire *wire, int64_t now_us)
@@ -131,7 +139,11 @@
 		send_propose_reply (voter, from, id, PROPOSE_REFUSED, NULL);
 		return;
 	}
-	voter_propose (voter, &command, from, id, now_us);
+	bool order = command.kind == COMMAND_ROUTING || command.kind == COMMAND_LEAVING;
+	if (order && is_forming (voter))
+		send_propose_reply (voter, from, id, PROPOSE_NOT_LEADER, NULL);
+	else
+		voter_propose (voter, &command, from, id, now_us);
 	command_decode_finish (storage);
 }
 
--- a/control/voter.h
+++ b/control/voter.h
@@ -18,8 +18,7 @@
 	VOTER_DRIFT_PERCENT = 1,      /**< how much a clock may run fast or slow */
 	VOTER_POLL_KEEP_US = 1000000, /**< a poll that cannot be answered is dropped after this */
 	VOTER_RELAY_RETRY_US = 300000,
-	VOTER_REPLACE_US = 300000000, /**< a silent voter is replaced by a spare after this */
-	VOTER_DEAD_US = 5000000,      /**< a voter whose name has a new disk goes after this */
+	VOTER_DEAD_US = 5000000, /**< a voter whose name has a new disk goes after this */
 };
 
 struct voter_settings {
@@ -28,7 +27,9 @@
 	uint64_t disk_id;
 	int64_t lease_us;
 	int voters_wanted;
+	int voters_least; /**< before the first routing, orders wait for this many voters */
 	uint64_t compact_entries;
+	int64_t replace_us; /**< a voter silent for this long is replaced by a learner */
 };
 
 /** A poll, or a relayed batch of them, that waits for its answer. */
--- a/core/log.c
+++ b/core/log.c
@@ -1,11 +1,15 @@
 #include "core/log.h"
 
+#include "core/metrics.h"
+
 #include <jansson.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/uio.h>
 #include <time.h>
+#include <unistd.h>
 
 struct event_info {
 	enum log_event number;
@@ -60,8 +64,12 @@
 		level_names[info->level], "event", (int)event, "name", info->name, "module",
 		log->module, "detail", detail, "");
 	char *text = line ? json_dumps (line, JSON_COMPACT | JSON_REAL_PRECISION (14)) : NULL;
-	if (text)
-		fprintf (stderr, "%s\n", text);
+	if (text) {
+		/* One write a line, so that lines of several threads do not mix. */
+		struct iovec parts[] = {{text, strlen (text)}, {(void *)"\n", 1}};
+		if (writev (STDOUT_FILENO, parts, 2) < 0)
+			metric_add (METRIC_LOG_LOST, 1);
+	}
 	free (text);
 	json_decref (line);
 }
--- a/core/log.h
+++ b/core/log.h
@@ -19,7 +19,7 @@
 	enum log_level level; /**< events above this level are dropped */
 };
 
-/** Writes one line to standard error: time, level, number, name, module, detail. */
+/** Writes one line to standard output: time, level, number, name, module, detail. */
 void
 log_event (const struct log *log, enum log_event event, const char *format, ...)
 	__attribute__ ((format (printf, 3, 4)));
--- a/daemon/callers.c
+++ b/daemon/callers.c
@@ -194,7 +194,7 @@
 callers_start (struct node *node, struct error *error)
 {
 	struct mg_context *context = http_start (node, node->options.node_caller_address,
-		(int)node->options.node_http_threads, error);
+		(int)node->options.node_http_threads, true, error);
 	if (!context)
 		return NULL;
 	mg_set_request_handler (context, "/v1/", handle_call, node);
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -1,6 +1,7 @@
 #include "daemon/control.h"
 
 #include "core/metrics.h"
+#include "daemon/front.h"
 #include "daemon/platform.h"
 #include "daemon/worker.h"
 
@@ -12,7 +13,7 @@
 #include <unistd.h>
 #include <urcu.h>
 
-enum control_mail { CONTROL_WIRE, CONTROL_PROPOSE, CONTROL_CHANGE, CONTROL_CALL };
+enum control_mail { CONTROL_WIRE, CONTROL_PROPOSE, CONTROL_CHANGE, CONTROL_READ, CONTROL_CALL };
 
 enum { ELECTION_US = 300000, HEARTBEAT_US = 75000, STORE_EXIT = 3 };
 
@@ -191,11 +192,56 @@
 		mailbox_post (&node->workers[i].mailbox, &mail->mail);
 	}
 	node_view_publish (node, view);
+	if (node->front)
+		front_post_state (node->front, state);
 	log_event (&control->log, EVENT_RESOURCE_CHANGED, "revision %llu, epoch %llu, %d members",
 		(unsigned long long)state->applied, (unsigned long long)state->epoch,
 		view->member_count);
 }
 
+static void
+finish_read (struct control_read *read, const struct state_routing *routing)
+{
+	cds_list_del (&read->node);
+	pthread_mutex_lock (&read->lock);
+	if (routing) {
+		read->confirmed = true;
+		read->routing = *routing;
+		if (routing->document)
+			read->routing.document = xstrdup (routing->document);
+	}
+	read->done = true;
+	pthread_cond_signal (&read->cond);
+	pthread_mutex_unlock (&read->lock);
+}
+
+/* A reply to a poll that began after the question carries all that was accepted before it. */
+static void
+answer_reads (struct control *control, const struct poll_reply *reply)
+{
+	struct control_read *read;
+	struct control_read *next;
+	const struct state *state = &control->follower.state;
+	if (!reply->granted || state->applied != reply->revision)
+		return;
+	cds_list_for_each_entry_safe (read, next, &control->reads, node) {
+		if (reply->seq >= read->need_seq)
+			finish_read (read, &state->routing);
+	}
+}
+
+static void
+expire_reads (struct control *control)
+{
+	struct control_read *read;
+	struct control_read *next;
+	int64_t now_us = now (control);
+	cds_list_for_each_entry_safe (read, next, &control->reads, node) {
+		if (read->until_us <= now_us)
+			finish_read (read, NULL);
+	}
+}
+
 static void
 receive_poll_reply (struct control *control, const struct poll_reply *reply)
 {
@@ -206,6 +252,7 @@
 		publish (control);
 		follower_poll_soon (follower, now_us);
 	}
+	answer_reads (control, reply);
 	atomic_store (&control->node->settled, follower->settled);
 	control->granted_us = follower->lease_until_us;
 	control->granted_revision = control->node->view ? control->node->view->revision : 0;
@@ -290,9 +337,19 @@
 	void *data = command_encode (change->command, &len);
 	struct proposal *proposal = add_proposal (control, 0, COMMAND_CHANGE, data, len);
 	proposal->waiter = change;
+	proposal->until_us = now (control) + change->wait_us;
 	send_proposal (control, proposal);
 }
 
+static void
+handle_read (struct control *control, struct control_read *read)
+{
+	read->need_seq = control->follower.seq + 1;
+	read->until_us = now (control) + CONTROL_ORDER_US;
+	cds_list_add_tail (&read->node, &control->reads);
+	follower_poll_soon (&control->follower, now (control));
+}
+
 static void
 handle_call (struct control *control, struct call_mail *call)
 {
@@ -316,6 +373,9 @@
 	case CONTROL_CHANGE:
 		handle_change (control, caa_container_of (mail, struct control_change, mail));
 		return;
+	case CONTROL_READ:
+		handle_read (control, caa_container_of (mail, struct control_read, mail));
+		return;
 	case CONTROL_CALL:
 		handle_call (control, caa_container_of (mail, struct call_mail, mail));
 		return;
@@ -409,6 +469,7 @@
 		while ((mail = mailbox_take (&control->mailbox)))
 			handle_mail (control, mail);
 		retry_proposals (control);
+		expire_reads (control);
 		update_lease (control);
 		follower_tick (&control->follower, now (control));
 		send_outbox (control, &control->follower.outbox);
@@ -445,11 +506,11 @@
 	mailbox_post (&control->mailbox, &mail->mail);
 }
 
-bool
-control_change (struct control *control, struct command *command, struct propose_reply *reply,
-	struct error *error)
+static bool
+wait_for_change (struct control *control, struct command *command, int64_t wait_us,
+	struct propose_reply *reply)
 {
-	struct control_change change = {.command = command};
+	struct control_change change = {.command = command, .wait_us = wait_us};
 	change.mail.kind = CONTROL_CHANGE;
 	pthread_mutex_init (&change.lock, NULL);
 	pthread_cond_init (&change.cond, NULL);
@@ -461,13 +522,54 @@
 	pthread_cond_destroy (&change.cond);
 	pthread_mutex_destroy (&change.lock);
 	*reply = change.reply;
-	if (change.answered && reply->status == PROPOSE_APPLIED)
+	return change.answered && reply->status == PROPOSE_APPLIED;
+}
+
+bool
+control_change (struct control *control, struct command *command, struct propose_reply *reply,
+	struct error *error)
+{
+	if (wait_for_change (control, command, CONTROL_PROPOSE_KEEP_US, reply))
 		return true;
 	return error_set (error, ERROR_UNAVAILABLE,
 		"no leader confirmed the change in time; it may have been accepted: resend it with "
 		"the same change id");
 }
 
+bool
+control_order (struct control *control, struct command *command, struct error *error)
+{
+	struct propose_reply reply = {0};
+	bool accepted = wait_for_change (control, command, CONTROL_ORDER_US, &reply);
+	free (reply.body);
+	if (accepted)
+		return true;
+	return error_set (error, ERROR_UNAVAILABLE,
+		"no majority confirmed the order in time; it may have been accepted: send it "
+		"again, to any node");
+}
+
+bool
+control_read_routing (struct control *control, struct state_routing *routing, struct error *error)
+{
+	struct control_read read = {0};
+	read.mail.kind = CONTROL_READ;
+	pthread_mutex_init (&read.lock, NULL);
+	pthread_cond_init (&read.cond, NULL);
+	mailbox_post (&control->mailbox, &read.mail);
+	pthread_mutex_lock (&read.lock);
+	while (!read.done)
+		pthread_cond_wait (&read.cond, &read.lock);
+	pthread_mutex_unlock (&read.lock);
+	pthread_cond_destroy (&read.cond);
+	pthread_mutex_destroy (&read.lock);
+	*routing = read.routing;
+	if (read.confirmed)
+		return true;
+	return error_set (error, ERROR_UNAVAILABLE,
+		"no majority confirmed which routing is the newest; ask another node");
+}
+
 void
 control_call (struct control *control, void (*run_call) (struct control *, void *), void *arg)
 {
@@ -499,6 +601,48 @@
 	control_call (control, set_leaving, &gone);
 }
 
+/* The addresses of control.peers with control.peer_port, where one is set, for their ports. */
+static void
+set_seeds (struct control *control)
+{
+	const struct options *options = &control->node->options;
+	struct buf out;
+	buf_init (&out);
+	buf_addf (&out, "%s,", control->has_voter ? options->node_peer_address : "");
+	const char *at = options->control_peers;
+	while (*at) {
+		at += strspn (at, ", ");
+		size_t len = strcspn (at, ", ");
+		size_t host = strcspn (at, ":, ");
+		if (len > 0 && options->control_peer_port > 0)
+			buf_addf (&out, "%.*s:%d,", (int)host, at, (int)options->control_peer_port);
+		else if (len > 0)
+			buf_addf (&out, "%.*s,", (int)len, at);
+		at += len;
+	}
+	str_copy (control->seeds, sizeof (control->seeds), out.data);
+	buf_finish (&out);
+}
+
+/* On the first start of the whole system its first seed starts the log; the others join it. */
+static bool
+is_first_seed (const struct options *options)
+{
+	const char *own = options->node_peer_address;
+	const char *first = options->control_peers + strspn (options->control_peers, ", ");
+	size_t host = strcspn (own, ":");
+	return options->control_bootstrap != 0 && strncmp (first, own, host + 1) == 0;
+}
+
+static int
+seed_count (const struct options *options)
+{
+	int count = options->control_peers[0] != '\0';
+	for (const char *at = options->control_peers; *at; at++)
+		count += *at == ',';
+	return count;
+}
+
 static bool
 start_voter (struct control *control, bool bootstrap, struct error *error)
 {
@@ -509,7 +653,11 @@
 		.lease_us = options->control_lease_ms * US_PER_MS,
 		.voters_wanted = (int)options->control_voters,
 		.compact_entries = (uint64_t)options->control_compact_entries,
+		.replace_us = options->control_replace_ms * US_PER_MS,
 	};
+	settings.voters_least = seed_count (options);
+	if (settings.voters_least > settings.voters_wanted)
+		settings.voters_least = settings.voters_wanted;
 	if (!store_open (&control->store, options->control_data_dir, error))
 		return false;
 	str_copy (settings.name, sizeof (settings.name), options->node_name);
@@ -529,7 +677,7 @@
 		return error_set (error, ERROR_CONFIG,
 			"--bootstrap: the data folder %.120s is in use already; start without it",
 			options->control_data_dir);
-	if (bootstrap)
+	if (bootstrap || (empty && is_first_seed (options)))
 		raft_bootstrap (
 			&control->voter.raft, options->node_name, options->node_peer_address);
 	control->has_voter = true;
@@ -545,8 +693,7 @@
 		.poll_us = options->control_poll_ms * US_PER_MS,
 		.seeds = control->seeds,
 	};
-	snprintf (control->seeds, sizeof (control->seeds), "%s,%s",
-		control->has_voter ? options->node_peer_address : "", options->control_peers);
+	set_seeds (control);
 	struct poll *self = &settings.self;
 	str_copy (self->name, sizeof (self->name), options->node_name);
 	str_copy (self->data_centre, sizeof (self->data_centre), options->node_data_center);
@@ -564,6 +711,7 @@
 	control->log = node->log;
 	control->log.module = "control";
 	CDS_INIT_LIST_HEAD (&control->proposals);
+	CDS_INIT_LIST_HEAD (&control->reads);
 	if (!mailbox_init (&control->mailbox))
 		return error_set (error, ERROR_IO, "no file descriptor is left; raise the limit");
 	if (node->options.control_data_dir[0] && !start_voter (control, bootstrap, error))
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -16,7 +16,8 @@
 	CONTROL_TICK_MS = 10,
 	CONTROL_PROPOSE_RETRY_US = 250000,
 	CONTROL_PROPOSE_KEEP_US =
-		5000000, /**< a proposal without an answer is given up after this */
+		5000000,           /**< a proposal without an answer is given up after this */
+	CONTROL_ORDER_US = 850000, /**< an operator asks another node after a second */
 };
 
 /** A proposal on its way to the leader. */
@@ -35,6 +36,7 @@
 /** A resource change that an HTTP thread waits for. */
 struct control_change {
 	struct mail mail;
+	int64_t wait_us; /**< given up after this */
 	struct command *command;
 	struct propose_reply reply;
 	bool answered; /**< false: nobody confirmed it in time */
@@ -43,6 +45,19 @@
 	pthread_cond_t cond;
 };
 
+/** A read of the newest routing that an HTTP thread waits for. */
+struct control_read {
+	struct mail mail;
+	struct cds_list_head node;
+	uint64_t need_seq; /**< a poll with this number began after the question */
+	int64_t until_us;
+	bool confirmed; /**< false: it is not sure which routing is the newest */
+	struct state_routing routing;
+	bool done;
+	pthread_mutex_t lock;
+	pthread_cond_t cond;
+};
+
 struct control {
 	struct node *node;
 	struct log log;
@@ -53,6 +68,7 @@
 	struct store store;
 	struct follower follower;
 	struct cds_list_head proposals;
+	struct cds_list_head reads; /**< struct control_read */
 	uint64_t proposal_id;
 	char leader[64];    /**< peer address of the leader as last heard; or empty */
 	int next_voter;     /**< which one to ask when the leader is not known */
@@ -63,7 +79,7 @@
 	int64_t platform_us;
 	int64_t platform_mtime;
 	int last_voters;
-	char seeds[1300]; /**< own peer address when this node may vote, then the settings' */
+	char seeds[2048]; /**< own peer address when this node may vote, then the settings' */
 	_Atomic bool stop;
 };
 
@@ -95,6 +111,21 @@
 control_change (struct control *control, struct command *command, struct propose_reply *reply,
 	struct error *error);
 
+/**
+ * Proposes an order and waits for it to be accepted.
+ * @return false with ERROR_UNAVAILABLE when it is not known whether it was accepted.
+ */
+bool
+control_order (struct control *control, struct command *command, struct error *error);
+
+/**
+ * Reads the newest accepted routing, confirmed by a majority after the call began.
+ * @param routing the caller frees its document
+ * @return false with ERROR_UNAVAILABLE when no majority confirmed it in time.
+ */
+bool
+control_read_routing (struct control *control, struct state_routing *routing, struct error *error);
+
 /** Runs a function on the control thread and waits for it. */
 void
 control_call (struct control *control, void (*run) (struct control *control, void *arg), void *arg);
--- /dev/null
+++ b/daemon/forward.c
@@ -0,0 +1,484 @@
+#include "daemon/forward.h"
+
+#include "core/metrics.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+enum {
+	SUB_MAX_BODY = 64 * 1024 * 1024,
+	SUB_LINES = 4,                  /* headers of the product, with the end of the list */
+	SUB_SILENCE_LEAST_US = 1000000, /* longer than any ordinary pause of a target */
+	SUB_SILENCE_TIMES = 8,          /* of the usual latency */
+	ORPHAN_US = 400000,             /* work that nobody waits for ends within half a second */
+	UNREADY_RETRY_MS = 500,         /* a node without a view gets one within a poll or two */
+};
+
+/** A sub-request at a target. */
+struct sub {
+	struct cds_list_head node; /**< in forward.subs */
+	struct fetch fetch;
+	struct replica_use use;
+	struct front *front;
+	struct forward *forward; /**< NULL: nobody waits for it any more */
+	int shard;
+	bool fan_out;
+	struct reply_head head;
+	char attempt_id[ATTEMPT_ID_SIZE];
+};
+
+static void
+send_sub (struct scatter *scatter, int shard, struct replica *replica);
+static void
+finish_forward (struct scatter *scatter);
+
+static const struct scatter_hooks hooks = {send_sub, finish_forward};
+
+static void
+on_lost (void *user)
+{
+	(void)user;
+}
+
+static bool
+may_open (void *user)
+{
+	(void)user;
+	return true;
+}
+
+static struct fetch_pool *
+pool_of (struct front *front, struct replica *replica)
+{
+	struct fetch_hooks pool_hooks = {on_lost, may_open, replica};
+	if (!replica->pool)
+		replica->pool = fetch_pool_new (
+			&front->fetches, replica->address, replica->set->connections, &pool_hooks);
+	return replica->pool;
+}
+
+void
+forward_drop_connections (struct replica *replica)
+{
+	if (replica->pool)
+		fetch_pool_retire (replica->pool);
+	replica->pool = NULL;
+}
+
+static void
+free_forward (struct forward *forward)
+{
+	struct sub *sub;
+	struct sub *next;
+	timers_clear (&forward->front->timers, &forward->timer);
+	cds_list_for_each_entry_safe (sub, next, &forward->subs, node) {
+		cds_list_del (&sub->node);
+		sub->forward = NULL;
+		forward->front->fetches.set_timer (
+			&forward->front->fetches, &sub->fetch.timer, ORPHAN_US);
+	}
+	for (int i = 0; i < forward->line_count; i++)
+		free (forward->lines[i]);
+	free (forward->lines);
+	free (forward->body);
+	free (forward->target);
+	cds_list_del (&forward->node);
+	atomic_fetch_sub (&forward->front->in_flight, 1);
+	scatter_finish (&forward->scatter);
+	free (forward);
+}
+
+static void
+set_timer (struct forward *forward)
+{
+	timers_set (&forward->front->timers, &forward->timer, scatter_wake_us (&forward->scatter));
+}
+
+static int
+http_status (const struct scatter *scatter)
+{
+	const struct scatter_shard *shard = &scatter->shards[0];
+	switch (scatter->result) {
+	case SCATTER_MERGED:
+		return 200;
+	case SCATTER_REPLY:
+		/* These statuses promise that nothing ran, which this target did not say. */
+		if (shard->http_status == 503 || shard->http_status == 429 ||
+			shard->http_status == 408)
+			return 502;
+		return shard->http_status;
+	case SCATTER_REFUSED:
+		return 503;
+	case SCATTER_FAILED:
+		return 502;
+	case SCATTER_TIMEOUT:
+		return 504;
+	}
+	return 500;
+}
+
+static bool
+closes_after (const struct front *front)
+{
+	int64_t stopping_us = atomic_load (&front->stopping_us);
+	/* Connections are closed once the balancer has had time to move on. */
+	return stopping_us != 0 && front_now_us (front) >= stopping_us + FRONT_READY_LAG_US;
+}
+
+static void
+finish_forward (struct scatter *scatter)
+{
+	struct forward *forward = caa_container_of (scatter, struct forward, scatter);
+	const struct scatter_shard *shard = &scatter->shards[0];
+	struct buf lines;
+	size_t len = 0;
+	char *body = NULL;
+	int status = http_status (scatter);
+	buf_init (&lines);
+	if (status != 502 || scatter->result != SCATTER_REPLY) {
+		answer_head_lines (scatter, &forward->head, &lines);
+		if (scatter->result == SCATTER_MERGED) {
+			body = scatter_merge (scatter, &len);
+		} else if (scatter->result == SCATTER_REPLY) {
+			body = xmemdup (shard->body, shard->body_len + 1);
+			len = shard->body_len;
+		}
+	}
+	if (status >= 400)
+		log_event (&forward->front->log, EVENT_REQUEST_FAILED,
+			"%s: status %d on route %s after %lld ms; %d of %d shards, %d hedges, "
+			"%d retries; routing %llu",
+			forward->head.attempt_id, status, scatter->rule->name,
+			(long long)((front_now_us (forward->front) - scatter->start_us) /
+				    US_PER_MS),
+			scatter->answered, scatter->shard_count, scatter->hedges, scatter->retries,
+			(unsigned long long)scatter->routing->version);
+	metric_add (METRIC_SUBS_HEDGE, (uint64_t)scatter->hedges);
+	metric_add (METRIC_SUBS_RETRY, (uint64_t)scatter->retries);
+	if (scatter->answered < scatter->shard_count)
+		metric_add (METRIC_QUERIES_PARTIAL, 1);
+	if (forward->request) {
+		forward->request->user = NULL;
+		ingress_answer (
+			forward->request, status, &lines, body, len, closes_after (forward->front));
+	} else {
+		free (body);
+	}
+	buf_finish (&lines);
+	free_forward (forward);
+}
+
+/* What a fetch's end says about the target, beside the request. */
+static enum replica_outcome
+outcome_of (enum sub_end end, const struct sub *sub, enum fetch_end how)
+{
+	switch (end) {
+	case SUB_END_PART:
+		return REPLICA_ANSWERED;
+	case SUB_END_NOT_RUN:
+		return sub->fetch.status == 421 ? REPLICA_FAILED : REPLICA_REFUSED;
+	case SUB_END_STATUS:
+	case SUB_END_NOT_SENT:
+		return REPLICA_FAILED;
+	case SUB_END_BROKEN:
+		return how == FETCH_SILENT && !sub->forward ? REPLICA_DROPPED : REPLICA_FAILED;
+	}
+	return REPLICA_FAILED;
+}
+
+static enum sub_end
+judge (const struct sub *sub, enum fetch_end how)
+{
+	switch (how) {
+	case FETCH_OK:
+		return reply_head_judge (
+			&sub->head, sub->attempt_id, (int)sub->fetch.status, sub->fan_out);
+	case FETCH_NOT_SENT:
+		return SUB_END_NOT_SENT;
+	case FETCH_FAILED:
+	case FETCH_SILENT:
+	case FETCH_TOO_LARGE:
+		return SUB_END_BROKEN;
+	}
+	return SUB_END_BROKEN;
+}
+
+static void
+note_load (struct replica *replica, const struct reply_head *head, int64_t now_us)
+{
+	if (head->told_load < 0)
+		return;
+	/* The reply's own request is still counted in what the target tells. */
+	replica->told_load = head->told_load > 0 ? head->told_load - 1 : 0;
+	replica->told_us = now_us;
+}
+
+static void
+on_sub_done (struct fetch *fetch, enum fetch_end how)
+{
+	struct sub *sub = caa_container_of (fetch, struct sub, fetch);
+	struct front *front = sub->front;
+	struct forward *forward = sub->forward;
+	struct replica *replica = sub->use.replica;
+	struct replica_set *set = replica->set;
+	int64_t now_us = front_now_us (front);
+	enum sub_end end = judge (sub, how);
+	struct sub_answer answer = {
+		.http_status = (int)fetch->status,
+		.stamp = sub->head.stamp,
+		.content_type = sub->head.content_type,
+		.body = fetch->body.data,
+		.body_len = fetch->body.len,
+	};
+	note_load (replica, &sub->head, now_us);
+	if (end == SUB_END_PART && forward)
+		quantile_observe (&forward->scatter.rule->latency, now_us - sub->use.sent_us);
+	if (end == SUB_END_NOT_RUN && fetch->status == 421)
+		replica->state = REPLICA_LEAVING;
+	if (how == FETCH_SILENT && forward) {
+		log_event (&front->log, EVENT_TARGET_SUSPECT, "%s at %s: no reply to %s in %lld ms",
+			replica->id, replica->address, sub->attempt_id,
+			(long long)((now_us - sub->use.sent_us) / US_PER_MS));
+		forward_drop_connections (replica);
+	}
+	replica_end (&sub->use, outcome_of (end, sub, how), now_us);
+	if (forward) {
+		cds_list_del (&sub->node);
+		sub->forward = NULL;
+		scatter_ended (&forward->scatter, sub->shard, end, &answer, now_us);
+	}
+	fetch_finish (fetch);
+	free (sub);
+	scatter_serve_waiting (set, now_us);
+}
+
+static bool
+on_reply_line (struct fetch *fetch, const char *line, size_t len)
+{
+	struct sub *sub = caa_container_of (fetch, struct sub, fetch);
+	if (len > 0 && line[0] != '\r' && line[0] != '\n') {
+		reply_head_line (&sub->head, line, len);
+		return true;
+	}
+	/* After a reply to another request the connection can't be trusted to keep step. */
+	return sub->head.attempt_id[0] == '\0' ||
+	       strcmp (sub->head.attempt_id, sub->attempt_id) == 0;
+}
+
+static int64_t
+silence_us (const struct scatter *scatter)
+{
+	int64_t usual_us = quantile_get (
+		&scatter->rule->latency, SCATTER_HEDGE_PERCENTILE, SUB_SILENCE_LEAST_US);
+	int64_t silent_us = usual_us * SUB_SILENCE_TIMES;
+	return silent_us > SUB_SILENCE_LEAST_US ? silent_us : SUB_SILENCE_LEAST_US;
+}
+
+static void
+send_sub (struct scatter *scatter, int shard, struct replica *replica)
+{
+	struct forward *forward = caa_container_of (scatter, struct forward, scatter);
+	struct front *front = forward->front;
+	int64_t now_us = front_now_us (front);
+	int64_t left_us = scatter->deadline_us - now_us;
+	char own[3][ATTEMPT_ID_SIZE + 64];
+	struct sub *sub = xcalloc (1, sizeof (*sub));
+	sub->front = front;
+	sub->forward = forward;
+	sub->shard = shard;
+	sub->fan_out = scatter->rule->shape == ROUTE_FAN_OUT;
+	str_copy (sub->attempt_id, sizeof (sub->attempt_id), forward->head.attempt_id);
+	reply_head_init (&sub->head);
+	sub_head_lines (&forward->head, replica->id, left_us, own);
+	const char **lines = xcalloc ((size_t)forward->line_count + SUB_LINES, sizeof (*lines));
+	for (int i = 0; i < forward->line_count; i++)
+		lines[i] = forward->lines[i];
+	for (int i = 0; i < 3; i++)
+		lines[forward->line_count + i] = own[i];
+	bool repeat = scatter->rule->repeat == REPEAT_ALLOWED;
+	int64_t silent_us = silence_us (scatter);
+	struct fetch_request request = {
+		.method = forward->method,
+		.path = forward->target,
+		.body = forward->body,
+		.body_len = forward->body_len,
+		.headers = lines,
+		.timeout_us = repeat && silent_us < left_us ? silent_us : left_us,
+		.on_line = on_reply_line,
+		.fresh = !repeat,
+	};
+	sub->fetch.body_max = SUB_MAX_BODY;
+	replica_begin (replica, &sub->use, now_us);
+	cds_list_add (&sub->node, &forward->subs);
+	fetch_start (&sub->fetch, pool_of (front, replica), &request, on_sub_done);
+	free (lines);
+	metric_add (METRIC_TARGET_STARTED, 1);
+}
+
+/* Headers that concern one connection only are not passed on. */
+static bool
+is_hop_by_hop (const char *name)
+{
+	static const char *const names[] = {"Connection", "Keep-Alive", "Proxy-Connection",
+		"Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding", "Upgrade",
+		"Content-Length", "Expect"};
+	for (size_t i = 0; i < sizeof (names) / sizeof (names[0]); i++) {
+		if (strcasecmp (name, names[i]) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Headers that the library would send by itself; callers leave them empty or out alike. */
+static bool
+is_library_own (const char *name)
+{
+	return strcasecmp (name, "Accept") == 0 || strcasecmp (name, "Content-Type") == 0;
+}
+
+static void
+add_line (struct forward *forward, const char *name, const char *value)
+{
+	struct buf line;
+	buf_init (&line);
+	/* The library takes "Name:" as a wish to leave the header out. */
+	if (value[0])
+		buf_addf (&line, "%s: %s", name, value);
+	else
+		buf_addf (&line, "%s%s", name, is_library_own (name) ? ":" : ";");
+	forward->lines = xrealloc (
+		forward->lines, (size_t)(forward->line_count + 1) * sizeof (*forward->lines));
+	forward->lines[forward->line_count++] = line.data;
+}
+
+struct header_scan {
+	struct forward *forward;
+	char host[256];
+	bool has_accept;
+	bool has_type;
+	bool has_body; /* a length or a transfer coding was given */
+};
+
+static void
+take_header (void *user, const char *name, const char *value)
+{
+	struct header_scan *scan = user;
+	if (strcasecmp (name, "Host") == 0)
+		str_copy (scan->host, sizeof (scan->host), value);
+	if (strcasecmp (name, "Content-Length") == 0 || strcasecmp (name, "Transfer-Encoding") == 0)
+		scan->has_body = true;
+	if (caller_head_add (&scan->forward->head, name, value) || is_hop_by_hop (name))
+		return;
+	scan->has_accept = scan->has_accept || strcasecmp (name, "Accept") == 0;
+	scan->has_type = scan->has_type || strcasecmp (name, "Content-Type") == 0;
+	add_line (scan->forward, name, value);
+}
+
+static void
+refuse (struct ingress_request *request, int status)
+{
+	struct buf lines;
+	buf_init (&lines);
+	if (status == 503)
+		buf_addf (&lines, "Retry-After: %.3f\n", UNREADY_RETRY_MS / 1000.0);
+	ingress_answer (request, status, &lines, NULL, 0, false);
+	buf_finish (&lines);
+}
+
+static void
+drop (struct forward *forward)
+{
+	for (int i = 0; i < forward->line_count; i++)
+		free (forward->lines[i]);
+	free (forward->lines);
+	free (forward);
+}
+
+static int64_t
+deadline_us (const struct forward *forward, const struct routing_rule *rule, int64_t now_us)
+{
+	int64_t left_us = forward->head.left_us;
+	int64_t margin_us = forward->front->policy.margin_us;
+	if (left_us != INT64_MAX)
+		left_us = left_us > 2 * margin_us ? left_us - margin_us : left_us / 2;
+	return now_us + (left_us < rule->timeout_us ? left_us : rule->timeout_us);
+}
+
+static void
+take_body (struct forward *forward, struct ingress_request *request, const struct header_scan *scan)
+{
+	if (!scan->has_body && request->body.len == 0)
+		return;
+	forward->body_len = request->body.len;
+	forward->body = xmalloc (forward->body_len + 1);
+	if (forward->body_len)
+		memcpy (forward->body, request->body.data, forward->body_len);
+	forward->body[forward->body_len] = '\0';
+}
+
+void
+forward_request (struct ingress_request *request, void *user)
+{
+	struct front *front = user;
+	struct routing *routing = front->state ? front->state->routing : NULL;
+	struct forward *forward = xcalloc (1, sizeof (*forward));
+	struct header_scan scan = {.forward = forward};
+	forward->front = front;
+	caller_head_init (&forward->head);
+	ingress_headers (request, take_header, &scan);
+	struct routing_rule *rule =
+		routing ? routing_match (routing, scan.host, request->target) : NULL;
+	if (!rule) {
+		drop (forward);
+		refuse (request, routing ? 404 : 503);
+		return;
+	}
+	if (!scan.has_accept)
+		add_line (forward, "Accept", "");
+	take_body (forward, request, &scan);
+	/* Without this the library would name a type of its own. */
+	if (forward->body && !scan.has_type)
+		add_line (forward, "Content-Type", "");
+	str_copy (forward->method, sizeof (forward->method), request->method);
+	forward->target = xstrdup (request->target);
+	forward->request = request;
+	request->user = forward;
+	CDS_INIT_LIST_HEAD (&forward->subs);
+	timer_init (&forward->timer, FORWARD_TIMER);
+	cds_list_add (&forward->node, &front->forwards);
+	atomic_fetch_add (&front->in_flight, 1);
+	metric_add (METRIC_QUERIES, 1);
+	int64_t now_us = front_now_us (front);
+	scatter_init (&forward->scatter, routing, rule, &front->policy, &hooks, now_us,
+		deadline_us (forward, rule, now_us));
+	/* A queued request needs its timer before scatter_start can end it. */
+	set_timer (forward);
+	scatter_start (&forward->scatter, now_us);
+	if (request->user == forward)
+		set_timer (forward);
+}
+
+void
+forward_left (struct ingress_request *request, void *user)
+{
+	struct forward *forward = request->user;
+	(void)user;
+	if (!forward)
+		return;
+	request->user = NULL;
+	forward->request = NULL;
+	/* Sub-requests become orphans, which end by themselves or soon lose their connection. */
+	free_forward (forward);
+}
+
+void
+forward_timer_due (struct timer *timer)
+{
+	struct forward *forward = caa_container_of (timer, struct forward, timer);
+	struct ingress_request *request = forward->request;
+	scatter_tick (&forward->scatter, front_now_us (forward->front));
+	if (request->user == forward)
+		set_timer (forward);
+}
--- /dev/null
+++ b/daemon/front.c
@@ -0,0 +1,314 @@
+#include "daemon/front.h"
+
+#include "daemon/forward.h"
+#include "platform/manifest.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+#include <urcu.h>
+
+enum {
+	EVENTS_PER_WAIT = 128,
+	IDLE_WAIT_MS = 200,
+	READY_CONNECTIONS = 16,
+	HEADER_BYTES = 32768, /* before a routing says otherwise; larger ones get 431 */
+	BODY_BYTES = 262144,
+	IDLE_US = 20000000, /* beyond the longest that callers reuse an idle connection */
+};
+
+int64_t
+front_now_us (const struct front *front)
+{
+	return clock_now_us (&front->node->clock);
+}
+
+bool
+front_is_leaving (const struct front *front, const char *data_centre)
+{
+	for (int i = 0; front->state && i < front->state->leaving_count; i++) {
+		if (strcmp (front->state->leaving[i], data_centre) == 0)
+			return true;
+	}
+	return false;
+}
+
+void
+front_bind_set (struct front *front, struct replica_set *set)
+{
+	const struct options *options = &front->node->options;
+	const struct routing *routing = front->state ? front->state->routing : NULL;
+	int at = routing ? routing_find_service (routing, set->name) : -1;
+	if (at < 0)
+		return;
+	struct routing_service *service = &routing->services[at];
+	int nodes = front->state->nodes > 0 ? front->state->nodes : 1;
+	service->set = set;
+	/* One more part than there are nodes is kept for one that joins. */
+	set->connections = service->max_connections / (nodes + 1);
+	if (set->connections < 1)
+		set->connections = 1;
+	set->cold_us = service->cold_us;
+	double per_s = service->cold_per_s * options->front_cold_factor +
+		       (double)options->front_cold_slack;
+	set->cold_gap_us = per_s >= 1 ? (int64_t)(nodes / per_s * US_PER_S) : INT64_MAX / 4;
+}
+
+struct replica_set *
+front_set (struct front *front, const char *service)
+{
+	struct replica_set *set;
+	cds_list_for_each_entry (set, &front->sets, node) {
+		if (strcmp (set->name, service) == 0)
+			return set;
+	}
+	int nodes = front->state && front->state->nodes > 0 ? front->state->nodes : 1;
+	int burst = (int)front->node->options.front_extra_slack / (nodes + 1);
+	set = xcalloc (1, sizeof (*set));
+	replica_set_init (set, service);
+	budget_init_burst (&set->extra, burst > 0 ? burst : 1);
+	cds_list_add (&set->node, &front->sets);
+	front_bind_set (front, set);
+	return set;
+}
+
+/* What was learned of a route goes over to its next version. */
+static void
+inherit_rules (struct front *front, struct routing *routing, const struct routing *old)
+{
+	for (int i = 0; i < routing->rule_count; i++) {
+		struct routing_rule *rule = &routing->rules[i];
+		const struct routing_rule *before =
+			old ? routing_find_rule (old, rule->name) : NULL;
+		if (before)
+			rule->latency = before->latency;
+		for (int j = 0; rule->shape == ROUTE_SPLIT && j < rule->part_count; j++)
+			rule->parts[j].owed = rule->parts[j].weight *
+					      (double)rng_below (&front->rng, 1000) / 1000;
+	}
+}
+
+static void
+evacuate (struct front *front)
+{
+	struct replica_set *set;
+	struct replica *replica;
+	cds_list_for_each_entry (set, &front->sets, node) {
+		cds_list_for_each_entry (replica, &set->replicas, node) {
+			bool leaving = front_is_leaving (front, replica->data_centre);
+			/* One that returns waits for a list read that may call it cold. */
+			if (leaving)
+				replica->evacuated = true;
+		}
+	}
+}
+
+static void
+apply_state (struct front *front, struct front_state *state)
+{
+	struct front_state *old = front->state;
+	const struct routing *old_routing = old ? old->routing : NULL;
+	struct replica_set *set;
+	front->state = state;
+	if (state->routing && state->routing != old_routing)
+		inherit_rules (front, state->routing, old_routing);
+	for (int i = 0; state->routing && i < state->routing->service_count; i++)
+		front_set (front, state->routing->services[i].name);
+	cds_list_for_each_entry (set, &front->sets, node)
+		front_bind_set (front, set);
+	evacuate (front);
+	if (state->routing && state->routing != old_routing)
+		log_event (&front->log, EVENT_ROUTING_IN_FORCE,
+			"version %llu at revision %llu: %d routes, %d services",
+			(unsigned long long)state->routing->version,
+			(unsigned long long)state->revision, state->routing->rule_count,
+			state->routing->service_count);
+	if (old) {
+		routing_put (old->routing);
+		free (old);
+	}
+}
+
+static void
+add_leaving (struct front_state *state, const struct resource *item)
+{
+	json_t *spec = json_loads (item->spec, 0, NULL);
+	if (json_is_true (json_object_get (spec, "leaving")) &&
+		state->leaving_count < FRONT_MAX_LEAVING)
+		str_copy (
+			state->leaving[state->leaving_count++], RESOURCE_NAME_MAX + 1, item->name);
+	json_decref (spec);
+}
+
+void
+front_post_state (struct front *front, const struct state *declared)
+{
+	struct front_state *state = xcalloc (1, sizeof (*state));
+	if (declared->routing.version > front->posted_version) {
+		struct error error = {0};
+		struct routing *routing =
+			manifest_decode (declared->routing.document, declared->routing.len, &error);
+		front->posted_version = declared->routing.version;
+		if (routing) {
+			routing_put (front->posted);
+			front->posted = routing;
+		} else {
+			log_event (&front->log, EVENT_ORDER_REFUSED, "accepted routing: %s",
+				error.message);
+		}
+	}
+	state->revision = declared->applied;
+	state->routing = front->posted ? routing_ref (front->posted) : NULL;
+	for (size_t i = 0; i < declared->resources.count; i++) {
+		if (declared->resources.items[i]->kind == RESOURCE_DATA_CENTRE)
+			add_leaving (state, declared->resources.items[i]);
+	}
+	state->nodes = (int)declared->members.count;
+	mailbox_post (&front->mailbox, &state->mail);
+}
+
+static void
+answer_readiness (struct ingress_request *request, void *user)
+{
+	const struct front *front = user;
+	bool ready = front->state && front->state->routing && front->discovery.read_us != 0 &&
+		     atomic_load (&front->stopping_us) == 0;
+	ingress_answer (request, ready ? 200 : 503, NULL, NULL, 0, false);
+}
+
+static void
+ignore_left (struct ingress_request *request, void *user)
+{
+	(void)request;
+	(void)user;
+}
+
+static void
+set_timer (struct fetch_loop *loop, struct timer *timer, int64_t delay_us)
+{
+	struct front *front = caa_container_of (loop, struct front, fetches);
+	timers_set (&front->timers, timer, front_now_us (front) + delay_us);
+}
+
+static void
+run_timers (struct front *front)
+{
+	struct timer *timer;
+	while ((timer = timers_due (&front->timers, front_now_us (front)))) {
+		if (timer->kind < FETCH_TIMER_KINDS)
+			fetch_timer_due (timer);
+		else if (timer->kind == FORWARD_TIMER)
+			forward_timer_due (timer);
+		else
+			discovery_timer_due (&front->discovery);
+	}
+}
+
+static int
+least_wait (int wait_ms, int other_ms)
+{
+	return other_ms >= 0 && other_ms < wait_ms ? other_ms : wait_ms;
+}
+
+static int
+wait_ms (const struct front *front)
+{
+	int wait = IDLE_WAIT_MS;
+	int64_t next_us = timers_next_us (&front->timers);
+	int64_t now_us = front_now_us (front);
+	if (next_us <= now_us)
+		return 0;
+	if (next_us != INT64_MAX && (next_us - now_us) / US_PER_MS < wait)
+		wait = (int)((next_us - now_us + US_PER_MS - 1) / US_PER_MS);
+	wait = least_wait (wait, ingress_wait_ms (&front->callers));
+	return least_wait (wait, ingress_wait_ms (&front->balancer));
+}
+
+/* Sockets of callers come first: the server may close one and reuse its number afterwards. */
+static void
+handle_events (struct front *front, const struct epoll_event *events, int count)
+{
+	for (int i = 0; i < count; i++) {
+		int fd = events[i].data.fd;
+		if (fd == front->mailbox.event_fd || fd == ingress_fd (&front->callers) ||
+			fd == ingress_fd (&front->balancer))
+			continue;
+		if (!ingress_socket_event (&front->callers, fd, events[i].events) &&
+			!ingress_socket_event (&front->balancer, fd, events[i].events))
+			fetch_socket_event (&front->fetches, fd, events[i].events);
+	}
+}
+
+static void *
+run (void *arg)
+{
+	struct front *front = arg;
+	struct epoll_event events[EVENTS_PER_WAIT];
+	struct mail *mail;
+	rcu_register_thread ();
+	while (!atomic_load (&front->stop)) {
+		int count = epoll_wait (front->epoll_fd, events, EVENTS_PER_WAIT, wait_ms (front));
+		mailbox_clear (&front->mailbox);
+		while ((mail = mailbox_take (&front->mailbox)))
+			apply_state (front, caa_container_of (mail, struct front_state, mail));
+		handle_events (front, events, count);
+		run_timers (front);
+		ingress_run (&front->callers);
+		ingress_run (&front->balancer);
+		fetch_loop_clean (&front->fetches);
+		atomic_store (&front->connections, front->callers.connections);
+	}
+	rcu_unregister_thread ();
+	return NULL;
+}
+
+static void
+set_policy (struct front *front)
+{
+	const struct options *options = &front->node->options;
+	front->policy.data_centre = options->node_data_center;
+	front->policy.extra_percent = (int)(options->front_extra_ratio * 100);
+	front->policy.margin_us = options->front_margin_ms * US_PER_MS;
+}
+
+bool
+front_start (struct front *front, struct node *node, struct error *error)
+{
+	struct ingress_limits limits = {HEADER_BYTES, BODY_BYTES, IDLE_US};
+	struct ingress_hooks callers = {forward_request, forward_left, front};
+	struct ingress_hooks balancer = {answer_readiness, ignore_left, front};
+	const struct options *options = &node->options;
+	memset (front, 0, sizeof (*front));
+	front->node = node;
+	front->log = node->log;
+	front->log.module = "front";
+	front->rng.state = node->incarnation;
+	CDS_INIT_LIST_HEAD (&front->sets);
+	CDS_INIT_LIST_HEAD (&front->forwards);
+	timers_init (&front->timers);
+	set_policy (front);
+	front->epoll_fd = epoll_create1 (EPOLL_CLOEXEC);
+	if (front->epoll_fd < 0 || !mailbox_init (&front->mailbox))
+		return error_set (error, ERROR_IO, "no file descriptor is left; raise the limit");
+	struct epoll_event event = {.events = EPOLLIN, .data.fd = front->mailbox.event_fd};
+	epoll_ctl (front->epoll_fd, EPOLL_CTL_ADD, front->mailbox.event_fd, &event);
+	fetch_loop_init (&front->fetches, front->epoll_fd, &front->timers, set_timer);
+	discovery_start (&front->discovery, front);
+	if (!ingress_start (&front->callers, options->front_address, front->epoll_fd,
+		    (int)options->front_connections, &limits, &callers, error) ||
+		!ingress_start (&front->balancer, options->front_ready_address, front->epoll_fd,
+			READY_CONNECTIONS, &limits, &balancer, error))
+		return false;
+	if (pthread_create (&front->thread, NULL, run, front) != 0)
+		return error_set (error, ERROR_IO, "no thread can be started; raise the limit");
+	return true;
+}
+
+void
+front_stop (struct front *front)
+{
+	atomic_store (&front->stop, true);
+	pthread_join (front->thread, NULL);
+}
--- /dev/null
+++ b/daemon/front.h
@@ -0,0 +1,86 @@
+/**
+ * @file front.h
+ * Serves callers of declared routes on one event loop: callers in, targets out.
+ *
+ * The loop works on its own last view of routing and targets, so that a node which has lost
+ * control goes on serving with it.
+ */
+#pragma once
+
+#include "control/state.h"
+#include "core/timers.h"
+#include "daemon/discovery.h"
+#include "daemon/node.h"
+#include "net/fetch.h"
+#include "net/ingress.h"
+#include "net/mailbox.h"
+#include "query/scatter.h"
+
+#include <pthread.h>
+
+enum {
+	FRONT_MAX_LEAVING = 32,
+	FRONT_READY_LAG_US = 2500000, /**< the balancer asks once a second and needs two misses */
+};
+
+/** Kinds of timer of the front's loop, beyond those of net/fetch.h. */
+enum { FORWARD_TIMER = FETCH_TIMER_KINDS, DISCOVERY_TIMER };
+
+/** What control declares, as the front needs it. */
+struct front_state {
+	struct mail mail;
+	uint64_t revision;
+	struct routing *routing; /**< NULL: none was accepted yet; a reference is held */
+	char leaving[FRONT_MAX_LEAVING][RESOURCE_NAME_MAX + 1]; /**< data centres */
+	int leaving_count;
+	int nodes; /**< members that share what targets bear */
+};
+
+struct front {
+	struct node *node;
+	struct log log;
+	pthread_t thread;
+	int epoll_fd;
+	struct mailbox mailbox;
+	struct timers timers;
+	struct fetch_loop fetches;
+	struct ingress callers;
+	struct ingress balancer;   /**< asks for readiness */
+	struct front_state *state; /**< the newest; NULL before the first */
+	uint64_t posted_version;   /**< control thread: routing version that was posted last */
+	struct routing *posted;    /**< control thread: that routing */
+	struct cds_list_head sets; /**< struct replica_set */
+	struct discovery discovery;
+	struct scatter_policy policy;
+	struct rng rng;
+	struct cds_list_head forwards; /**< requests under way */
+	_Atomic int in_flight;
+	_Atomic int connections;     /**< of callers */
+	_Atomic int64_t stopping_us; /**< begin of a planned stop; 0: none */
+	_Atomic bool stop;
+};
+
+/** Starts to serve; messages may be posted from then on. */
+bool
+front_start (struct front *front, struct node *node, struct error *error);
+void
+front_stop (struct front *front);
+
+/** Hands the front a new declared state. Control thread only. */
+void
+front_post_state (struct front *front, const struct state *state);
+
+int64_t
+front_now_us (const struct front *front);
+
+/** The set of a service, created when it is not known yet. */
+struct replica_set *
+front_set (struct front *front, const char *service);
+
+/** Applies to a set what the declared state says of its service. */
+void
+front_bind_set (struct front *front, struct replica_set *set);
+
+/** True when a data centre is declared as leaving. */
+bool
+front_is_leaving (const struct front *front, const char *data_centre);
--- a/daemon/http.c
+++ b/daemon/http.c
@@ -36,15 +36,16 @@
 }
 
 struct mg_context *
-http_start (struct node *node, const char *address, int threads, struct error *error)
+http_start (
+	struct node *node, const char *address, int threads, bool keep_alive, struct error *error)
 {
 	char count[16];
 	struct mg_callbacks callbacks;
 	snprintf (count, sizeof (count), "%d", threads);
 	const char *options[] = {"listening_ports", address, "num_threads", count,
-		"enable_keep_alive", "yes", "keep_alive_timeout_ms", "60000", "tcp_nodelay", "1",
-		"request_timeout_ms", "30000", "connection_queue", "1024", "listen_backlog", "1024",
-		NULL};
+		"enable_keep_alive", keep_alive ? "yes" : "no", "keep_alive_timeout_ms", "60000",
+		"tcp_nodelay", "1", "request_timeout_ms", "30000", "connection_queue", "1024",
+		"listen_backlog", "1024", NULL};
 	memset (&callbacks, 0, sizeof (callbacks));
 	callbacks.init_thread = on_thread_start;
 	callbacks.exit_thread = on_thread_end;
--- a/daemon/http.h
+++ b/daemon/http.h
@@ -13,7 +13,8 @@
 
 /** Starts a CivetWeb server whose threads are registered with RCU. */
 struct mg_context *
-http_start (struct node *node, const char *address, int threads, struct error *error);
+http_start (
+	struct node *node, const char *address, int threads, bool keep_alive, struct error *error);
 
 /** Sends a JSON text with a status. */
 void
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -6,7 +6,9 @@
 #include "core/metrics.h"
 #include "daemon/callers.h"
 #include "daemon/control.h"
+#include "daemon/front.h"
 #include "daemon/operators.h"
+#include "daemon/orders.h"
 #include "daemon/worker.h"
 
 #include <argp.h>
@@ -31,6 +33,13 @@
 	GONE_WAIT_MS = 1000,
 };
 
+/** HTTP servers of this process; those that the settings leave out are NULL. */
+struct servers {
+	struct mg_context *callers;
+	struct mg_context *operators;
+	struct mg_context *orders;
+};
+
 struct arguments {
 	const char *config;
 	bool check;
@@ -177,7 +186,8 @@
 }
 
 static bool
-start_threads (struct node *node, struct control *control, bool bootstrap, struct error *error)
+start_threads (struct node *node, struct control *control, struct front *front, bool bootstrap,
+	struct error *error)
 {
 	const struct options *options = &node->options;
 	if (!control_start (control, node, bootstrap, error))
@@ -188,6 +198,11 @@
 		if (!worker_start (&node->workers[i], node, i, error))
 			return false;
 	}
+	if (options->front_address[0]) {
+		node->front = front;
+		if (!front_start (front, node, error))
+			return false;
+	}
 	return peer_start (&node->peer, options->node_peer_address, options->control_key,
 		       node->incarnation, &node->clock, &node->log, receive_peer, node, error) &&
 	       control_run (control, error);
@@ -256,6 +271,8 @@
 static bool
 is_idle (struct node *node)
 {
+	if (node->front && atomic_load (&node->front->in_flight) > 0)
+		return false;
 	return atomic_load (&node->admission.in_flight) == 0 && running_at_targets (node) == 0;
 }
 
@@ -271,14 +288,26 @@
  * The order matters: the balancer moves on, other nodes take the targets over while this one
  * still serves, then what is in flight ends, and only then the addresses close.
  */
+static bool
+front_is_over (struct node *node)
+{
+	int64_t since_us = clock_now_us (&node->clock) - atomic_load (&node->front->stopping_us);
+	return since_us >= FRONT_READY_LAG_US && is_idle (node) &&
+	       atomic_load (&node->front->connections) == 0;
+}
+
+/* Kept connections are served until their callers have gone or the time is over. */
 static void
-stop_node (struct node *node, struct mg_context *callers, struct mg_context *operators,
-	const sigset_t *signals)
+stop_front (struct node *node, const sigset_t *signals)
+{
+	atomic_store (&node->front->stopping_us, clock_now_us (&node->clock));
+	wait_until (node, signals, front_is_over, (int)node->options.front_stop_ms);
+	front_stop (node->front);
+}
+
+static void
+stop_callers (struct node *node, struct mg_context *callers, const sigset_t *signals)
 {
-	log_event (&node->log, EVENT_NODE_STOPPING, "%d requests in flight",
-		atomic_load (&node->admission.in_flight));
-	atomic_store (&node->stopping, true);
-	control_set_leaving (node->control, false);
 	wait_until (node, signals, handed_over, STOP_HANDOVER_MS);
 	for (int waited = 0; waited < node->options.node_stop_wait_ms; waited += STOP_STEP_MS) {
 		note_signals (node, signals);
@@ -287,9 +316,24 @@
 	wait_until (node, signals, is_idle, STOP_MAX_MS);
 	mg_stop (callers);
 	wait_until (node, signals, is_idle, STOP_MAX_MS);
+}
+
+static void
+stop_node (struct node *node, const struct servers *servers, const sigset_t *signals)
+{
+	log_event (&node->log, EVENT_NODE_STOPPING, "%d requests in flight",
+		atomic_load (&node->admission.in_flight));
+	atomic_store (&node->stopping, true);
+	control_set_leaving (node->control, false);
+	if (servers->callers)
+		stop_callers (node, servers->callers, signals);
+	if (node->front)
+		stop_front (node, signals);
 	control_set_leaving (node->control, true);
 	wait_until (node, signals, is_gone, GONE_WAIT_MS);
-	mg_stop (operators);
+	if (servers->orders)
+		mg_stop (servers->orders);
+	mg_stop (servers->operators);
 	for (int i = 0; i < node->worker_count; i++)
 		worker_stop (&node->workers[i]);
 	control_stop (node->control);
@@ -309,6 +353,18 @@
 	buf_finish (&out);
 }
 
+/* Peers are found through the log after the start, so that only the check is left to do. */
+static void
+reload (struct node *node)
+{
+	struct options fresh;
+	struct error error = {0};
+	if (options_load (&fresh, node->config_path, &error))
+		log_event (&node->log, EVENT_SETTINGS_READ, "%s", node->config_path);
+	else
+		log_event (&node->log, EVENT_SETTINGS_BAD, "%s", error.message);
+}
+
 static void
 serve (struct node *node, const sigset_t *signals)
 {
@@ -316,37 +372,61 @@
 		int signal = sigwaitinfo (signals, NULL);
 		if (signal == SIGUSR1)
 			write_dump (node);
+		else if (signal == SIGHUP)
+			reload (node);
 		else if (signal == SIGTERM || signal == SIGINT)
 			return;
 	}
 }
 
+static bool
+start_servers (struct node *node, struct servers *servers, struct error *error)
+{
+	const struct options *options = &node->options;
+	servers->operators = operators_start (node, error);
+	if (!servers->operators)
+		return false;
+	if (options->node_caller_address[0]) {
+		servers->callers = callers_start (node, error);
+		if (!servers->callers)
+			return false;
+	}
+	if (options->control_orders_address[0]) {
+		servers->orders = orders_start (node, error);
+		if (!servers->orders)
+			return false;
+	}
+	return true;
+}
+
 static int
 run_node (struct node *node, bool bootstrap)
 {
 	struct error error = {0};
 	struct control control;
-	struct mg_context *operators = NULL;
-	struct mg_context *callers = NULL;
+	static struct front front;
+	struct servers servers = {0};
 	sigset_t signals;
 	sigemptyset (&signals);
 	sigaddset (&signals, SIGTERM);
 	sigaddset (&signals, SIGINT);
 	sigaddset (&signals, SIGUSR1);
+	sigaddset (&signals, SIGHUP);
 	pthread_sigmask (SIG_BLOCK, &signals, NULL);
 	signal (SIGPIPE, SIG_IGN);
 	node->control = &control;
-	bool ok = start_threads (node, &control, bootstrap, &error);
-	operators = ok ? operators_start (node, &error) : NULL;
-	callers = operators ? callers_start (node, &error) : NULL;
-	if (!callers) {
+	bool ok = start_threads (node, &control, &front, bootstrap, &error) &&
+		  start_servers (node, &servers, &error);
+	if (!ok) {
 		log_event (&node->log, EVENT_NODE_START_FAILED, "%s", error.message);
 		return EXIT_FAILURE;
 	}
-	log_event (&node->log, EVENT_NODE_STARTED, "%s serves callers at %s",
-		node->options.node_name, node->options.node_caller_address);
+	log_event (&node->log, EVENT_NODE_STARTED, "%s: callers %s, routes %s, orders %s, log %s",
+		node->options.node_name, node->options.node_caller_address,
+		node->options.front_address, node->options.control_orders_address,
+		node->options.control_data_dir);
 	serve (node, &signals);
-	stop_node (node, callers, operators, &signals);
+	stop_node (node, &servers, &signals);
 	view_put (node->view);
 	free (node->workers);
 	return EXIT_SUCCESS;
@@ -367,6 +447,7 @@
 		printf ("%s: no errors\n", arguments.config);
 		return EXIT_SUCCESS;
 	}
+	node.config_path = arguments.config;
 	if (getrandom (&node.incarnation, sizeof (node.incarnation), 0) < 0)
 		return EXIT_FAILURE;
 	clock_init_system (&node.clock);
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -16,9 +16,11 @@
 
 struct worker;
 struct control;
+struct front;
 
 struct node {
 	struct options options;
+	const char *config_path;
 	struct clock clock;
 	struct log log;
 	uint64_t incarnation; /**< random; of this process */
@@ -35,6 +37,7 @@
 	int worker_count;
 	struct peer peer;
 	struct control *control;
+	struct front *front; /**< serves callers of declared routes; or NULL */
 };
 
 /** Takes a reference to the current view; NULL before the first. The thread is RCU-registered. */
--- a/daemon/operators.c
+++ b/daemon/operators.c
@@ -474,8 +474,8 @@
 		{"/v1/dump", handle_dump},
 		{"/metrics", handle_metrics},
 	};
-	struct mg_context *context =
-		http_start (node, node->options.node_operator_address, OPERATOR_THREADS, error);
+	struct mg_context *context = http_start (
+		node, node->options.node_operator_address, OPERATOR_THREADS, true, error);
 	if (!context)
 		return NULL;
 	for (size_t i = 0; i < sizeof (routes) / sizeof (routes[0]); i++) {
--- a/daemon/worker.h
+++ b/daemon/worker.h
@@ -10,7 +10,7 @@
 #include "net/mailbox.h"
 #include "query/once.h"
 #include "query/subwire.h"
-#include "target/gate.h"
+#include "targets/gate.h"
 
 #include <pthread.h>
 
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -177,6 +177,8 @@
 	size_t len = size * count;
 	if (len > 17 && strncasecmp (line, "Connection: close", 17) == 0)
 		fetch->pool->expected_closes++;
+	if (fetch->on_line)
+		return fetch->on_line (fetch, line, len) ? len : 0;
 	reply_header_line (&fetch->headers, line, len);
 	return len;
 }
@@ -206,15 +208,20 @@
 static void
 set_request (struct fetch *fetch, const struct fetch_request *request)
 {
-	char url[512];
+	char url[128];
 	CURL *easy = fetch->easy;
-	snprintf (url, sizeof (url), "http://%s%s", fetch->pool->address, request->path);
+	snprintf (url, sizeof (url), "http://%s/", fetch->pool->address);
 	curl_easy_setopt (easy, CURLOPT_URL, url);
+	curl_easy_setopt (easy, CURLOPT_REQUEST_TARGET, request->path);
 	if (request->body) {
 		curl_easy_setopt (easy, CURLOPT_POST, 1L);
 		curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)request->body_len);
 		curl_easy_setopt (easy, CURLOPT_COPYPOSTFIELDS, request->body);
 	}
+	if (request->method && strcmp (request->method, "HEAD") == 0)
+		curl_easy_setopt (easy, CURLOPT_NOBODY, 1L);
+	else if (request->method)
+		curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, request->method);
 	for (const char *const *header = request->headers; *header; header++)
 		fetch->list = curl_slist_append (fetch->list, *header);
 	fetch->list = curl_slist_append (fetch->list, "Expect:");
@@ -236,6 +243,7 @@
 	fetch->list = NULL;
 	fetch->status = 0;
 	fetch->held_back = fetch->opened = false;
+	fetch->on_line = request->on_line;
 	fetch->done = done;
 	memset (&fetch->headers, 0, sizeof (fetch->headers));
 	buf_init (&fetch->body);
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -9,7 +9,7 @@
 
 #include "core/buf.h"
 #include "core/timers.h"
-#include "target/reply.h"
+#include "targets/reply.h"
 
 #include <curl/curl.h>
 #include <stdbool.h>
@@ -44,16 +44,20 @@
 	bool held_back; /**< the gate went cold before the connection was opened */
 	bool may_wait;  /**< false: never hold back (probes) */
 	bool opened;    /**< a new connection was opened for it */
+	bool (*on_line) (struct fetch *fetch, const char *line, size_t len);
 	void (*done) (struct fetch *fetch, enum fetch_end end);
 };
 
 /** What a request says. */
 struct fetch_request {
-	const char *path;
-	const char *body; /**< NULL: GET */
+	const char *method; /**< NULL: GET, or POST with a body */
+	const char *path;   /**< with its query; sent as it is */
+	const char *body;   /**< NULL: GET */
 	size_t body_len;
 	const char *const *headers; /**< "Name: value" lines, NULL-terminated */
 	int64_t timeout_us;         /**< from now on, by the loop's timers */
+	/** Gets each header line instead of fetch.headers; false closes the connection. */
+	bool (*on_line) (struct fetch *fetch, const char *line, size_t len);
 	bool fresh; /**< always opens a connection: the library must not repeat the request */
 };
 
--- /dev/null
+++ b/net/ingress.c
@@ -0,0 +1,316 @@
+#include "net/ingress.h"
+
+#include "core/clock.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+enum {
+	POOL_SLACK_BYTES = 4096, /* the library keeps its own records beside the headers */
+	FD_STEP = 64,
+};
+
+/** A caller's connection. */
+struct ingress_client {
+	int fd;
+	struct ingress_request *request; /**< the one being handled; or NULL */
+};
+
+static void
+watch_client (struct ingress *ingress, struct ingress_client *client)
+{
+	struct epoll_event event = {
+		.events = EPOLLRDHUP | EPOLLET,
+		.data.fd = client->fd,
+	};
+	if (client->fd >= ingress->client_count) {
+		int count = client->fd + FD_STEP;
+		ingress->clients = xrealloc (
+			ingress->clients, (size_t)count * sizeof (struct ingress_client *));
+		memset (ingress->clients + ingress->client_count, 0,
+			(size_t)(count - ingress->client_count) * sizeof (struct ingress_client *));
+		ingress->client_count = count;
+	}
+	ingress->clients[client->fd] = client;
+	epoll_ctl (ingress->epoll_fd, EPOLL_CTL_ADD, client->fd, &event);
+}
+
+static void
+on_connection (void *user, struct MHD_Connection *connection, void **context,
+	enum MHD_ConnectionNotificationCode code)
+{
+	struct ingress *ingress = user;
+	struct ingress_client *client = *context;
+	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+		client = xcalloc (1, sizeof (*client));
+		client->fd = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+				     ->connect_fd;
+		watch_client (ingress, client);
+		ingress->connections++;
+		*context = client;
+		return;
+	}
+	ingress->clients[client->fd] = NULL;
+	epoll_ctl (ingress->epoll_fd, EPOLL_CTL_DEL, client->fd, NULL);
+	ingress->connections--;
+	free (client);
+	*context = NULL;
+}
+
+/* Called with the first line of a request, before its headers are read. */
+static void *
+on_first_line (void *user, const char *target, struct MHD_Connection *connection)
+{
+	struct ingress *ingress = user;
+	struct ingress_request *request = xcalloc (1, sizeof (*request));
+	request->ingress = ingress;
+	request->connection = connection;
+	request->target = xstrdup (target);
+	buf_init (&request->body);
+	buf_init (&request->head);
+	request->client = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+				  ->socket_context;
+	ingress->requests++;
+	return request;
+}
+
+static void
+on_completed (void *user, struct MHD_Connection *connection, void **context,
+	enum MHD_RequestTerminationCode code)
+{
+	struct ingress *ingress = user;
+	struct ingress_request *request = *context;
+	(void)connection;
+	(void)code;
+	if (!request)
+		return;
+	if (request->user && !request->left && !request->answered) {
+		request->left = true;
+		ingress->hooks.left (request, ingress->hooks.user);
+	}
+	if (request->client)
+		request->client->request = NULL;
+	ingress->requests--;
+	free (request->target);
+	free (request->answer);
+	buf_finish (&request->body);
+	buf_finish (&request->head);
+	free (request);
+	*context = NULL;
+}
+
+/* Paths are forwarded as they came. */
+static size_t
+keep_escapes (void *user, struct MHD_Connection *connection, char *text)
+{
+	(void)user;
+	(void)connection;
+	return strlen (text);
+}
+
+static enum MHD_Result
+queue_answer (struct ingress_request *request)
+{
+	struct MHD_Response *response = MHD_create_response_from_buffer (
+		request->answer_len, request->answer, MHD_RESPMEM_MUST_FREE);
+	if (!response)
+		return MHD_NO;
+	request->answer = NULL;
+	char *save = NULL;
+	char *lines = request->head.len ? request->head.data : NULL;
+	for (char *line = lines ? strtok_r (lines, "\n", &save) : NULL; line;
+		line = strtok_r (NULL, "\n", &save)) {
+		char *colon = strstr (line, ": ");
+		if (!colon)
+			continue;
+		*colon = '\0';
+		MHD_add_response_header (response, line, colon + 2);
+	}
+	if (request->close)
+		MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
+	enum MHD_Result result =
+		MHD_queue_response (request->connection, (unsigned)request->status, response);
+	MHD_destroy_response (response);
+	return result;
+}
+
+static void
+take_body (struct ingress_request *request, const char *data, size_t len)
+{
+	if ((int64_t)(request->body.len + len) > request->ingress->limits.body_bytes)
+		request->too_large = true;
+	else
+		buf_add (&request->body, data, len);
+}
+
+static enum MHD_Result
+on_request (void *user, struct MHD_Connection *connection, const char *url, const char *method,
+	const char *version, const char *data, size_t *data_len, void **context)
+{
+	struct ingress *ingress = user;
+	struct ingress_request *request = *context;
+	(void)url;
+	(void)version;
+	if (request->answered)
+		return queue_answer (request);
+	if (request->method[0] == '\0') {
+		str_copy (request->method, sizeof (request->method), method);
+		return MHD_YES;
+	}
+	if (*data_len > 0) {
+		take_body (request, data, *data_len);
+		*data_len = 0;
+		return MHD_YES;
+	}
+	if (request->left)
+		return MHD_NO;
+	if (request->too_large) {
+		ingress_answer (request, MHD_HTTP_CONTENT_TOO_LARGE, NULL, NULL, 0, true);
+		return queue_answer (request);
+	}
+	if (request->client)
+		request->client->request = request;
+	ingress->hooks.request (request, ingress->hooks.user);
+	if (request->answered)
+		return queue_answer (request);
+	request->suspended = true;
+	MHD_suspend_connection (connection);
+	return MHD_YES;
+}
+
+static bool
+parse_address (const char *address, struct sockaddr_in *out)
+{
+	char host[64];
+	const char *colon = strrchr (address, ':');
+	size_t len = colon ? (size_t)(colon - address) : 0;
+	if (!colon || len >= sizeof (host))
+		return false;
+	memcpy (host, address, len);
+	host[len] = '\0';
+	memset (out, 0, sizeof (*out));
+	out->sin_family = AF_INET;
+	out->sin_port = htons ((uint16_t)strtoul (colon + 1, NULL, 10));
+	return inet_pton (AF_INET, host, &out->sin_addr) == 1;
+}
+
+bool
+ingress_start (struct ingress *ingress, const char *address, int epoll_fd, int most_connections,
+	const struct ingress_limits *limits, const struct ingress_hooks *hooks, struct error *error)
+{
+	struct sockaddr_in socket_address;
+	memset (ingress, 0, sizeof (*ingress));
+	ingress->epoll_fd = epoll_fd;
+	ingress->limits = *limits;
+	ingress->hooks = *hooks;
+	if (!parse_address (address, &socket_address))
+		return error_set (error, ERROR_CONFIG, "%s: not an IP:port; correct it", address);
+	ingress->daemon = MHD_start_daemon (MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
+		on_request, ingress, MHD_OPTION_SOCK_ADDR, &socket_address,
+		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_NOTIFY_CONNECTION, on_connection,
+		ingress, MHD_OPTION_NOTIFY_COMPLETED, on_completed, ingress,
+		MHD_OPTION_URI_LOG_CALLBACK, on_first_line, ingress, MHD_OPTION_UNESCAPE_CALLBACK,
+		keep_escapes, NULL, MHD_OPTION_CONNECTION_LIMIT, (unsigned)most_connections,
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)limits->header_bytes + POOL_SLACK_BYTES,
+		MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)(limits->idle_us / US_PER_S),
+		MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
+	if (!ingress->daemon)
+		return error_set (error, ERROR_IO,
+			"%s cannot be served; correct the address or free the port", address);
+	struct epoll_event event = {.events = EPOLLIN, .data.fd = ingress_fd (ingress)};
+	epoll_ctl (epoll_fd, EPOLL_CTL_ADD, ingress_fd (ingress), &event);
+	return true;
+}
+
+void
+ingress_stop (struct ingress *ingress)
+{
+	if (!ingress->daemon)
+		return;
+	MHD_stop_daemon (ingress->daemon);
+	free (ingress->clients);
+	memset (ingress, 0, sizeof (*ingress));
+}
+
+int
+ingress_fd (const struct ingress *ingress)
+{
+	return MHD_get_daemon_info (ingress->daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
+}
+
+bool
+ingress_socket_event (struct ingress *ingress, int fd, uint32_t events)
+{
+	struct ingress_client *client = fd < ingress->client_count ? ingress->clients[fd] : NULL;
+	if (!client)
+		return false;
+	struct ingress_request *request = client->request;
+	if (!(events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) || !request || request->left ||
+		request->answered)
+		return true;
+	request->left = true;
+	ingress->hooks.left (request, ingress->hooks.user);
+	/* The connection is closed when its handler is called again and gives no answer. */
+	if (request->suspended)
+		MHD_resume_connection (request->connection);
+	request->suspended = false;
+	return true;
+}
+
+void
+ingress_run (struct ingress *ingress)
+{
+	MHD_run (ingress->daemon);
+}
+
+int
+ingress_wait_ms (const struct ingress *ingress)
+{
+	MHD_UNSIGNED_LONG_LONG ms = 0;
+	if (MHD_get_timeout (ingress->daemon, &ms) != MHD_YES)
+		return -1;
+	return ms > 1000 ? 1000 : (int)ms;
+}
+
+void
+ingress_answer (struct ingress_request *request, int status, const struct buf *head, char *body,
+	size_t len, bool close)
+{
+	request->answered = true;
+	request->status = status;
+	request->answer = body ? body : xstrdup ("");
+	request->answer_len = len;
+	request->close = close;
+	if (head && head->len)
+		buf_add (&request->head, head->data, head->len);
+	if (request->suspended)
+		MHD_resume_connection (request->connection);
+	request->suspended = false;
+}
+
+struct each_header {
+	void (*each) (void *user, const char *name, const char *value);
+	void *user;
+};
+
+static enum MHD_Result
+on_header (void *user, enum MHD_ValueKind kind, const char *name, const char *value)
+{
+	const struct each_header *call = user;
+	(void)kind;
+	call->each (call->user, name, value ? value : "");
+	return MHD_YES;
+}
+
+void
+ingress_headers (struct ingress_request *request,
+	void (*each) (void *user, const char *name, const char *value), void *user)
+{
+	struct each_header call = {each, user};
+	MHD_get_connection_values (request->connection, MHD_HEADER_KIND, on_header, &call);
+}
--- a/options/options.c
+++ b/options/options.c
@@ -7,7 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum option_type { OPTION_INT, OPTION_TEXT, OPTION_ADDRESS };
+enum option_type { OPTION_INT, OPTION_REAL, OPTION_FLAG, OPTION_TEXT, OPTION_ADDRESS };
 
 struct option {
 	const char *section;
@@ -28,8 +28,8 @@
 		"Name of this node, unique among all nodes"},
 	{"node", "data_center", OPTION_TEXT, FIELD (node_data_center), 1, 63, "",
 		"Data centre of this VM"},
-	{"node", "caller_address", OPTION_ADDRESS, FIELD (node_caller_address), 1, 0,
-		"127.0.0.1:8080", "IP:port that serves callers"},
+	{"node", "caller_address", OPTION_ADDRESS, FIELD (node_caller_address), 0, 0,
+		"127.0.0.1:8080", "IP:port that serves callers of collections; empty: none"},
 	{"node", "operator_address", OPTION_ADDRESS, FIELD (node_operator_address), 1, 0,
 		"127.0.0.1:8081", "IP:port that serves operators, metrics and dumps"},
 	{"node", "peer_address", OPTION_ADDRESS, FIELD (node_peer_address), 1, 0, "127.0.0.1:8082",
@@ -42,6 +42,16 @@
 		"Time from failing readiness to closing the callers' address on a planned stop"},
 	{"control", "peers", OPTION_TEXT, FIELD (control_peers), 0, 1023, "",
 		"Peer addresses (IP:port, comma separated) to start from"},
+	{"control", "peer_port", OPTION_INT, FIELD (control_peer_port), 0, 65535, "0",
+		"Port of all peers, instead of those in control.peers; 0: as given there"},
+	{"control", "bootstrap", OPTION_FLAG, FIELD (control_bootstrap), 0, 1, "0",
+		"true on the first start of the whole system: the first of control.peers starts "
+		"the "
+		"log"},
+	{"control", "orders_address", OPTION_ADDRESS, FIELD (control_orders_address), 0, 0, "",
+		"IP:port that takes operators' orders; empty: none"},
+	{"control", "replace_ms", OPTION_INT, FIELD (control_replace_ms), 1000, 3600000, "300000",
+		"A voter silent for this long is replaced by a caught-up learner"},
 	{"control", "key", OPTION_TEXT, FIELD (control_key), 16, 255, "",
 		"Shared key of peers and operators, at least 16 characters"},
 	{"control", "data_dir", OPTION_TEXT, FIELD (control_data_dir), 0, 255, "",
@@ -74,6 +84,28 @@
 		"Sub-requests at once to a target in a cold start that declares no limit"},
 	{"target", "probe_ms", OPTION_INT, FIELD (target_probe_ms), 50, 60000, "1000",
 		"Time between two looks at a target's load endpoint"},
+	{"front", "address", OPTION_ADDRESS, FIELD (front_address), 0, 0, "",
+		"IP:port that serves callers of declared routes; empty: none"},
+	{"front", "ready_address", OPTION_ADDRESS, FIELD (front_ready_address), 0, 0, "",
+		"IP:port that tells the balancer whether this node is ready"},
+	{"front", "margin_ms", OPTION_INT, FIELD (front_margin_ms), 0, 1000, "10",
+		"Time that an answer needs to reach its caller, kept back from deadline and aim"},
+	{"front", "stop_ms", OPTION_INT, FIELD (front_stop_ms), 100, 600000, "5000",
+		"Longest planned stop; shorter than the grace that the platform gives"},
+	{"front", "extra_ratio", OPTION_REAL, FIELD (front_extra_ratio), 0, 10, "0.1",
+		"Hedges and retries of all nodes for each request to a service"},
+	{"front", "extra_slack", OPTION_INT, FIELD (front_extra_slack), 0, 1000000, "10",
+		"Hedges and retries of all nodes beyond the ratio, shared out among them"},
+	{"front", "cold_factor", OPTION_REAL, FIELD (front_cold_factor), 0, 100, "1",
+		"Times a service's cold rate that a cold target bears"},
+	{"front", "cold_slack", OPTION_INT, FIELD (front_cold_slack), 0, 1000000, "1",
+		"Requests a second beyond its cold rate that a cold target bears"},
+	{"front", "connections", OPTION_INT, FIELD (front_connections), 16, 1000000, "3000",
+		"Connections of callers that this node holds"},
+	{"front", "list_address", OPTION_ADDRESS, FIELD (front_list_address), 0, 0, "",
+		"IP:port of the platform's list of targets"},
+	{"front", "list_rate", OPTION_REAL, FIELD (front_list_rate), 0, 1000000, "10",
+		"Calls a second that the list accepts from all nodes together"},
 	{"log", "level", OPTION_TEXT, FIELD (log_level), 4, 7, "info",
 		"error, warning, info or debug"},
 	{"platform", "list", OPTION_TEXT, FIELD (platform_list), 0, 255, "",
@@ -115,6 +147,27 @@
 	return true;
 }
 
+static bool
+set_real (void *field, const struct option *option, const char *value)
+{
+	char *end = NULL;
+	double number = strtod (value, &end);
+	if (end == value || *end != '\0' || !(number >= (double)option->min) ||
+		number > (double)option->max)
+		return false;
+	*(double *)field = number;
+	return true;
+}
+
+static bool
+set_flag (void *field, const struct option *option, const char *value)
+{
+	if (strcmp (value, "true") != 0 && strcmp (value, "false") != 0)
+		return set_int (field, option, value);
+	*(int64_t *)field = value[0] == 't';
+	return true;
+}
+
 static bool
 set_option (struct options *options, const struct option *option, const char *value)
 {
@@ -123,12 +176,16 @@
 	switch (option->type) {
 	case OPTION_INT:
 		return set_int (field, option, value);
+	case OPTION_REAL:
+		return set_real (field, option, value);
+	case OPTION_FLAG:
+		return set_flag (field, option, value);
 	case OPTION_TEXT:
 		if ((int64_t)len < option->min || (int64_t)len > option->max)
 			return false;
 		break;
 	case OPTION_ADDRESS:
-		if (!is_address (value))
+		if (!is_address (value) && (value[0] != '\0' || option->min > 0))
 			return false;
 		break;
 	}
@@ -146,6 +203,13 @@
 		snprintf (out, size, "give a whole number from %lld to %lld",
 			(long long)option->min, (long long)option->max);
 		return;
+	case OPTION_REAL:
+		snprintf (out, size, "give a number from %lld to %lld", (long long)option->min,
+			(long long)option->max);
+		return;
+	case OPTION_FLAG:
+		snprintf (out, size, "give true or false");
+		return;
 	case OPTION_TEXT:
 		snprintf (out, size, "give %lld to %lld characters", (long long)option->min,
 			(long long)option->max);
@@ -199,7 +263,7 @@
 check_required (struct parse *parse)
 {
 	for (int i = 0; i < OPTIONS; i++) {
-		if (table[i].type == OPTION_INT || table[i].min == 0 || table[i].preset[0])
+		if (table[i].type < OPTION_TEXT || table[i].min == 0 || table[i].preset[0])
 			continue;
 		if (!parse->seen[i])
 			return error_set (parse->error, ERROR_CONFIG,
@@ -270,7 +334,7 @@
 		char remedy[128];
 		describe_remedy (&table[i], remedy, sizeof (remedy));
 		printf ("| %s | %s | %s | %s | %s | %s |\n", table[i].section, table[i].name,
-			table[i].type == OPTION_INT ? "number" : "text", remedy, table[i].preset,
+			table[i].type < OPTION_TEXT ? "number" : "text", remedy, table[i].preset,
 			table[i].help);
 	}
 }
--- a/options/options.h
+++ b/options/options.h
@@ -23,6 +23,10 @@
 	int64_t node_stop_wait_ms;
 	char control_peers[4 * OPTION_TEXT_SIZE];
 	char control_key[OPTION_TEXT_SIZE];
+	int64_t control_peer_port;
+	int64_t control_bootstrap;
+	char control_orders_address[OPTION_TEXT_SIZE];
+	int64_t control_replace_ms;
 	char control_data_dir[OPTION_TEXT_SIZE];
 	int64_t control_voters;
 	int64_t control_lease_ms;
@@ -38,6 +42,17 @@
 	int64_t target_queue;
 	int64_t target_cold_limit;
 	int64_t target_probe_ms;
+	char front_address[OPTION_TEXT_SIZE];
+	char front_ready_address[OPTION_TEXT_SIZE];
+	int64_t front_margin_ms;
+	int64_t front_stop_ms;
+	double front_extra_ratio;
+	int64_t front_extra_slack;
+	double front_cold_factor;
+	int64_t front_cold_slack;
+	int64_t front_connections;
+	char front_list_address[OPTION_TEXT_SIZE];
+	double front_list_rate;
 	char log_level[OPTION_TEXT_SIZE];
 	char platform_list[OPTION_TEXT_SIZE];
 };
--- a/query/budget.c
+++ b/query/budget.c
@@ -3,13 +3,20 @@
 void
 budget_init (struct budget *budget)
 {
-	atomic_init (&budget->tokens, (int64_t)BUDGET_UNIT * BUDGET_BURST_UNITS);
+	budget_init_burst (budget, BUDGET_BURST_UNITS);
+}
+
+void
+budget_init_burst (struct budget *budget, int burst)
+{
+	budget->most = (int64_t)BUDGET_UNIT * burst;
+	atomic_init (&budget->tokens, budget->most);
 }
 
 void
 budget_earn (struct budget *budget, int percent)
 {
-	const int64_t most = (int64_t)BUDGET_UNIT * BUDGET_BURST_UNITS;
+	const int64_t most = budget->most;
 	int64_t tokens = atomic_load_explicit (&budget->tokens, memory_order_relaxed);
 	int64_t filled = 0;
 	do {
--- a/query/budget.h
+++ b/query/budget.h
@@ -18,11 +18,16 @@
 
 struct budget {
 	_Atomic int64_t tokens;
+	int64_t most; /**< tokens that may be saved up */
 };
 
 void
 budget_init (struct budget *budget);
 
+/** A budget that starts full with @p burst extra sub-requests and saves up no more. */
+void
+budget_init_burst (struct budget *budget, int burst);
+
 /** Records one first sub-request, which earns @p percent hundredths of an extra one. */
 void
 budget_earn (struct budget *budget, int percent);
--- /dev/null
+++ b/query/replica.c
@@ -0,0 +1,148 @@
+#include "query/replica.h"
+
+#include "core/buf.h"
+
+#include <string.h>
+
+void
+replica_set_init (struct replica_set *set, const char *name)
+{
+	memset (set, 0, sizeof (*set));
+	str_copy (set->name, sizeof (set->name), name);
+	CDS_INIT_LIST_HEAD (&set->replicas);
+	CDS_INIT_LIST_HEAD (&set->waiting);
+	set->connections = 1;
+}
+
+bool
+replica_usable (const struct replica *replica)
+{
+	return replica->listed && replica->state == REPLICA_READY && !replica->evacuated;
+}
+
+static bool
+was_tried (const struct replica_wish *wish, const struct replica *replica)
+{
+	for (int i = 0; i < wish->tried_count; i++) {
+		if (wish->tried[i] == replica)
+			return true;
+	}
+	return false;
+}
+
+/* The age of the oldest unanswered sub-request shows a pause before any reply can. */
+static bool
+is_stalled (struct replica *replica, int64_t usual_us, int64_t now_us)
+{
+	if (cds_list_empty (&replica->running))
+		return false;
+	const struct replica_use *oldest =
+		cds_list_entry (replica->running.next, struct replica_use, node);
+	int64_t limit_us = usual_us * 3;
+	if (limit_us < REPLICA_STALL_LEAST_US)
+		limit_us = REPLICA_STALL_LEAST_US;
+	return oldest->sent_us + limit_us < now_us;
+}
+
+static int64_t
+expected_us (struct replica *replica, const struct replica_wish *wish, int64_t now_us)
+{
+	int64_t work_us = replica->latency_us > 0 ? replica->latency_us : wish->usual_us;
+	int load = replica->in_flight;
+	if (replica->told_us + REPLICA_LOAD_FRESH_US > now_us && replica->told_load > load)
+		load = replica->told_load;
+	int slots = replica->slots > 0 ? replica->slots : 1;
+	int64_t wait_us = work_us + work_us * load / (2 * slots);
+	if (load >= slots)
+		wait_us += work_us * (load - slots + 1) / slots;
+	if (strcmp (replica->data_centre, wish->data_centre) != 0)
+		wait_us += REPLICA_REMOTE_US;
+	if (is_stalled (replica, wish->usual_us, now_us))
+		wait_us += REPLICA_FAILURE_AVOID_US / 2;
+	if (replica->avoid_until_us > now_us)
+		wait_us += REPLICA_FAILURE_AVOID_US;
+	return wait_us;
+}
+
+enum replica_verdict
+replica_choose (struct replica_set *set, const struct replica_wish *wish, int64_t now_us,
+	struct replica **chosen)
+{
+	struct replica *replica;
+	struct replica *best = NULL;
+	struct replica *cold = NULL;
+	int64_t best_us = INT64_MAX;
+	bool any = false;
+	cds_list_for_each_entry (replica, &set->replicas, node) {
+		if (!replica_usable (replica) || was_tried (wish, replica))
+			continue;
+		any = true;
+		if (replica->in_flight >= set->connections)
+			continue;
+		if (replica->cold_until_us > now_us) {
+			if (replica->cold_next_us <= now_us)
+				cold = replica;
+			continue;
+		}
+		int64_t wait_us = expected_us (replica, wish, now_us);
+		if (wish->hedge && wait_us >= REPLICA_FAILURE_AVOID_US / 2)
+			continue;
+		if (wait_us < best_us) {
+			best = replica;
+			best_us = wait_us;
+		}
+	}
+	if (!best && !wish->hedge)
+		best = cold;
+	*chosen = best;
+	if (best)
+		return REPLICA_FOUND;
+	return any ? REPLICA_NO_ROOM : REPLICA_NONE;
+}
+
+void
+replica_begin (struct replica *replica, struct replica_use *use, int64_t now_us)
+{
+	use->replica = replica;
+	use->sent_us = now_us;
+	replica->in_flight++;
+	if (replica->cold_until_us > now_us)
+		replica->cold_next_us = now_us + replica->set->cold_gap_us;
+	cds_list_add_tail (&use->node, &replica->running);
+}
+
+static void
+note_failure (struct replica *replica, int64_t now_us)
+{
+	int64_t avoid_us = REPLICA_FAILURE_AVOID_US;
+	for (int i = 0; i < replica->failures && avoid_us < REPLICA_AVOID_MAX_US; i++)
+		avoid_us *= 2;
+	replica->failures++;
+	replica->avoid_until_us = now_us + avoid_us;
+}
+
+void
+replica_end (struct replica_use *use, enum replica_outcome outcome, int64_t now_us)
+{
+	struct replica *replica = use->replica;
+	int64_t took_us = now_us - use->sent_us;
+	replica->in_flight--;
+	cds_list_del (&use->node);
+	use->replica = NULL;
+	switch (outcome) {
+	case REPLICA_ANSWERED:
+		replica->failures = 0;
+		replica->avoid_until_us = 0;
+		replica->latency_us =
+			replica->latency_us ? (replica->latency_us * 7 + took_us) / 8 : took_us;
+		return;
+	case REPLICA_REFUSED:
+		replica->avoid_until_us = now_us + REPLICA_REFUSED_AVOID_US;
+		return;
+	case REPLICA_FAILED:
+		note_failure (replica, now_us);
+		return;
+	case REPLICA_DROPPED:
+		return;
+	}
+}
--- /dev/null
+++ b/query/replica.h
@@ -0,0 +1,115 @@
+/**
+ * @file replica.h
+ * The targets of a service as one entry node sees them, and the choice among them. No I/O.
+ *
+ * Answers the load pattern of many small sub-requests to few replicas that pause, turn slow or
+ * start cold: the replica with the least expected wait goes first, one that has left a
+ * sub-request unanswered for unusually long goes last, and none gets more than this node's part
+ * of what it bears.
+ */
+#pragma once
+
+#include "query/budget.h"
+#include "query/routing.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <urcu/list.h>
+
+enum {
+	REPLICA_NAME_SIZE = 64,
+	REPLICA_LOAD_FRESH_US = 200000,    /**< a told load counts for this long */
+	REPLICA_FAILURE_AVOID_US = 500000, /**< first avoidance after a failure; doubles */
+	REPLICA_AVOID_MAX_US = 4000000,
+	REPLICA_REFUSED_AVOID_US = 50000, /**< after a refusal for want of room */
+	REPLICA_REMOTE_US = 3000,         /**< a round trip between data centres of one region */
+	REPLICA_STALL_LEAST_US = 15000,   /**< shorter silences are ordinary variation */
+};
+
+enum replica_state { REPLICA_READY, REPLICA_LEAVING };
+
+/** A target. It outlives its entry in the list while work on it is under way. */
+struct replica {
+	struct cds_list_head node; /**< in its set */
+	struct replica_set *set;
+	char id[REPLICA_NAME_SIZE]; /**< of this incarnation */
+	char address[REPLICA_NAME_SIZE];
+	char data_centre[REPLICA_NAME_SIZE];
+	int slots;
+	enum replica_state state;
+	bool evacuated;        /**< its data centre is leaving */
+	bool listed;           /**< in the newest target list */
+	uint64_t born;         /**< start of this incarnation; 0: not told */
+	int64_t cold_until_us; /**< it bears only the service's cold rate until then */
+	int64_t cold_next_us;  /**< when this node may send it the next request while cold */
+	int64_t avoid_until_us;
+	int failures; /**< in a row */
+	int in_flight;
+	struct cds_list_head running; /**< struct replica_use, oldest first */
+	int64_t latency_us;           /**< moving average; 0: none yet */
+	int told_load;                /**< running and waiting, as it last said */
+	int64_t told_us;
+	void *pool; /**< the shell's connections to it */
+};
+
+/** One sub-request under way, embedded in the shell's. */
+struct replica_use {
+	struct cds_list_head node;
+	struct replica *replica;
+	int64_t sent_us;
+};
+
+/** A service's targets. */
+struct replica_set {
+	struct cds_list_head node;
+	char name[REPLICA_NAME_SIZE];
+	struct cds_list_head replicas;
+	struct cds_list_head waiting; /**< struct scatter_shard, most urgent first */
+	int waiting_count;
+	struct budget extra; /**< sub-requests beyond the first of each request */
+	int connections;     /**< this node's part of each target's connections */
+	int64_t cold_us;     /**< length of a cold start */
+	int64_t cold_gap_us; /**< this node's least time between requests to a cold target */
+};
+
+/** What a replica is chosen for. */
+struct replica_wish {
+	const char *data_centre; /**< of this node */
+	struct replica *const *tried;
+	int tried_count;
+	int64_t usual_us; /**< median latency of the route; 0: not known */
+	bool hedge;       /**< only one that is expected to answer soon */
+};
+
+enum replica_verdict {
+	REPLICA_FOUND,
+	REPLICA_NO_ROOM, /**< some could take it later */
+	REPLICA_NONE,    /**< no target may get it */
+};
+
+void
+replica_set_init (struct replica_set *set, const char *name);
+
+/** Chooses a target. */
+enum replica_verdict
+replica_choose (struct replica_set *set, const struct replica_wish *wish, int64_t now_us,
+	struct replica **chosen);
+
+/** Counts a sub-request to the target. */
+void
+replica_begin (struct replica *replica, struct replica_use *use, int64_t now_us);
+
+/** How a sub-request ended, as far as its target is concerned. */
+enum replica_outcome {
+	REPLICA_ANSWERED,
+	REPLICA_REFUSED, /**< it had no room */
+	REPLICA_FAILED,  /**< error, broken answer or no connection */
+	REPLICA_DROPPED, /**< given up by this node; says nothing */
+};
+
+void
+replica_end (struct replica_use *use, enum replica_outcome outcome, int64_t now_us);
+
+/** True while the target may get new work at all. */
+bool
+replica_usable (const struct replica *replica);
--- /dev/null
+++ b/query/routing.c
@@ -0,0 +1,107 @@
+#include "query/routing.h"
+
+#include "core/buf.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+struct routing *
+routing_new (void)
+{
+	struct routing *routing = xcalloc (1, sizeof (*routing));
+	atomic_init (&routing->refs, 1);
+	return routing;
+}
+
+struct routing *
+routing_ref (struct routing *routing)
+{
+	atomic_fetch_add (&routing->refs, 1);
+	return routing;
+}
+
+void
+routing_put (struct routing *routing)
+{
+	if (!routing || atomic_fetch_sub (&routing->refs, 1) != 1)
+		return;
+	for (int i = 0; i < routing->rule_count; i++) {
+		free (routing->rules[i].name);
+		free (routing->rules[i].host);
+		free (routing->rules[i].prefix);
+		free (routing->rules[i].parts);
+	}
+	for (int i = 0; i < routing->service_count; i++) {
+		free (routing->services[i].name);
+		free (routing->services[i].health_path);
+	}
+	free (routing->rules);
+	free (routing->services);
+	free (routing);
+}
+
+int
+routing_find_service (const struct routing *routing, const char *name)
+{
+	for (int i = 0; i < routing->service_count; i++) {
+		if (strcmp (routing->services[i].name, name) == 0)
+			return i;
+	}
+	return -1;
+}
+
+struct routing_rule *
+routing_find_rule (const struct routing *routing, const char *name)
+{
+	for (int i = 0; i < routing->rule_count; i++) {
+		if (strcmp (routing->rules[i].name, name) == 0)
+			return &routing->rules[i];
+	}
+	return NULL;
+}
+
+struct routing_rule *
+routing_match (const struct routing *routing, const char *host, const char *path)
+{
+	size_t host_len = strcspn (host, ":");
+	size_t path_len = strcspn (path, "?");
+	struct routing_rule *best = NULL;
+	size_t best_len = 0;
+	for (int i = 0; i < routing->rule_count; i++) {
+		struct routing_rule *rule = &routing->rules[i];
+		size_t len = strlen (rule->prefix);
+		if (len <= best_len || len > path_len || memcmp (rule->prefix, path, len) != 0 ||
+			strlen (rule->host) != host_len ||
+			strncasecmp (rule->host, host, host_len) != 0)
+			continue;
+		best = rule;
+		best_len = len;
+	}
+	return best;
+}
+
+int
+routing_next_part (struct routing_rule *rule)
+{
+	double total = 0;
+	int best = 0;
+	for (int i = 0; i < rule->part_count; i++) {
+		struct routing_part *part = &rule->parts[i];
+		total += part->weight;
+		part->owed += part->weight;
+		if (part->owed > rule->parts[best].owed)
+			best = i;
+	}
+	rule->parts[best].owed -= total;
+	return best;
+}
+
+int
+routing_least_shards (const struct routing_rule *rule)
+{
+	/* A tenth of a thousandth absorbs shares such as 0.9 that have no exact binary form. */
+	int least = (int)ceil (rule->least * rule->part_count - 1e-4);
+	return least < 1 ? 1 : least;
+}
--- /dev/null
+++ b/query/routing.h
@@ -0,0 +1,110 @@
+/**
+ * @file routing.h
+ * The declared routes, services and limits of one version, and the choice of a route. No I/O.
+ *
+ * A routing is built once, shared by reference and never changed, but for the running shares of
+ * its splits, which belong to the one thread that routes requests.
+ */
+#pragma once
+
+#include "query/quantile.h"
+
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+struct replica_set;
+
+/** Whether a request on a route may run more than once. */
+enum repeat_kind { REPEAT_ALLOWED, REPEAT_NEVER };
+
+/** Where a route sends its requests. */
+enum route_shape {
+	ROUTE_SPLIT,   /**< one service of several by weight; a single service has one part */
+	ROUTE_FAN_OUT, /**< one target of every shard; the records are merged */
+};
+
+/** A declared service. */
+struct routing_service {
+	char *name;
+	char *health_path;
+	int max_connections; /**< connections that each target accepts from all nodes together */
+	int64_t cold_us;     /**< how long a target is cold after its start */
+	double cold_per_s;   /**< requests a second that a cold target bears */
+	struct replica_set *set; /**< bound by the thread that routes requests */
+};
+
+/** One part of a split, or one shard. */
+struct routing_part {
+	int service; /**< position in routing.services */
+	double weight;
+	double owed; /**< running share, for smooth weighted turns */
+};
+
+struct routing_rule {
+	char *name;
+	char *host;
+	char *prefix; /**< begins and ends with a slash */
+	enum repeat_kind repeat;
+	enum route_shape shape;
+	int64_t timeout_us;
+	int64_t aim_us; /**< an answer within this time is worth most to the caller */
+	int priority;   /**< 0 is the most urgent */
+	int attempts;   /**< targets that one request, or each of its shards, may be sent to */
+	struct routing_part *parts;
+	int part_count;
+	int top;                 /**< ROUTE_FAN_OUT: records in the answer */
+	double least;            /**< ROUTE_FAN_OUT: least share of shards in an answer */
+	struct quantile latency; /**< of sub-requests on this route */
+};
+
+/** What a caller may send. */
+struct routing_limits {
+	int64_t header_bytes;
+	int64_t body_bytes;
+	int64_t header_us;
+	int64_t idle_us;
+};
+
+struct routing {
+	_Atomic int refs;
+	uint64_t version;
+	struct routing_rule *rules;
+	int rule_count;
+	struct routing_service *services;
+	int service_count;
+	struct routing_limits limits;
+};
+
+/** An empty routing with one reference. */
+struct routing *
+routing_new (void);
+struct routing *
+routing_ref (struct routing *routing);
+void
+routing_put (struct routing *routing);
+
+/** Position of a service; -1 when it is not declared. */
+int
+routing_find_service (const struct routing *routing, const char *name);
+
+struct routing_rule *
+routing_find_rule (const struct routing *routing, const char *name);
+
+/**
+ * The route of a request: of those for its host, the one with the longest prefix of the path.
+ * @param host may end in a port, which is ignored
+ * @param path may end in a query, which is ignored
+ * @return NULL when no route matches.
+ */
+struct routing_rule *
+routing_match (const struct routing *routing, const char *host, const char *path);
+
+/** The part whose turn it is, so that shares hold over short windows too. */
+int
+routing_next_part (struct routing_rule *rule);
+
+/** Least number of shards that an answer may hold. */
+int
+routing_least_shards (const struct routing_rule *rule);
--- /dev/null
+++ b/query/scatter.c
@@ -0,0 +1,407 @@
+#include "query/scatter.h"
+
+#include "core/buf.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+void
+scatter_init (struct scatter *scatter, struct routing *routing, struct routing_rule *rule,
+	const struct scatter_policy *policy, const struct scatter_hooks *hooks, int64_t now_us,
+	int64_t deadline_us)
+{
+	memset (scatter, 0, sizeof (*scatter));
+	scatter->routing = routing_ref (routing);
+	scatter->rule = rule;
+	scatter->policy = policy;
+	scatter->hooks = hooks;
+	scatter->start_us = now_us;
+	scatter->deadline_us = deadline_us;
+	scatter->partial_us = now_us + rule->aim_us - policy->margin_us;
+	scatter->patience_us = now_us + rule->aim_us * 2;
+	bool fan_out = rule->shape == ROUTE_FAN_OUT;
+	scatter->shard_count = fan_out ? rule->part_count : 1;
+	scatter->least = fan_out ? routing_least_shards (rule) : 1;
+	scatter->shards = xcalloc ((size_t)scatter->shard_count, sizeof (*scatter->shards));
+	int first = fan_out ? 0 : routing_next_part (rule);
+	for (int i = 0; i < scatter->shard_count; i++) {
+		struct scatter_shard *shard = &scatter->shards[i];
+		shard->scatter = scatter;
+		shard->set = routing->services[rule->parts[first + i].service].set;
+		shard->hedge_us = INT64_MAX;
+	}
+}
+
+static void
+leave_queue (struct scatter_shard *shard)
+{
+	if (!shard->queued)
+		return;
+	cds_list_del (&shard->node);
+	shard->set->waiting_count--;
+	shard->queued = false;
+}
+
+static void
+clear_reply (struct scatter_shard *shard)
+{
+	free (shard->stamp);
+	free (shard->content_type);
+	free (shard->body);
+	shard->stamp = shard->content_type = shard->body = NULL;
+	shard->body_len = 0;
+}
+
+void
+scatter_finish (struct scatter *scatter)
+{
+	for (int i = 0; i < scatter->shard_count; i++) {
+		leave_queue (&scatter->shards[i]);
+		clear_reply (&scatter->shards[i]);
+	}
+	free (scatter->shards);
+	routing_put (scatter->routing);
+}
+
+static void
+end_with (struct scatter *scatter, enum scatter_result result)
+{
+	scatter->phase = SCATTER_DONE;
+	scatter->result = result;
+	for (int i = 0; i < scatter->shard_count; i++)
+		leave_queue (&scatter->shards[i]);
+	scatter->hooks->finish (scatter);
+}
+
+static bool
+may_have_run (const struct scatter *scatter)
+{
+	for (int i = 0; i < scatter->shard_count; i++) {
+		if (scatter->shards[i].may_have_run || scatter->shards[i].running > 0)
+			return true;
+	}
+	return false;
+}
+
+static bool
+is_fan_out (const struct scatter *scatter)
+{
+	return scatter->rule->shape == ROUTE_FAN_OUT;
+}
+
+/* What the caller gets when no better answer can come any more. */
+static void
+end_without_answer (struct scatter *scatter, bool late)
+{
+	const struct scatter_shard *shard = &scatter->shards[0];
+	if (!is_fan_out (scatter) && shard->body) {
+		end_with (scatter, SCATTER_REPLY);
+		return;
+	}
+	if (!may_have_run (scatter)) {
+		scatter->retry_after_ms = SCATTER_RETRY_AFTER_MS;
+		end_with (scatter, SCATTER_REFUSED);
+		return;
+	}
+	end_with (scatter, late ? SCATTER_TIMEOUT : SCATTER_FAILED);
+}
+
+/* Ends the request when its answer is whole, is enough for the time, or cannot come any more. */
+static void
+settle (struct scatter *scatter, int64_t now_us)
+{
+	if (scatter->phase == SCATTER_DONE)
+		return;
+	int open = scatter->shard_count - scatter->closed;
+	bool enough = scatter->answered >= scatter->least;
+	/* With the aim lost, a little more time for the missing shards costs the caller less. */
+	if (now_us >= scatter->start_us + scatter->rule->aim_us)
+		scatter->partial_us = scatter->patience_us;
+	bool time_is_up = now_us >= scatter->partial_us;
+	bool late = now_us >= scatter->deadline_us;
+	if (!is_fan_out (scatter)) {
+		if (scatter->answered)
+			end_with (scatter, SCATTER_REPLY);
+		else if (open == 0 || late)
+			end_without_answer (scatter, late);
+		return;
+	}
+	if (scatter->answered == scatter->shard_count ||
+		(enough && (open == 0 || time_is_up || late)))
+		end_with (scatter, SCATTER_MERGED);
+	else if (late || scatter->answered + open < scatter->least)
+		end_without_answer (scatter, late);
+}
+
+static void
+close_shard (struct scatter *scatter, struct scatter_shard *shard)
+{
+	if (shard->closed)
+		return;
+	leave_queue (shard);
+	shard->closed = true;
+	shard->hedge_us = INT64_MAX;
+	scatter->closed++;
+}
+
+static int64_t
+hedge_delay_us (const struct scatter *scatter)
+{
+	int64_t delay_us = quantile_get (
+		&scatter->rule->latency, SCATTER_HEDGE_PERCENTILE, SCATTER_HEDGE_PRESET_US);
+	if (delay_us < SCATTER_HEDGE_LEAST_US)
+		delay_us = SCATTER_HEDGE_LEAST_US;
+	int64_t most_us = scatter->rule->aim_us / 2;
+	return delay_us < most_us ? delay_us : most_us;
+}
+
+static bool
+has_attempts (const struct scatter *scatter, const struct scatter_shard *shard)
+{
+	return shard->tried_count < scatter->rule->attempts &&
+	       shard->tried_count < SCATTER_MAX_ATTEMPTS;
+}
+
+static enum replica_verdict
+choose (struct scatter *scatter, struct scatter_shard *shard, bool hedge, int64_t now_us,
+	struct replica **replica)
+{
+	struct replica_wish wish = {
+		.data_centre = scatter->policy->data_centre,
+		.tried = shard->tried,
+		.tried_count = shard->tried_count,
+		.usual_us = quantile_get (&scatter->rule->latency, 50, SCATTER_HEDGE_LEAST_US),
+		.hedge = hedge,
+	};
+	return replica_choose (shard->set, &wish, now_us, replica);
+}
+
+static void
+send_to (struct scatter *scatter, struct scatter_shard *shard, struct replica *replica,
+	int64_t now_us)
+{
+	shard->tried[shard->tried_count++] = replica;
+	shard->running++;
+	shard->hedge_us = INT64_MAX;
+	if (scatter->rule->repeat == REPEAT_ALLOWED && has_attempts (scatter, shard))
+		shard->hedge_us = now_us + hedge_delay_us (scatter);
+	scatter->hooks->send (scatter, (int)(shard - scatter->shards), replica);
+}
+
+static int
+queue_limit (const struct replica_set *set)
+{
+	const struct replica *replica;
+	int slots = 0;
+	cds_list_for_each_entry (replica, &set->replicas, node)
+		slots += replica_usable (replica) ? replica->slots : 0;
+	return slots * SCATTER_QUEUE_PER_SLOT;
+}
+
+/* The more urgent come first; within a priority the order of arrival holds. */
+static void
+enter_queue (struct scatter *scatter, struct scatter_shard *shard)
+{
+	struct cds_list_head *at = shard->set->waiting.prev;
+	while (at != &shard->set->waiting) {
+		const struct scatter_shard *other = cds_list_entry (at, struct scatter_shard, node);
+		if (other->scatter->rule->priority <= scatter->rule->priority)
+			break;
+		at = at->prev;
+	}
+	cds_list_add (&shard->node, at);
+	shard->set->waiting_count++;
+	shard->queued = true;
+}
+
+/* Sends a shard's next sub-request, lets it wait for room, or gives the shard up. */
+static void
+try_shard (struct scatter *scatter, struct scatter_shard *shard, int64_t now_us)
+{
+	struct replica *replica = NULL;
+	bool first = shard->tried_count == 0;
+	if (!has_attempts (scatter, shard)) {
+		close_shard (scatter, shard);
+		return;
+	}
+	switch (choose (scatter, shard, false, now_us, &replica)) {
+	case REPLICA_FOUND:
+		if (!first && !budget_spend (&shard->set->extra)) {
+			close_shard (scatter, shard);
+			return;
+		}
+		if (first)
+			budget_earn (&shard->set->extra, scatter->policy->extra_percent);
+		else
+			scatter->retries++;
+		send_to (scatter, shard, replica, now_us);
+		return;
+	case REPLICA_NO_ROOM:
+		if (shard->set->waiting_count < queue_limit (shard->set))
+			enter_queue (scatter, shard);
+		else
+			close_shard (scatter, shard);
+		return;
+	case REPLICA_NONE:
+		close_shard (scatter, shard);
+		return;
+	}
+}
+
+void
+scatter_start (struct scatter *scatter, int64_t now_us)
+{
+	for (int i = 0; i < scatter->shard_count; i++)
+		try_shard (scatter, &scatter->shards[i], now_us);
+	settle (scatter, now_us);
+}
+
+static void
+store_reply (struct scatter_shard *shard, const struct sub_answer *answer)
+{
+	clear_reply (shard);
+	shard->http_status = answer->http_status;
+	shard->stamp = xstrdup (answer->stamp);
+	shard->content_type = xstrdup (answer->content_type);
+	shard->body = xmalloc (answer->body_len + 1);
+	if (answer->body_len)
+		memcpy (shard->body, answer->body, answer->body_len);
+	shard->body_len = answer->body_len;
+}
+
+static bool
+may_try_again (const struct scatter *scatter, const struct scatter_shard *shard)
+{
+	return scatter->rule->repeat == REPEAT_ALLOWED || !shard->may_have_run;
+}
+
+void
+scatter_ended (struct scatter *scatter, int at, enum sub_end end, const struct sub_answer *answer,
+	int64_t now_us)
+{
+	struct scatter_shard *shard = &scatter->shards[at];
+	shard->running--;
+	if (scatter->phase == SCATTER_DONE)
+		return;
+	switch (end) {
+	case SUB_END_PART:
+		shard->may_have_run = true;
+		if (!shard->closed || !shard->answered) {
+			if (shard->closed)
+				scatter->closed--;
+			shard->closed = false;
+			store_reply (shard, answer);
+			shard->answered = true;
+			scatter->answered++;
+			close_shard (scatter, shard);
+		}
+		break;
+	case SUB_END_STATUS:
+		shard->may_have_run = true;
+		if (!is_fan_out (scatter) && !shard->answered)
+			store_reply (shard, answer);
+		break;
+	case SUB_END_NOT_SENT:
+		/* Nothing was sent, so this target may be tried once more and costs no attempt. */
+		if (!shard->closed && shard->tried_count == scatter->rule->attempts &&
+			shard->running == 0)
+			shard->tried_count--;
+		break;
+	case SUB_END_NOT_RUN:
+		break;
+	case SUB_END_BROKEN:
+		shard->may_have_run = true;
+		break;
+	}
+	if (!shard->closed && shard->running == 0 && !shard->queued) {
+		if (may_try_again (scatter, shard))
+			try_shard (scatter, shard, now_us);
+		else
+			close_shard (scatter, shard);
+	}
+	settle (scatter, now_us);
+}
+
+static void
+hedge (struct scatter *scatter, struct scatter_shard *shard, int64_t now_us)
+{
+	struct replica *replica = NULL;
+	shard->hedge_us = INT64_MAX;
+	if (choose (scatter, shard, true, now_us, &replica) != REPLICA_FOUND ||
+		!budget_spend (&shard->set->extra))
+		return;
+	scatter->hedges++;
+	send_to (scatter, shard, replica, now_us);
+}
+
+void
+scatter_tick (struct scatter *scatter, int64_t now_us)
+{
+	for (int i = 0; i < scatter->shard_count && scatter->phase == SCATTER_RUNNING; i++) {
+		if (scatter->shards[i].hedge_us <= now_us && !scatter->shards[i].closed)
+			hedge (scatter, &scatter->shards[i], now_us);
+	}
+	settle (scatter, now_us);
+}
+
+int64_t
+scatter_wake_us (const struct scatter *scatter)
+{
+	int64_t wake_us = scatter->deadline_us;
+	if (is_fan_out (scatter) && scatter->answered >= scatter->least &&
+		scatter->partial_us < wake_us)
+		wake_us = scatter->partial_us;
+	for (int i = 0; i < scatter->shard_count; i++) {
+		if (scatter->shards[i].hedge_us < wake_us)
+			wake_us = scatter->shards[i].hedge_us;
+	}
+	return wake_us;
+}
+
+void
+scatter_serve_waiting (struct replica_set *set, int64_t now_us)
+{
+	while (!cds_list_empty (&set->waiting)) {
+		struct scatter_shard *shard =
+			cds_list_entry (set->waiting.next, struct scatter_shard, node);
+		struct replica *replica = NULL;
+		if (choose (shard->scatter, shard, false, now_us, &replica) == REPLICA_NO_ROOM)
+			return;
+		leave_queue (shard);
+		try_shard (shard->scatter, shard, now_us);
+		settle (shard->scatter, now_us);
+	}
+}
+
+static int
+compare_records (const void *a, const void *b)
+{
+	return memcmp (*(const char *const *)b, *(const char *const *)a, SCATTER_RECORD_BYTES);
+}
+
+char *
+scatter_merge (const struct scatter *scatter, size_t *len)
+{
+	size_t count = 0;
+	for (int i = 0; i < scatter->shard_count; i++) {
+		if (scatter->shards[i].answered)
+			count += scatter->shards[i].body_len / SCATTER_RECORD_BYTES;
+	}
+	const char **records = xcalloc (count + 1, sizeof (*records));
+	size_t at = 0;
+	for (int i = 0; i < scatter->shard_count; i++) {
+		const struct scatter_shard *shard = &scatter->shards[i];
+		for (size_t j = 0; shard->answered && j < shard->body_len / SCATTER_RECORD_BYTES;
+			j++)
+			records[at++] = shard->body + j * SCATTER_RECORD_BYTES;
+	}
+	qsort (records, count, sizeof (*records), compare_records);
+	if (count > (size_t)scatter->rule->top)
+		count = (size_t)scatter->rule->top;
+	char *out = xmalloc (count * SCATTER_RECORD_BYTES + 1);
+	for (size_t i = 0; i < count; i++)
+		memcpy (out + i * SCATTER_RECORD_BYTES, records[i], SCATTER_RECORD_BYTES);
+	free (records);
+	*len = count * SCATTER_RECORD_BYTES;
+	return out;
+}
--- a/target/gate.c
+++ b/targets/gate.c
@@ -1,4 +1,4 @@
-#include "target/gate.h"
+#include "targets/gate.h"
 
 #include <assert.h>
 #include <string.h>
--- a/target/gate.h
+++ b/targets/gate.h
@@ -7,7 +7,7 @@
  */
 #pragma once
 
-#include "target/hint.h"
+#include "targets/hint.h"
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/target/hint.c
+++ b/targets/hint.c
@@ -1,4 +1,4 @@
-#include "target/hint.h"
+#include "targets/hint.h"
 
 #include "core/buf.h"
 
--- a/target/reply.c
+++ b/targets/reply.c
@@ -1,4 +1,4 @@
-#include "target/reply.h"
+#include "targets/reply.h"
 
 #include "core/buf.h"
 
--- a/target/reply.h
+++ b/targets/reply.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "query/query.h"
-#include "target/gate.h"
+#include "targets/gate.h"
 
 #include <stddef.h>
 
--- a/test/fuzz/gate.c
+++ b/test/fuzz/gate.c
@@ -2,7 +2,7 @@
  * @file gate.c
  * The gate against an oracle of its target: slots, cold starts, what still runs after a cancel.
  */
-#include "target/gate.h"
+#include "targets/gate.h"
 #include "test/fuzz/input.h"
 
 #include <stdlib.h>
--- a/test/fuzz/replies.c
+++ b/test/fuzz/replies.c
@@ -6,7 +6,7 @@
 #include "control/view.h"
 #include "core/buf.h"
 #include "query/merge.h"
-#include "target/reply.h"
+#include "targets/reply.h"
 #include "test/fuzz/input.h"
 
 #include <jansson.h>
--- a/test/target.c
+++ b/test/target.c
@@ -8,7 +8,7 @@
 #include "core/buf.h"
 #include "core/clock.h"
 #include "core/rng.h"
-#include "target/hint.h"
+#include "targets/hint.h"
 
 #include <argp.h>
 #include <errno.h>
--- a/test/units.c
+++ b/test/units.c
@@ -12,7 +12,7 @@
 #include "query/once.h"
 #include "query/query.h"
 #include "store/store.h"
-#include "target/gate.h"
+#include "targets/gate.h"
 #include "test/fixture.h"
 
 #include <CUnit/Basic.h>
--- a/test/world.c
+++ b/test/world.c
@@ -138,6 +138,7 @@
 			node->disk.id = rng_next (&world->rng) | 1;
 		struct voter_settings settings = {.lease_us = WORLD_LEASE_US,
 			.voters_wanted = 3,
+			.replace_us = 300000000,
 			.compact_entries = 100,
 			.disk_id = node->disk.id};
 		str_copy (settings.name, sizeof (settings.name), node->name);
