--- a/control/command.c
+++ b/control/command.c
@@ -26,12 +26,13 @@
 static void
 write_member (struct pack_writer *writer, const struct member *member)
 {
-	pack_array (writer, 5);
+	pack_array (writer, 6);
 	pack_str (writer, member->name);
 	pack_str (writer, member->data_centre);
 	pack_str (writer, member->address);
 	pack_u64 (writer, member->incarnation);
 	pack_bool (writer, member->leaving);
+	pack_bool (writer, member->entry);
 }
 
 static void
@@ -137,6 +138,7 @@
 	read_chars (node, 2, member->address, sizeof (member->address));
 	member->incarnation = pack_get_u64 (pack_at (node, 3));
 	member->leaving = pack_get_bool (pack_at (node, 4));
+	member->entry = pack_get_bool (pack_at (node, 5));
 }
 
 static void
--- a/control/leader.c
+++ b/control/leader.c
@@ -33,7 +33,7 @@
 			continue;
 		const struct member *known = members_find (&voter->state.members, poll->name);
 		if (known && known->incarnation == poll->incarnation &&
-			known->leaving == poll->leaving &&
+			known->leaving == poll->leaving && known->entry == poll->entry &&
 			strcmp (known->address, poll->address) == 0)
 			continue;
 		struct command command = {.kind = COMMAND_MEMBER};
@@ -43,6 +43,7 @@
 		str_copy (member->address, sizeof (member->address), poll->address);
 		member->incarnation = poll->incarnation;
 		member->leaving = poll->leaving;
+		member->entry = poll->entry;
 		propose_own (voter, &command, now_us);
 	}
 }
--- a/control/members.c
+++ b/control/members.c
@@ -44,7 +44,8 @@
 same (const struct member *a, const struct member *b)
 {
 	return a->incarnation == b->incarnation && a->leaving == b->leaving &&
-	       strcmp (a->address, b->address) == 0 && strcmp (a->data_centre, b->data_centre) == 0;
+	       a->entry == b->entry && strcmp (a->address, b->address) == 0 &&
+	       strcmp (a->data_centre, b->data_centre) == 0;
 }
 
 bool
@@ -91,12 +92,13 @@
 	pack_array (writer, (size_t)members->count);
 	for (size_t i = 0; i < members->count; i++) {
 		const struct member *item = &members->items[i];
-		pack_array (writer, 5);
+		pack_array (writer, 6);
 		pack_str (writer, item->name);
 		pack_str (writer, item->data_centre);
 		pack_str (writer, item->address);
 		pack_u64 (writer, item->incarnation);
 		pack_bool (writer, item->leaving);
+		pack_bool (writer, item->entry);
 	}
 }
 
@@ -114,6 +116,7 @@
 		pack_get_str (pack_at (item, 2), member.address, sizeof (member.address));
 		member.incarnation = pack_get_u64 (pack_at (item, 3));
 		member.leaving = pack_get_bool (pack_at (item, 4));
+		member.entry = pack_get_bool (pack_at (item, 5));
 		if (!pack_ok (node))
 			return false;
 		members_put (members, &member, revision);
--- a/control/members.h
+++ b/control/members.h
@@ -12,6 +12,7 @@
 	char data_centre[RESOURCE_NAME_MAX + 1];
 	char address[64];
 	uint64_t incarnation;
+	bool entry;   /**< serves callers of declared routes */
 	bool leaving; /**< announced a planned stop; keeps polling but owns nothing */
 };
 
--- a/control/wire.c
+++ b/control/wire.c
@@ -8,7 +8,7 @@
 static void
 write_poll (struct pack_writer *w, const struct poll *poll)
 {
-	pack_array (w, 11);
+	pack_array (w, 12);
 	pack_str (w, poll->name);
 	pack_str (w, poll->data_centre);
 	pack_str (w, poll->address);
@@ -20,6 +20,7 @@
 	pack_bool (w, poll->leaving);
 	pack_bool (w, poll->gone);
 	pack_u64 (w, poll->acting);
+	pack_bool (w, poll->entry);
 }
 
 static void
@@ -197,6 +198,7 @@
 	poll->leaving = pack_get_bool (pack_at (node, 8));
 	poll->gone = pack_get_bool (pack_at (node, 9));
 	poll->acting = read_u64 (node, 10);
+	poll->entry = pack_get_bool (pack_at (node, 11));
 }
 
 static void
--- a/control/wire.h
+++ b/control/wire.h
@@ -31,6 +31,7 @@
 	uint64_t acting;       /**< newest revision that its request path follows */
 	uint64_t released;     /**< newest revision whose lost targets it no longer works on */
 	uint32_t leaving_work; /**< sub-requests in flight at targets that are leaving */
+	bool entry;            /**< it serves callers of declared routes */
 	bool leaving;          /**< it began a planned stop */
 	bool gone;             /**< it holds nothing any more and ends now */
 };
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -127,6 +127,43 @@
 	return stopping_us != 0 && front_now_us (front) >= stopping_us + FRONT_READY_LAG_US;
 }
 
+/* A request that may not end before the process does is better off at another node. */
+static bool
+comes_too_late (const struct front *front, const struct routing_rule *rule)
+{
+	int64_t stopping_us = atomic_load (&front->stopping_us);
+	if (stopping_us == 0)
+		return false;
+	int64_t end_us = stopping_us + front->node->options.front_stop_ms * US_PER_MS;
+	int64_t usual_us = quantile_get (&rule->latency, SCATTER_HEDGE_PERCENTILE, rule->aim_us);
+	return front_now_us (front) + usual_us * FRONT_STOP_REFUSE_TIMES > end_us;
+}
+
+static void
+log_outcome (const struct forward *forward, int status)
+{
+	const struct scatter *scatter = &forward->scatter;
+	int64_t took_us = front_now_us (forward->front) - scatter->start_us;
+	int worst = 0;
+	if (status < 400 && took_us <= scatter->rule->aim_us &&
+		scatter->answered == scatter->shard_count)
+		return;
+	for (int i = 0; i < scatter->shard_count; i++) {
+		if (!scatter->shards[i].answered)
+			worst = i;
+	}
+	const struct scatter_shard *shard = &scatter->shards[worst];
+	log_event (&forward->front->log,
+		status >= 400 ? EVENT_REQUEST_FAILED : EVENT_REQUEST_DEGRADED,
+		"%s: status %d on route %s after %lld ms; %d of %d shards, %d hedges, %d retries; "
+		"shard %s tried %d, runs at %d, waits %d of %d; routing %llu",
+		forward->head.attempt_id, status, scatter->rule->name,
+		(long long)(took_us / US_PER_MS), scatter->answered, scatter->shard_count,
+		scatter->hedges, scatter->retries, shard->set->name, shard->tried_count,
+		shard->running, shard->queued, shard->set->waiting_count,
+		(unsigned long long)scatter->routing->version);
+}
+
 static void
 finish_forward (struct scatter *scatter)
 {
@@ -146,15 +183,7 @@
 			len = shard->body_len;
 		}
 	}
-	if (status >= 400)
-		log_event (&forward->front->log, EVENT_REQUEST_FAILED,
-			"%s: status %d on route %s after %lld ms; %d of %d shards, %d hedges, "
-			"%d retries; routing %llu",
-			forward->head.attempt_id, status, scatter->rule->name,
-			(long long)((front_now_us (forward->front) - scatter->start_us) /
-				    US_PER_MS),
-			scatter->answered, scatter->shard_count, scatter->hedges, scatter->retries,
-			(unsigned long long)scatter->routing->version);
+	log_outcome (forward, status);
 	metric_add (METRIC_SUBS_HEDGE, (uint64_t)scatter->hedges);
 	metric_add (METRIC_SUBS_RETRY, (uint64_t)scatter->retries);
 	if (scatter->answered < scatter->shard_count)
@@ -377,13 +406,13 @@
 }
 
 static void
-refuse (struct ingress_request *request, int status)
+refuse (struct ingress_request *request, int status, bool close)
 {
 	struct buf lines;
 	buf_init (&lines);
 	if (status == 503)
 		buf_addf (&lines, "Retry-After: %.3f\n", UNREADY_RETRY_MS / 1000.0);
-	ingress_answer (request, status, &lines, NULL, 0, false);
+	ingress_answer (request, status, &lines, NULL, 0, close);
 	buf_finish (&lines);
 }
 
@@ -430,9 +459,9 @@
 	ingress_headers (request, take_header, &scan);
 	struct routing_rule *rule =
 		routing ? routing_match (routing, scan.host, request->target) : NULL;
-	if (!rule) {
+	if (!rule || comes_too_late (front, rule)) {
 		drop (forward);
-		refuse (request, routing ? 404 : 503);
+		refuse (request, rule || !routing ? 503 : 404, closes_after (front));
 		return;
 	}
 	if (!scan.has_accept)
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -165,7 +165,8 @@
 		if (declared->resources.items[i]->kind == RESOURCE_DATA_CENTRE)
 			add_leaving (state, declared->resources.items[i]);
 	}
-	state->nodes = (int)declared->members.count;
+	for (size_t i = 0; i < declared->members.count; i++)
+		state->nodes += declared->members.items[i].entry;
 	mailbox_post (&front->mailbox, &state->mail);
 }
 
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -20,6 +20,7 @@
 
 enum {
 	FRONT_MAX_LEAVING = 32,
+	FRONT_STOP_REFUSE_TIMES = 4,  /**< usual latencies that a request needs during a stop */
 	FRONT_READY_LAG_US = 2500000, /**< the balancer asks once a second and needs two misses */
 };
 
@@ -33,7 +34,7 @@
 	struct routing *routing; /**< NULL: none was accepted yet; a reference is held */
 	char leaving[FRONT_MAX_LEAVING][RESOURCE_NAME_MAX + 1]; /**< data centres */
 	int leaving_count;
-	int nodes; /**< members that share what targets bear */
+	int nodes; /**< entries that share what targets bear */
 };
 
 struct front {
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -30,7 +30,9 @@
 	STOP_STEP_MS = 20,
 	STOP_MAX_MS = 60000,     /* a planned stop ends after this whatever is left */
 	STOP_HANDOVER_MS = 8000, /* time for other nodes to take the targets over */
+	STOP_OVERTIME_MS = 600,  /* fits into a grace of 6 s after 5 s of service */
 	GONE_WAIT_MS = 1000,
+	GONE_FRONT_WAIT_MS = 100, /* the grace is spent on callers */
 };
 
 /** HTTP servers of this process; those that the settings leave out are NULL. */
@@ -302,6 +304,8 @@
 {
 	atomic_store (&node->front->stopping_us, clock_now_us (&node->clock));
 	wait_until (node, signals, front_is_over, (int)node->options.front_stop_ms);
+	/* From here on new requests are refused, so that only what was taken before is left. */
+	wait_until (node, signals, is_idle, STOP_OVERTIME_MS);
 	front_stop (node->front);
 }
 
@@ -330,7 +334,7 @@
 	if (node->front)
 		stop_front (node, signals);
 	control_set_leaving (node->control, true);
-	wait_until (node, signals, is_gone, GONE_WAIT_MS);
+	wait_until (node, signals, is_gone, node->front ? GONE_FRONT_WAIT_MS : GONE_WAIT_MS);
 	if (servers->orders)
 		mg_stop (servers->orders);
 	mg_stop (servers->operators);
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -148,6 +148,24 @@
 	return socket (address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
 }
 
+/*
+ * The library sends a request again by itself when a kept connection turns out to be dead, which
+ * neither the caller's budget nor a request that must run once allows.
+ */
+static int
+on_send (void *user, char *remote_ip, char *local_ip, int remote_port, int local_port)
+{
+	struct fetch *fetch = user;
+	(void)remote_ip;
+	(void)local_ip;
+	(void)remote_port;
+	(void)local_port;
+	if (fetch->sent)
+		return CURL_PREREQFUNC_ABORT;
+	fetch->sent = true;
+	return CURL_PREREQFUNC_OK;
+}
+
 static int
 on_close (void *user, curl_socket_t fd)
 {
@@ -242,7 +260,7 @@
 	fetch->easy = take_easy (pool->loop);
 	fetch->list = NULL;
 	fetch->status = 0;
-	fetch->held_back = fetch->opened = false;
+	fetch->held_back = fetch->opened = fetch->sent = false;
 	fetch->on_line = request->on_line;
 	fetch->done = done;
 	memset (&fetch->headers, 0, sizeof (fetch->headers));
@@ -258,6 +276,8 @@
 	curl_easy_setopt (easy, CURLOPT_OPENSOCKETDATA, fetch);
 	curl_easy_setopt (easy, CURLOPT_CLOSESOCKETFUNCTION, on_close);
 	curl_easy_setopt (easy, CURLOPT_CLOSESOCKETDATA, pool);
+	curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_send);
+	curl_easy_setopt (easy, CURLOPT_PREREQDATA, fetch);
 	curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt (easy, CURLOPT_WRITEDATA, fetch);
 	curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
@@ -315,11 +335,11 @@
 	case CURLE_COULDNT_CONNECT:
 	case CURLE_COULDNT_RESOLVE_HOST:
 	case CURLE_URL_MALFORMAT:
-		return FETCH_NOT_SENT;
+		return fetch->sent ? FETCH_FAILED : FETCH_NOT_SENT;
 	case CURLE_WRITE_ERROR:
 		return FETCH_TOO_LARGE;
 	default:
-		return fetch->held_back ? FETCH_NOT_SENT : FETCH_FAILED;
+		return fetch->sent ? FETCH_FAILED : FETCH_NOT_SENT;
 	}
 }
 
@@ -363,11 +383,9 @@
 {
 	if (timer->kind == FETCH_TIMER) {
 		struct fetch *fetch = caa_container_of (timer, struct fetch, timer);
-		curl_off_t sending_us = 0;
-		curl_easy_getinfo (fetch->easy, CURLINFO_PRETRANSFER_TIME_T, &sending_us);
 		detach_closing (fetch);
 		/* A connection that was never established carried nothing. */
-		fetch->done (fetch, sending_us == 0 ? FETCH_NOT_SENT : FETCH_SILENT);
+		fetch->done (fetch, fetch->sent ? FETCH_SILENT : FETCH_NOT_SENT);
 		return;
 	}
 	struct fetch_pool *pool = caa_container_of (timer, struct fetch_pool, timer);
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -44,6 +44,7 @@
 	bool held_back; /**< the gate went cold before the connection was opened */
 	bool may_wait;  /**< false: never hold back (probes) */
 	bool opened;    /**< a new connection was opened for it */
+	bool sent;      /**< handed to a connection; from then on it may have arrived */
 	bool (*on_line) (struct fetch *fetch, const char *line, size_t len);
 	void (*done) (struct fetch *fetch, enum fetch_end end);
 };
--- a/query/budget.c
+++ b/query/budget.c
@@ -28,9 +28,16 @@
 bool
 budget_spend (struct budget *budget)
 {
+	return budget_spend_above (budget, 0);
+}
+
+bool
+budget_spend_above (struct budget *budget, int reserve)
+{
+	int64_t least = (int64_t)BUDGET_UNIT * (reserve + 1);
 	int64_t tokens = atomic_load_explicit (&budget->tokens, memory_order_relaxed);
 	do {
-		if (tokens < BUDGET_UNIT)
+		if (tokens < least)
 			return false;
 	} while (!atomic_compare_exchange_weak_explicit (&budget->tokens, &tokens,
 		tokens - BUDGET_UNIT, memory_order_relaxed, memory_order_relaxed));
--- a/query/budget.h
+++ b/query/budget.h
@@ -32,6 +32,10 @@
 void
 budget_earn (struct budget *budget, int percent);
 
+/** Takes one extra sub-request, leaving @p reserve of them; false when there are not so many. */
+bool
+budget_spend_above (struct budget *budget, int reserve);
+
 /** Takes one extra sub-request from the budget; false when none is left. */
 bool
 budget_spend (struct budget *budget);
--- a/query/replica.c
+++ b/query/replica.c
@@ -44,10 +44,22 @@
 	return oldest->sent_us + limit_us < now_us;
 }
 
+/* Fades with time, so that a target which has recovered is tried again. */
+static int64_t
+faded (int64_t value, const struct replica *replica, int64_t now_us)
+{
+	int64_t age_us = now_us - replica->seen_us;
+	return age_us >= REPLICA_MEMORY_US
+		       ? 0
+		       : value * (REPLICA_MEMORY_US - age_us) / REPLICA_MEMORY_US;
+}
+
 static int64_t
 expected_us (struct replica *replica, const struct replica_wish *wish, int64_t now_us)
 {
-	int64_t work_us = replica->latency_us > 0 ? replica->latency_us : wish->usual_us;
+	int64_t work_us = wish->usual_us;
+	if (replica->latency_us > 0)
+		work_us += faded (replica->latency_us - wish->usual_us, replica, now_us);
 	int load = replica->in_flight;
 	if (replica->told_us + REPLICA_LOAD_FRESH_US > now_us && replica->told_load > load)
 		load = replica->told_load;
@@ -55,6 +67,8 @@
 	int64_t wait_us = work_us + work_us * load / (2 * slots);
 	if (load >= slots)
 		wait_us += work_us * (load - slots + 1) / slots;
+	wait_us += faded (replica->trouble, replica, now_us) * wish->usual_us *
+		   REPLICA_TROUBLE_COST / REPLICA_TROUBLE_UNIT;
 	if (strcmp (replica->data_centre, wish->data_centre) != 0)
 		wait_us += REPLICA_REMOTE_US;
 	if (is_stalled (replica, wish->usual_us, now_us))
@@ -121,6 +135,14 @@
 	replica->avoid_until_us = now_us + avoid_us;
 }
 
+static void
+note_trouble (struct replica *replica, bool bad, int64_t now_us)
+{
+	int before = (int)faded (replica->trouble, replica, now_us);
+	replica->trouble = before + ((bad ? REPLICA_TROUBLE_UNIT : 0) - before) / 4;
+	replica->seen_us = now_us;
+}
+
 void
 replica_end (struct replica_use *use, enum replica_outcome outcome, int64_t now_us)
 {
@@ -135,12 +157,15 @@
 		replica->avoid_until_us = 0;
 		replica->latency_us =
 			replica->latency_us ? (replica->latency_us * 7 + took_us) / 8 : took_us;
+		note_trouble (replica, false, now_us);
 		return;
 	case REPLICA_REFUSED:
 		replica->avoid_until_us = now_us + REPLICA_REFUSED_AVOID_US;
+		note_trouble (replica, true, now_us);
 		return;
 	case REPLICA_FAILED:
 		note_failure (replica, now_us);
+		note_trouble (replica, true, now_us);
 		return;
 	case REPLICA_DROPPED:
 		return;
--- a/query/replica.h
+++ b/query/replica.h
@@ -23,6 +23,9 @@
 	REPLICA_AVOID_MAX_US = 4000000,
 	REPLICA_REFUSED_AVOID_US = 50000, /**< after a refusal for want of room */
 	REPLICA_REMOTE_US = 3000,         /**< a round trip between data centres of one region */
+	REPLICA_MEMORY_US = 4000000,      /**< what was learned of a target fades over this time */
+	REPLICA_TROUBLE_UNIT = 1024,      /**< all of the recent sub-requests failed */
+	REPLICA_TROUBLE_COST = 4,         /**< usual latencies that a failed sub-request costs */
 	REPLICA_STALL_LEAST_US = 15000,   /**< shorter silences are ordinary variation */
 };
 
@@ -47,6 +50,8 @@
 	int in_flight;
 	struct cds_list_head running; /**< struct replica_use, oldest first */
 	int64_t latency_us;           /**< moving average; 0: none yet */
+	int trouble;                  /**< share that failed or was refused, moving average */
+	int64_t seen_us;              /**< when the averages were updated */
 	int told_load;                /**< running and waiting, as it last said */
 	int64_t told_us;
 	void *pool; /**< the shell's connections to it */
--- a/query/scatter.c
+++ b/query/scatter.c
@@ -158,8 +158,7 @@
 static bool
 has_attempts (const struct scatter *scatter, const struct scatter_shard *shard)
 {
-	return shard->tried_count < scatter->rule->attempts &&
-	       shard->tried_count < SCATTER_MAX_ATTEMPTS;
+	return shard->spent < scatter->rule->attempts && shard->tried_count < SCATTER_MAX_ATTEMPTS;
 }
 
 static enum replica_verdict
@@ -181,6 +180,7 @@
 	int64_t now_us)
 {
 	shard->tried[shard->tried_count++] = replica;
+	shard->spent++;
 	shard->running++;
 	shard->hedge_us = INT64_MAX;
 	if (scatter->rule->repeat == REPEAT_ALLOWED && has_attempts (scatter, shard))
@@ -302,12 +302,9 @@
 			store_reply (shard, answer);
 		break;
 	case SUB_END_NOT_SENT:
-		/* Nothing was sent, so this target may be tried once more and costs no attempt. */
-		if (!shard->closed && shard->tried_count == scatter->rule->attempts &&
-			shard->running == 0)
-			shard->tried_count--;
-		break;
 	case SUB_END_NOT_RUN:
+		/* What ran nowhere leaves the route's attempts for another target. */
+		shard->spent--;
 		break;
 	case SUB_END_BROKEN:
 		shard->may_have_run = true;
@@ -328,7 +325,7 @@
 	struct replica *replica = NULL;
 	shard->hedge_us = INT64_MAX;
 	if (choose (scatter, shard, true, now_us, &replica) != REPLICA_FOUND ||
-		!budget_spend (&shard->set->extra))
+		!budget_spend_above (&shard->set->extra, SCATTER_RETRY_RESERVE))
 		return;
 	scatter->hedges++;
 	send_to (scatter, shard, replica, now_us);
--- a/query/scatter.h
+++ b/query/scatter.h
@@ -19,12 +19,13 @@
 #include <urcu/list.h>
 
 enum {
-	SCATTER_MAX_ATTEMPTS = 4,
+	SCATTER_MAX_ATTEMPTS = 6, /**< of one shard, with those that did not run */
 	SCATTER_RECORD_BYTES = 16,
 	SCATTER_HEDGE_PERCENTILE = 92,   /**< a sub-request slower than this is hedged */
 	SCATTER_HEDGE_LEAST_US = 4000,   /**< a reply that crosses the network needs this long */
 	SCATTER_HEDGE_PRESET_US = 40000, /**< until enough latencies are known */
 	SCATTER_QUEUE_PER_SLOT = 4,      /**< sub-requests that may wait for a service, a slot */
+	SCATTER_RETRY_RESERVE = 2,       /**< extra sub-requests that hedges leave for retries */
 	SCATTER_RETRY_AFTER_MS = 250,    /**< least wait that a refused caller is told */
 };
 
@@ -66,6 +67,7 @@
 	struct replica_set *set;
 	struct replica *tried[SCATTER_MAX_ATTEMPTS];
 	int tried_count;
+	int spent; /**< attempts on which it may have run, or runs */
 	int running;
 	bool queued;
 	bool closed; /**< answered, or given up */
