query: hedge after three medians when many targets are slow; net: a bound on opening connections

Cause: with a fifth of the targets slow the 92nd percentile is itself a slow reply, so that hedges came too late; a once-only request to a silent target waited for its whole deadline although no connection was ever opened; a reset of one connection too many was taken for a failed target.

--- a/control/follower.c
+++ b/control/follower.c
@@ -102,7 +102,8 @@
 	if (follower->voter_count == 0)
 		return;
 	bool unanswered = follower->sent_us != 0;
-	if (unanswered && follower->sent_us + FOLLOWER_TRY_US > now_us)
+	int64_t try_us = follower->state.applied ? FOLLOWER_TRY_US : FOLLOWER_FIRST_TRY_US;
+	if (unanswered && follower->sent_us + try_us > now_us)
 		return;
 	if (unanswered) {
 		follower->voter = (follower->voter + 1) % follower->voter_count;
--- a/control/follower.h
+++ b/control/follower.h
@@ -9,10 +9,11 @@
 #include "control/state.h"
 
 enum {
-	FOLLOWER_TRY_US = 400000,   /**< an unanswered poll moves on to the next voter */
-	FOLLOWER_HURRY_US = 100000, /**< time between polls while an epoch is not settled */
-	FOLLOWER_HOLDS = 8,         /**< jumps whose release is held back at once */
-	FOLLOWER_DRIFT_PERCENT = 1, /**< taken off the lease */
+	FOLLOWER_TRY_US = 400000,       /**< an unanswered poll moves on to the next voter */
+	FOLLOWER_FIRST_TRY_US = 120000, /**< the same for a node that knows nothing yet */
+	FOLLOWER_HURRY_US = 100000,     /**< time between polls while an epoch is not settled */
+	FOLLOWER_HOLDS = 8,             /**< jumps whose release is held back at once */
+	FOLLOWER_DRIFT_PERCENT = 1,     /**< taken off the lease */
 };
 
 /**
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -11,6 +11,7 @@
 	SUB_MAX_BODY = 64 * 1024 * 1024,
 	SUB_LINES = 4,                  /* headers of the product, with the end of the list */
 	SUB_SILENCE_LEAST_US = 1000000, /* longer than any ordinary pause of a target */
+	SUB_CONNECT_US = 200000,        /* several times a dear handshake between data centres */
 	SUB_SILENCE_TIMES = 8,          /* of the usual latency */
 	ORPHAN_US = 400000,             /* work that nobody waits for ends within half a second */
 	UNREADY_RETRY_MS = 500,         /* a node without a view gets one within a poll or two */
@@ -212,6 +213,9 @@
 	case SUB_END_NOT_SENT:
 		return REPLICA_FAILED;
 	case SUB_END_BROKEN:
+		/* A new connection that is reset at once was one more than the target takes. */
+		if (how == FETCH_FAILED && sub->fetch.opened && sub->fetch.status == 0)
+			return REPLICA_REFUSED;
 		return how == FETCH_SILENT && !sub->forward ? REPLICA_DROPPED : REPLICA_FAILED;
 	}
 	return REPLICA_FAILED;
@@ -335,6 +339,7 @@
 		.body_len = forward->body_len,
 		.headers = lines,
 		.timeout_us = repeat && silent_us < left_us ? silent_us : left_us,
+		.connect_us = SUB_CONNECT_US,
 		.on_line = on_reply_line,
 		.fresh = !repeat,
 	};
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -1,5 +1,7 @@
 #include "net/fetch.h"
 
+#include "core/clock.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -231,6 +233,9 @@
 	snprintf (url, sizeof (url), "http://%s/", fetch->pool->address);
 	curl_easy_setopt (easy, CURLOPT_URL, url);
 	curl_easy_setopt (easy, CURLOPT_REQUEST_TARGET, request->path);
+	if (request->connect_us > 0)
+		curl_easy_setopt (
+			easy, CURLOPT_CONNECTTIMEOUT_MS, (long)(request->connect_us / US_PER_MS));
 	if (request->body) {
 		curl_easy_setopt (easy, CURLOPT_POST, 1L);
 		curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)request->body_len);
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -56,6 +56,7 @@
 	const char *body;   /**< NULL: GET */
 	size_t body_len;
 	const char *const *headers; /**< "Name: value" lines, NULL-terminated */
+	int64_t connect_us;         /**< longest time to open a connection; 0: the timeout */
 	int64_t timeout_us;         /**< from now on, by the loop's timers */
 	/** Gets each header line instead of fetch.headers; false closes the connection. */
 	bool (*on_line) (struct fetch *fetch, const char *line, size_t len);
--- a/query/scatter.c
+++ b/query/scatter.c
@@ -149,6 +149,9 @@
 {
 	int64_t delay_us = quantile_get (
 		&scatter->rule->latency, SCATTER_HEDGE_PERCENTILE, SCATTER_HEDGE_PRESET_US);
+	int64_t median_us = quantile_get (&scatter->rule->latency, 50, SCATTER_HEDGE_PRESET_US);
+	if (delay_us > median_us * SCATTER_HEDGE_MEDIANS)
+		delay_us = median_us * SCATTER_HEDGE_MEDIANS;
 	if (delay_us < SCATTER_HEDGE_LEAST_US)
 		delay_us = SCATTER_HEDGE_LEAST_US;
 	int64_t most_us = scatter->rule->aim_us / 2;
--- a/query/scatter.h
+++ b/query/scatter.h
@@ -21,7 +21,8 @@
 enum {
 	SCATTER_MAX_ATTEMPTS = 6, /**< of one shard, with those that did not run */
 	SCATTER_RECORD_BYTES = 16,
-	SCATTER_HEDGE_PERCENTILE = 92,   /**< a sub-request slower than this is hedged */
+	SCATTER_HEDGE_PERCENTILE = 92, /**< a sub-request slower than this is hedged */
+	SCATTER_HEDGE_MEDIANS = 3, /**< and one slower than so many medians, when many are slow */
 	SCATTER_HEDGE_LEAST_US = 4000,   /**< a reply that crosses the network needs this long */
 	SCATTER_HEDGE_PRESET_US = 40000, /**< until enough latencies are known */
 	SCATTER_QUEUE_PER_SLOT = 4,      /**< sub-requests that may wait for a service, a slot */
