--- a/daemon/control.c
+++ b/daemon/control.c
@@ -601,7 +601,32 @@
 	control_call (control, set_leaving, &gone);
 }
 
-/* The addresses of control.peers with control.peer_port, where one is set, for their ports. */
+/* Appends a peer address as it is reached: with control.peer_port where one is set. */
+static void
+add_seed (struct buf *out, const struct options *options, const char *at, size_t len)
+{
+	size_t host = strcspn (at, ":, ");
+	if (options->control_peer_port > 0)
+		buf_addf (out, "%.*s:%d", (int)host, at, (int)options->control_peer_port);
+	else
+		buf_addf (out, "%.*s", (int)len, at);
+}
+
+/* On the first start of the whole system its first seed starts the log; the others join it. */
+static bool
+is_first_seed (const struct options *options)
+{
+	struct buf first;
+	const char *at = options->control_peers + strspn (options->control_peers, ", ");
+	buf_init (&first);
+	add_seed (&first, options, at, strcspn (at, ", "));
+	bool own = options->control_bootstrap != 0 &&
+		   strcmp (first.data, options->node_peer_address) == 0;
+	buf_finish (&first);
+	return own;
+}
+
+/* The addresses to poll at first: this node's own, when it votes, and the seeds. */
 static void
 set_seeds (struct control *control)
 {
@@ -613,27 +638,16 @@
 	while (*at) {
 		at += strspn (at, ", ");
 		size_t len = strcspn (at, ", ");
-		size_t host = strcspn (at, ":, ");
-		if (len > 0 && options->control_peer_port > 0)
-			buf_addf (&out, "%.*s:%d,", (int)host, at, (int)options->control_peer_port);
-		else if (len > 0)
-			buf_addf (&out, "%.*s,", (int)len, at);
+		if (len > 0) {
+			add_seed (&out, options, at, len);
+			buf_addf (&out, ",");
+		}
 		at += len;
 	}
 	str_copy (control->seeds, sizeof (control->seeds), out.data);
 	buf_finish (&out);
 }
 
-/* On the first start of the whole system its first seed starts the log; the others join it. */
-static bool
-is_first_seed (const struct options *options)
-{
-	const char *own = options->node_peer_address;
-	const char *first = options->control_peers + strspn (options->control_peers, ", ");
-	size_t host = strcspn (own, ":");
-	return options->control_bootstrap != 0 && strncmp (first, own, host + 1) == 0;
-}
-
 static int
 seed_count (const struct options *options)
 {
--- a/test/check.sh
+++ b/test/check.sh
@@ -72,6 +72,7 @@
 		run "model-$name" bash test/model/run.sh "$name"
 	done < <(bash test/model/run.sh --list)
 fi
+run platform env BUILD="$BUILD" bash test/platform.sh
 run demo env BUILD="$BUILD" bash test/demo.sh
 echo "$passed passed, $failed failed"
 [ "$failed" = 0 ]
--- a/test/cluster.sh
+++ b/test/cluster.sh
@@ -40,7 +40,7 @@
 start_node () {
 	local n=$1
 	shift
-	"$BUILD/oleanderstiled" -c "$RUN/n$n.ini" "$@" >> "$RUN/n$n.out" 2>> "$RUN/n$n.log" &
+	"$BUILD/oleanderstiled" -c "$RUN/n$n.ini" "$@" >> "$RUN/n$n.log" 2>&1 &
 	PIDS[n$n]=$!
 }
 
--- /dev/null
+++ b/test/platform.c
@@ -0,0 +1,299 @@
+/**
+ * @file platform.c
+ * Stand-in for the users' platform on loopback: its target list, and targets that speak its
+ * protocol. Faults are switched on over HTTP, and every run of a request is counted.
+ *
+ * The list is at 127.0.0.1:PORT, target T of service S at PORT + 1 + S * COPIES + T.
+ *   GET  /instances            the list, in pages, with an entry that cannot be read
+ *   POST /set/NAME/TARGET/ON   NAME: draining, gone, shed, fail, slow, mute, extra, cold
+ *   GET  /runs/ID              how often the request with this id ran, over all targets
+ *   GET  /arrivals/TARGET      how many requests reached a target
+ */
+#include "core/buf.h"
+
+#include <microhttpd.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+enum { MAX_TARGETS = 128, MAX_RUNS = 65536, PAGE = 5, SLOW_MS = 400, MUTE_MS = 3000 };
+
+enum fault {
+	FAULT_DRAINING,
+	FAULT_GONE,
+	FAULT_SHED,
+	FAULT_FAIL,
+	FAULT_SLOW,
+	FAULT_MUTE,
+	FAULT_EXTRA,
+	FAULT_COLD,
+	FAULTS,
+};
+
+static const char *const fault_names[FAULTS] = {
+	"draining", "gone", "shed", "fail", "slow", "mute", "extra", "cold"};
+
+struct target {
+	int number;
+	int service;
+	int arrivals;
+	bool faults[FAULTS];
+};
+
+static struct target targets[MAX_TARGETS];
+static int target_count;
+static int base_port;
+static int copies;
+static int work_ms;
+static char runs[MAX_RUNS][40];
+static int run_count;
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+
+/* What one call collects. */
+struct call {
+	struct buf body;
+};
+
+static enum MHD_Result
+answer (struct MHD_Connection *connection, unsigned status, const struct buf *lines,
+	const char *body, size_t len)
+{
+	struct MHD_Response *response =
+		MHD_create_response_from_buffer (len, (void *)body, MHD_RESPMEM_MUST_COPY);
+	char *save = NULL;
+	char *copy = xstrdup (lines && lines->len ? lines->data : "");
+	for (char *line = strtok_r (copy, "\n", &save); line; line = strtok_r (NULL, "\n", &save)) {
+		char *colon = strstr (line, ": ");
+		*colon = '\0';
+		MHD_add_response_header (response, line, colon + 2);
+	}
+	free (copy);
+	enum MHD_Result result = MHD_queue_response (connection, status, response);
+	MHD_destroy_response (response);
+	return result;
+}
+
+static void
+write_list (struct buf *out, int from)
+{
+	int shown = 0;
+	int i = from;
+	buf_addf (out, "{\"instances\":[{\"id\":\"broken\",\"service\":\"\xff\"}");
+	for (; i < target_count && shown < PAGE; i++, shown++) {
+		const struct target *target = &targets[i];
+		if (target->faults[FAULT_GONE])
+			continue;
+		buf_addf (out,
+			",{\"id\":\"i-%d\",\"service\":\"s%d\",\"address\":\"127.0.0.1:%d\","
+			"\"zone\":\"z%d\",\"version\":\"v1\",\"slots\":4,\"state\":\"%s\","
+			"\"warmup_left_ms\":%d,\"born\":1700000000000}",
+			i, target->service, base_port + 1 + i, i % copies,
+			target->faults[FAULT_DRAINING] ? "draining" : "ready",
+			target->faults[FAULT_COLD] ? 2000 : 0);
+	}
+	if (i < target_count)
+		buf_addf (out, "],\"next_page_token\":\"%d\"}", i);
+	else
+		buf_addf (out, "],\"next_page_token\":null}");
+}
+
+static int
+count_runs (const char *id)
+{
+	int count = 0;
+	for (int i = 0; i < run_count; i++)
+		count += strcmp (runs[i], id) == 0;
+	return count;
+}
+
+static void
+set_fault (const char *text)
+{
+	char name[16];
+	int number = 0;
+	int on = 0;
+	if (sscanf (text, "%15[a-z]/%d/%d", name, &number, &on) != 3 || number >= target_count)
+		return;
+	for (int i = 0; i < FAULTS; i++) {
+		if (strcmp (name, fault_names[i]) == 0)
+			targets[number].faults[i] = on != 0;
+	}
+}
+
+static enum MHD_Result
+serve_platform (struct MHD_Connection *connection, const char *url)
+{
+	struct buf out;
+	buf_init (&out);
+	buf_addf (&out, "%s", "");
+	pthread_mutex_lock (&lock);
+	if (strcmp (url, "/instances") == 0) {
+		const char *token = MHD_lookup_connection_value (
+			connection, MHD_GET_ARGUMENT_KIND, "page_token");
+		write_list (&out, token ? atoi (token) : 0);
+	} else if (strncmp (url, "/set/", 5) == 0) {
+		set_fault (url + 5);
+	} else if (strncmp (url, "/runs/", 6) == 0) {
+		buf_addf (&out, "%d", count_runs (url + 6));
+	} else if (strncmp (url, "/arrivals/", 10) == 0) {
+		buf_addf (&out, "%d", targets[atoi (url + 10) % MAX_TARGETS].arrivals);
+	}
+	pthread_mutex_unlock (&lock);
+	enum MHD_Result result = answer (connection, 200, NULL, out.data, out.len);
+	buf_finish (&out);
+	return result;
+}
+
+static void
+sleep_ms (int ms)
+{
+	struct timespec ts = {.tv_sec = ms / 1000, .tv_nsec = ms % 1000 * 1000000L};
+	nanosleep (&ts, NULL);
+}
+
+static const char *
+header (struct MHD_Connection *connection, const char *name)
+{
+	const char *value = MHD_lookup_connection_value (connection, MHD_HEADER_KIND, name);
+	return value ? value : "";
+}
+
+static void
+note_run (const char *id)
+{
+	if (run_count < MAX_RUNS)
+		str_copy (runs[run_count++], sizeof (runs[0]), id);
+}
+
+/* Four records a shard, told apart by the shard and greatest for the last one. */
+static void
+write_records (const struct target *target, struct buf *out)
+{
+	for (int i = 0; i < 4; i++)
+		buf_addf (out, "%c-%02d-record-%04d", 'a' + i, target->service, target->service);
+	buf_addf (out, "tail");
+}
+
+static enum MHD_Result
+serve_target (struct MHD_Connection *connection, struct target *target, const char *method,
+	const struct buf *body)
+{
+	const char *id = header (connection, "Oleanderstile-Attempt-Id");
+	const char *meant = header (connection, "Oleanderstile-Target-Instance");
+	char own[16];
+	struct buf lines;
+	struct buf out;
+	buf_init (&lines);
+	buf_init (&out);
+	snprintf (own, sizeof (own), "i-%d", target->number);
+	buf_addf (&lines, "Oleanderstile-Server-Load: 1,0,4\nOleanderstile-Instance-Id: %s\n", own);
+	unsigned status = 200;
+	pthread_mutex_lock (&lock);
+	target->arrivals++;
+	bool fail = target->faults[FAULT_FAIL];
+	bool extra = target->faults[FAULT_EXTRA];
+	int wait_ms = target->faults[FAULT_SLOW]   ? SLOW_MS
+		      : target->faults[FAULT_MUTE] ? MUTE_MS
+						   : work_ms;
+	if (id[0] == '\0' || header (connection, "Oleanderstile-Deadline-Ms")[0] == '\0')
+		status = 400;
+	else if (meant[0] && strcmp (meant, own) != 0)
+		status = 421;
+	else if (target->faults[FAULT_SHED])
+		status = 503;
+	else
+		note_run (id);
+	pthread_mutex_unlock (&lock);
+	if (status == 200) {
+		sleep_ms (wait_ms);
+		buf_addf (&lines,
+			"Oleanderstile-Attempt-Id: %s\nOleanderstile-Server-Stamp: s%d.%s\n",
+			extra ? "another" : id, target->service, id);
+		if (fail)
+			status = 500;
+		else if (strcmp (method, "GET") == 0)
+			write_records (target, &out);
+		else
+			buf_add (&out, body->len ? body->data : "", body->len);
+	} else if (status != 421) {
+		buf_addf (&lines, "Oleanderstile-Not-Executed: 1\n");
+	}
+	enum MHD_Result result =
+		answer (connection, status, &lines, out.len ? out.data : "", out.len);
+	buf_finish (&lines);
+	buf_finish (&out);
+	return result;
+}
+
+static enum MHD_Result
+on_request (void *user, struct MHD_Connection *connection, const char *url, const char *method,
+	const char *version, const char *data, size_t *len, void **context)
+{
+	struct target *target = user;
+	struct call *call = *context;
+	(void)version;
+	if (!call) {
+		call = xcalloc (1, sizeof (*call));
+		buf_init (&call->body);
+		*context = call;
+		return MHD_YES;
+	}
+	if (*len > 0) {
+		buf_add (&call->body, data, *len);
+		*len = 0;
+		return MHD_YES;
+	}
+	return target ? serve_target (connection, target, method, &call->body)
+		      : serve_platform (connection, url);
+}
+
+static void
+on_completed (void *user, struct MHD_Connection *connection, void **context,
+	enum MHD_RequestTerminationCode code)
+{
+	struct call *call = *context;
+	(void)user;
+	(void)connection;
+	(void)code;
+	if (!call)
+		return;
+	buf_finish (&call->body);
+	free (call);
+	*context = NULL;
+}
+
+static void
+listen_at (int port, struct target *target)
+{
+	if (!MHD_start_daemon (MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD,
+		    (uint16_t)port, NULL, NULL, on_request, target, MHD_OPTION_NOTIFY_COMPLETED,
+		    on_completed, NULL, MHD_OPTION_CONNECTION_TIMEOUT, 20U, MHD_OPTION_END)) {
+		fprintf (stderr, "port %d cannot be served; free it\n", port);
+		exit (EXIT_FAILURE);
+	}
+}
+
+int
+main (int argc, char **argv)
+{
+	if (argc != 5) {
+		fprintf (stderr, "usage: stand-in-platform PORT SERVICES COPIES WORK-MS\n");
+		return EXIT_FAILURE;
+	}
+	base_port = atoi (argv[1]);
+	copies = atoi (argv[3]);
+	work_ms = atoi (argv[4]);
+	target_count = atoi (argv[2]) * copies;
+	if (target_count < 1 || target_count > MAX_TARGETS)
+		return EXIT_FAILURE;
+	listen_at (base_port, NULL);
+	for (int i = 0; i < target_count; i++) {
+		targets[i].number = i;
+		targets[i].service = i / copies;
+		listen_at (base_port + 1 + i, &targets[i]);
+	}
+	for (;;)
+		sleep_ms (1000);
+}
--- /dev/null
+++ b/test/platform.sh
@@ -0,0 +1,216 @@
+#!/usr/bin/env bash
+# The whole path on the users' platform, without their kit: three control nodes, two entries, and a
+# stand-in of the platform, on loopback. Each check names what it is about.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+BASE=${BASE:-23000}
+. test/cluster.sh
+trap stop_all EXIT
+PLATFORM=$((BASE + 400))
+checks=0
+
+fail () {
+	echo "platform: $*" >&2
+	tail -n 8 "$RUN"/n*.log >&2
+	exit 1
+}
+
+# expect WHAT ACTUAL PATTERN
+expect () {
+	grep -qE -- "$3" <<< "$2" || fail "$1: expected $3, got: $2"
+	checks=$((checks + 1))
+}
+
+# settings N ENTRY: the settings of node N, as the deployment's template would fill them in.
+settings () {
+	local n=$1
+	cat > "$RUN/n$n.ini" <<-END
+		[node]
+		name = n$n
+		data_center = z$((n % 3))
+		caller_address =
+		operator_address = 127.0.0.1:$((BASE + 100 + n))
+		peer_address = 127.0.0.1:$((BASE + 200 + n))
+		workers = 1
+		[control]
+		key = $KEY
+		peers = 127.0.0.1:$((BASE + 201)),127.0.0.1:$((BASE + 202)),127.0.0.1:$((BASE + 203))
+		replace_ms = 2000
+	END
+	if [ "$2" = entry ]; then
+		cat >> "$RUN/n$n.ini" <<-END
+			[front]
+			address = 127.0.0.1:$((BASE + n))
+			ready_address = 127.0.0.1:$((BASE + 50 + n))
+			list_address = 127.0.0.1:$PLATFORM
+			list_rate = 50
+			extra_ratio = 0.2
+			extra_slack = 60
+			cold_factor = 1
+			cold_slack = 4
+		END
+	else
+		cat >> "$RUN/n$n.ini" <<-END
+			bootstrap = true
+			orders_address = 127.0.0.1:$((BASE + n))
+			data_dir = $RUN/data$n
+		END
+	fi
+}
+
+call () {
+	curl -s --noproxy '*' -m 5 "$@"
+}
+
+# order N METHOD PATH [BODY]: an operator's call at control node N; prints the status.
+order () {
+	call -o "$RUN/answer" -w '%{http_code}' -X "$2" ${4:+-d "$4"} "http://127.0.0.1:$((BASE + $1))$3"
+}
+
+# ask N ID PATH [CURL ARGUMENTS]: a caller's request at entry N; prints status, headers and body.
+ask () {
+	local n=$1 id=$2 path=$3
+	shift 3
+	call -i -H "Host: ${HOST:-site.example}" -H "Oleanderstile-Attempt-Id: $id" \
+		-H "Oleanderstile-Deadline-Ms: 2000" "$@" "http://127.0.0.1:$((BASE + n))$path" |
+		tr -d '\r'
+}
+
+# manifest VERSION [EXTRA ROUTE]
+manifest () {
+	cat <<-END
+		{"version":$1,"routes":[{"name":"all","host":"site.example","path_prefix":"/all/",
+		"route_type":"idempotent","timeout_ms":1500,"target_latency_ms":200,"priority":1,
+		"max_attempts":2,"top_k":3,"min_shard_ratio":0.66,"fanout":["s0","s1","s2"]},
+		{"name":"file","host":"site.example","path_prefix":"/file/",
+		"route_type":"non_idempotent","timeout_ms":1500,"target_latency_ms":200,"priority":0,
+		"max_attempts":3,"service":"s3"}${2:+,$2}],
+		"services":[{"name":"s0","max_connections":30},{"name":"s1","max_connections":30},
+		{"name":"s2","max_connections":30},{"name":"s3","max_connections":30}]}
+	END
+}
+
+fault () {
+	call -X POST "http://127.0.0.1:$PLATFORM/set/$1/$2/$3"
+}
+
+runs () {
+	call "http://127.0.0.1:$PLATFORM/runs/$1"
+}
+
+arrivals () {
+	call "http://127.0.0.1:$PLATFORM/arrivals/$1"
+}
+
+is_ready () {
+	call -f "http://127.0.0.1:$((BASE + 50 + $1))/readiness"
+}
+
+mkdir -p "$RUN"/data{1,2,3}
+"$BUILD/test/stand-in-platform" $PLATFORM 4 3 5 2>> "$RUN/targets.log" &
+PIDS[platform]=$!
+for n in 1 2 3; do settings $n control; done
+for n in 4 5; do settings $n entry; done
+for n in 1 2 3 4 5; do start_node $n; done
+
+sleep 0.3
+expect "an entry without a routing refuses" "$(ask 4 a0 /all/x)" '^HTTP/1.1 503'
+expect "a manifest that is cut short is refused" "$(order 1 POST /config/replace "$(manifest 3 | head -c 300)")" '^400'
+wait_for 10 eval "[ \"\$(order 2 POST /config/replace '$(manifest 5)')\" = 200 ]" || fail "no first manifest"
+expect "an older version is accepted and changes nothing" "$(order 3 POST /config/replace "$(manifest 4)")" '^200'
+expect "the newest is read back" "$(order 1 GET /config/get; cat "$RUN/answer")" '^200.*"version":5'
+for n in 4 5; do wait_for 10 is_ready $n || fail "entry $n is not ready"; done
+
+# The first request of each entry opens its connections.
+ask 4 w1 /all/x > "$RUN/warm"
+ask 5 w2 /all/x > "$RUN/warm"
+answer=$(ask 4 a1 /all/x)
+expect "a whole answer" "$answer" '^HTTP/1.1 200'
+expect "no shard is missing" "$answer" '^Oleanderstile-Missing-Parts: 0'
+expect "each part is signed" "$answer" '^Oleanderstile-Part-Stamps: s0.a1, s1.a1, s2.a1'
+expect "the greatest records, falling" "$answer" '^d-02-record-0002d-01-record-0001d-00-record-0000$'
+expect "no such route" "$(ask 4 a2 /none/)" '^HTTP/1.1 404'
+expect "another host has no such route" "$(HOST=other.example ask 4 a3 /all/x)" '^HTTP/1.1 404'
+answer=$(ask 5 b1 /file/x -d 'renewal 7')
+expect "a filing runs" "$answer" '^renewal 7'
+expect "the target's proof is passed on" "$answer" '^Oleanderstile-Server-Stamp: s3.b1'
+expect "it ran once" "$(runs b1)" '^1$'
+
+echo "a target that fails every request:"
+for t in 9 10 11; do fault fail $t 1; done
+expect "a filing that failed is not repeated" "$(ask 4 b2 /file/x -d x)" '^HTTP/1.1 500'
+expect "and ran once" "$(runs b2)" '^1$'
+for t in 9 10 11; do fault fail $t 0; done
+
+echo "a service that refuses everything:"
+for t in 9 10 11; do fault shed $t 1; done
+expect "what did not run is said so" "$(ask 4 b3 /file/x -d x)" '^HTTP/1.1 503'
+expect "and nothing ran" "$(runs b3)" '^0$'
+for t in 9 10 11; do fault shed $t 0; done
+
+echo "a reply to another request:"
+for t in 9 10 11; do fault extra $t 1; done
+expect "it is not passed on" "$(ask 4 b4 /file/x -d x)" '^HTTP/1.1 502'
+for t in 9 10 11; do fault extra $t 0; done
+sleep 1
+
+echo "a shard without targets:"
+for t in 0 1 2; do fault draining $t 1; done
+sleep 2
+before=$(($(arrivals 0) + $(arrivals 1) + $(arrivals 2)))
+answer=$(ask 4 a4 /all/x)
+expect "the rest answers" "$answer" '^HTTP/1.1 200'
+expect "and states what is missing" "$answer" '^Oleanderstile-Missing-Parts: 1'
+expect "nothing reaches what leaves" "$(($(arrivals 0) + $(arrivals 1) + $(arrivals 2)))" "^$before\$"
+for t in 0 1 2; do fault draining $t 0; done
+sleep 2
+
+echo "slow targets:"
+for t in 0 3 6; do fault slow $t 1; done
+for i in 1 2 3 4 5 6; do
+	answer=$(ask 4 "c$i" /all/x)
+	expect "a slow target is hedged" "$answer" '^Oleanderstile-Missing-Parts: 0'
+done
+for t in 0 3 6; do fault slow $t 0; done
+
+echo "a data centre leaves:"
+expect "the order is accepted" "$(order 2 POST /evacuation/z0/start)" '^200'
+sleep 1.5
+before=$(arrivals 0)
+for i in 1 2 3 4; do ask 4 "d$i" /all/x > "$RUN/x"; ask 5 "e$i" /all/x > "$RUN/x"; done
+expect "it gets nothing" "$(arrivals 0)" "^$before\$"
+expect "it returns" "$(order 3 POST /evacuation/z0/end)" '^200'
+
+echo "a new route is in force everywhere within seconds:"
+extra='{"name":"new","host":"site.example","path_prefix":"/new/","route_type":"idempotent","timeout_ms":900,"max_attempts":2,"service":"s0"}'
+expect "it is accepted" "$(order 1 POST /config/replace "$(manifest 9 "$extra")")" '^200'
+sleep 1.5
+for n in 4 5; do expect "entry $n serves it" "$(ask $n "f$n" /new/x)" '^HTTP/1.1 200'; done
+
+echo "control is lost:"
+for n in 1 2 3; do kill -STOP "${PIDS[n$n]}"; done
+sleep 4
+expect "entries go on with their last view" "$(ask 4 g1 /all/x)" '^HTTP/1.1 200'
+for n in 1 2 3; do kill -CONT "${PIDS[n$n]}"; done
+wait_for 10 eval "[ \"\$(order 1 GET /config/get)\" = 200 ]" || fail "control did not come back"
+
+echo "all control nodes are killed and start again:"
+for n in 1 2 3; do kill -KILL "${PIDS[n$n]}"; done
+sleep 0.2
+for n in 1 2 3; do start_node $n; done
+wait_for 10 eval "[ \"\$(order 2 GET /config/get)\" = 200 ]" || fail "control did not restart"
+expect "what was accepted is still there" "$(cat "$RUN/answer")" '"version":9'
+
+echo "a planned stop:"
+for t in 9 10 11; do fault slow $t 1; done
+ask 5 h1 /file/x -d last > "$RUN/last" &
+last=$!
+sleep 0.1
+kill -TERM "${PIDS[n5]}"
+sleep 0.1
+is_ready 5 > "$RUN/x" && fail "a stopping entry calls itself ready"
+wait $last
+expect "what was taken is answered" "$(cat "$RUN/last")" '^last'
+wait "${PIDS[n5]}" || fail "entry 5 exited with $?"
+unset "PIDS[n5]"
+echo "platform: $checks checks passed"
