net: targets are reached over own sockets with http_parser instead of libcurl

Ruled out: fewer options a request and one multi handle for all targets (the time lies in its per-transfer set-up, URL and header handling). A library still parses replies.

Found by test/platform.sh on the way: a 64 KB thread-local buffer overran the small stacks of the HTTP server's threads; it belongs to the loop now.

--- a/daemon/discovery.c
+++ b/daemon/discovery.c
@@ -156,7 +156,7 @@
 read_page (struct discovery *discovery)
 {
 	struct front *front = discovery->front;
-	static const char *const headers[] = {"Accept:", NULL};
+	static const char *const headers[] = {NULL};
 	struct fetch_hooks pool_hooks = {on_lost, may_open, discovery};
 	struct fetch_request request = {
 		.path = discovery->path,
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -77,8 +77,7 @@
 	cds_list_for_each_entry_safe (sub, next, &forward->subs, node) {
 		cds_list_del (&sub->node);
 		sub->forward = NULL;
-		forward->front->fetches.set_timer (
-			&forward->front->fetches, &sub->fetch.timer, ORPHAN_US);
+		fetch_shorten (&sub->fetch, ORPHAN_US);
 	}
 	for (int i = 0; i < forward->line_count; i++)
 		free (forward->lines[i]);
@@ -365,23 +364,12 @@
 	return false;
 }
 
-/* Headers that the library would send by itself; callers leave them empty or out alike. */
-static bool
-is_library_own (const char *name)
-{
-	return strcasecmp (name, "Accept") == 0 || strcasecmp (name, "Content-Type") == 0;
-}
-
 static void
 add_line (struct forward *forward, const char *name, const char *value)
 {
 	struct buf line;
 	buf_init (&line);
-	/* The library takes "Name:" as a wish to leave the header out. */
-	if (value[0])
-		buf_addf (&line, "%s: %s", name, value);
-	else
-		buf_addf (&line, "%s%s", name, is_library_own (name) ? ":" : ";");
+	buf_addf (&line, "%s: %s", name, value);
 	forward->lines = xrealloc (
 		forward->lines, (size_t)(forward->line_count + 1) * sizeof (*forward->lines));
 	forward->lines[forward->line_count++] = line.data;
@@ -390,8 +378,6 @@
 struct header_scan {
 	struct forward *forward;
 	char host[256];
-	bool has_accept;
-	bool has_type;
 	bool has_body; /* a length or a transfer coding was given */
 };
 
@@ -405,8 +391,6 @@
 		scan->has_body = true;
 	if (caller_head_add (&scan->forward->head, name, value) || is_hop_by_hop (name))
 		return;
-	scan->has_accept = scan->has_accept || strcasecmp (name, "Accept") == 0;
-	scan->has_type = scan->has_type || strcasecmp (name, "Content-Type") == 0;
 	add_line (scan->forward, name, value);
 }
 
@@ -469,12 +453,7 @@
 		refuse (request, rule || !routing ? 503 : 404, closes_after (front));
 		return;
 	}
-	if (!scan.has_accept)
-		add_line (forward, "Accept", "");
 	take_body (forward, request, &scan);
-	/* Without this the library would name a type of its own. */
-	if (forward->body && !scan.has_type)
-		add_line (forward, "Content-Type", "");
 	str_copy (forward->method, sizeof (forward->method), request->method);
 	forward->target = xstrdup (request->target);
 	forward->request = request;
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -186,13 +186,6 @@
 	(void)user;
 }
 
-static void
-set_timer (struct fetch_loop *loop, struct timer *timer, int64_t delay_us)
-{
-	struct front *front = caa_container_of (loop, struct front, fetches);
-	timers_set (&front->timers, timer, front_now_us (front) + delay_us);
-}
-
 static void
 run_timers (struct front *front)
 {
@@ -295,7 +288,7 @@
 		return error_set (error, ERROR_IO, "no file descriptor is left; raise the limit");
 	struct epoll_event event = {.events = EPOLLIN, .data.fd = front->mailbox.event_fd};
 	epoll_ctl (front->epoll_fd, EPOLL_CTL_ADD, front->mailbox.event_fd, &event);
-	fetch_loop_init (&front->fetches, front->epoll_fd, &front->timers, set_timer);
+	fetch_loop_init (&front->fetches, front->epoll_fd, &node->clock, &front->timers);
 	discovery_start (&front->discovery, front);
 	if (!ingress_start (&front->callers, options->front_address, front->epoll_fd,
 		    (int)options->front_connections, &limits, &callers, error) ||
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -12,7 +12,6 @@
 #include "daemon/worker.h"
 
 #include <argp.h>
-#include <curl/curl.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -461,7 +460,6 @@
 	hint_table_init (&node.hints);
 	set_policy (&node);
 	admission_init (&node.admission, (int)node.options.query_max_in_flight);
-	curl_global_init (CURL_GLOBAL_DEFAULT);
 	mg_init_library (0);
 	rcu_register_thread ();
 	int status = run_node (&node, arguments.bootstrap);
--- a/daemon/worker.c
+++ b/daemon/worker.c
@@ -42,13 +42,6 @@
 	return clock_now_us (&worker->node->clock);
 }
 
-static void
-set_timer (struct fetch_loop *loop, struct timer *timer, int64_t delay_us)
-{
-	struct worker *worker = caa_container_of (loop, struct worker, fetches);
-	timers_set (&worker->timers, timer, worker_now_us (worker) + delay_us);
-}
-
 void
 worker_post_work (struct node *node, struct work *work)
 {
@@ -230,7 +223,7 @@
 		CDS_INIT_LIST_HEAD (&worker->works[i]);
 	}
 	CDS_INIT_LIST_HEAD (&worker->owned);
-	fetch_loop_init (&worker->fetches, worker->epoll_fd, &worker->timers, set_timer);
+	fetch_loop_init (&worker->fetches, worker->epoll_fd, &node->clock, &worker->timers);
 	if (worker->epoll_fd < 0 || !mailbox_init (&worker->mailbox))
 		return error_set (error, ERROR_IO, "no file descriptor is left; raise the limit");
 	struct epoll_event event = {.events = EPOLLIN, .data.fd = worker->mailbox.event_fd};
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -1,34 +1,102 @@
 #include "net/fetch.h"
 
-#include "core/clock.h"
-
+#include <arpa/inet.h>
+#include <errno.h>
+#include <http_parser.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 #include <sys/epoll.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
+enum {
+	FD_STEP = 64,
+	READ_BYTES = 65536,
+	LINE_MAX_BYTES = 16384,  /* a longer header line is no reply of the protocol */
+	KEEP_MARGIN_US = 300000, /* a request must not cross the peer's own close */
+};
+
+enum conn_state { CONN_CONNECTING, CONN_BUSY, CONN_IDLE, CONN_CLOSED };
+
+/** A connection to a target. */
+struct fetch_conn {
+	struct cds_list_head node; /**< in its pool, or in loop.closed */
+	struct fetch_pool *pool;
+	int fd;
+	enum conn_state state;
+	struct fetch *fetch; /**< the request on it; NULL while idle */
+	size_t written;      /**< bytes of the request */
+	http_parser parser;
+	struct buf line; /**< header line being collected */
+	bool in_value;
+	bool complete; /**< the reply is whole */
+	bool refused;  /**< the fetch does not want the reply */
+	bool too_large;
+	bool closing;          /**< the peer announced its close */
+	int64_t keep_until_us; /**< not reused afterwards */
+};
+
+static int64_t
+now (const struct fetch_loop *loop)
+{
+	return clock_now_us (loop->clock);
+}
+
 void
-fetch_loop_init (struct fetch_loop *loop, int epoll_fd, struct timers *timers,
-	void (*set_timer) (struct fetch_loop *, struct timer *, int64_t))
+fetch_loop_init (struct fetch_loop *loop, int epoll_fd, struct clock *clock, struct timers *timers)
 {
 	memset (loop, 0, sizeof (*loop));
 	loop->epoll_fd = epoll_fd;
+	loop->clock = clock;
 	loop->timers = timers;
-	loop->set_timer = set_timer;
 	CDS_INIT_LIST_HEAD (&loop->pools);
 	CDS_INIT_LIST_HEAD (&loop->retired);
+	CDS_INIT_LIST_HEAD (&loop->closed);
+	loop->read = xmalloc (READ_BYTES);
 }
 
+/* The memory stays until the end of the turn, since events for it may still be at hand. */
 static void
-destroy_pool (struct fetch_pool *pool)
+close_conn (struct fetch_conn *conn)
 {
-	cds_list_del (&pool->node);
-	timers_clear (pool->loop->timers, &pool->timer);
-	pool->dead = true;
-	curl_multi_cleanup (pool->multi);
-	free (pool);
+	struct fetch_loop *loop = conn->pool->loop;
+	if (conn->state == CONN_CLOSED)
+		return;
+	loop->by_fd[conn->fd] = NULL;
+	close (conn->fd);
+	conn->state = CONN_CLOSED;
+	conn->pool->conn_count--;
+	if (conn->fetch)
+		conn->fetch->conn = NULL;
+	conn->fetch = NULL;
+	cds_list_del (&conn->node);
+	cds_list_add (&conn->node, &loop->closed);
+}
+
+static void
+free_closed (struct fetch_loop *loop)
+{
+	struct fetch_conn *conn;
+	struct fetch_conn *next;
+	cds_list_for_each_entry_safe (conn, next, &loop->closed, node) {
+		cds_list_del (&conn->node);
+		buf_finish (&conn->line);
+		free (conn);
+	}
+}
+
+static void
+close_conns (struct fetch_pool *pool, bool idle_only)
+{
+	struct fetch_conn *conn;
+	struct fetch_conn *next;
+	cds_list_for_each_entry_safe (conn, next, &pool->conns, node) {
+		if (!idle_only || conn->state == CONN_IDLE)
+			close_conn (conn);
+	}
 }
 
 static void
@@ -37,8 +105,11 @@
 	struct fetch_pool *pool;
 	struct fetch_pool *next;
 	cds_list_for_each_entry_safe (pool, next, head, node) {
-		if (cds_list_empty (&pool->running))
-			destroy_pool (pool);
+		if (!cds_list_empty (&pool->running) || !cds_list_empty (&pool->waiting))
+			continue;
+		close_conns (pool, false);
+		cds_list_del (&pool->node);
+		free (pool);
 	}
 }
 
@@ -46,6 +117,7 @@
 fetch_loop_clean (struct fetch_loop *loop)
 {
 	destroy_pools (&loop->retired);
+	free_closed (loop);
 }
 
 void
@@ -53,55 +125,9 @@
 {
 	destroy_pools (&loop->pools);
 	destroy_pools (&loop->retired);
-	for (int i = 0; i < loop->spare_count; i++)
-		curl_easy_cleanup (loop->spare[i]);
+	free_closed (loop);
 	free (loop->by_fd);
-}
-
-static void
-set_fd_pool (struct fetch_loop *loop, int fd, struct fetch_pool *pool)
-{
-	if (fd >= loop->fd_count) {
-		int count = fd + 64;
-		loop->by_fd = xrealloc (loop->by_fd, (size_t)count * sizeof (*loop->by_fd));
-		memset (loop->by_fd + loop->fd_count, 0,
-			(size_t)(count - loop->fd_count) * sizeof (*loop->by_fd));
-		loop->fd_count = count;
-	}
-	loop->by_fd[fd] = pool;
-}
-
-static int
-on_socket (CURL *easy, curl_socket_t fd, int what, void *user, void *known)
-{
-	struct fetch_pool *pool = user;
-	struct epoll_event event = {.data.fd = fd};
-	(void)easy;
-	if (what == CURL_POLL_REMOVE) {
-		epoll_ctl (pool->loop->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
-		set_fd_pool (pool->loop, fd, NULL);
-		return 0;
-	}
-	event.events =
-		(what & CURL_POLL_IN ? EPOLLIN : 0U) | (what & CURL_POLL_OUT ? EPOLLOUT : 0U);
-	if (epoll_ctl (pool->loop->epoll_fd, known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, fd, &event) !=
-		0)
-		epoll_ctl (pool->loop->epoll_fd, known ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, fd, &event);
-	set_fd_pool (pool->loop, fd, pool);
-	curl_multi_assign (pool->multi, fd, pool);
-	return 0;
-}
-
-static int
-on_timer (CURLM *multi, long timeout_ms, void *user)
-{
-	struct fetch_pool *pool = user;
-	(void)multi;
-	if (timeout_ms < 0)
-		timers_clear (pool->loop->timers, &pool->timer);
-	else
-		pool->loop->set_timer (pool->loop, &pool->timer, timeout_ms * 1000);
-	return 0;
+	free (loop->read);
 }
 
 struct fetch_pool *
@@ -109,21 +135,23 @@
 	const struct fetch_hooks *hooks)
 {
 	struct fetch_pool *pool = xcalloc (1, sizeof (*pool));
+	char host[64];
+	const char *colon = strrchr (address, ':');
+	size_t len = colon ? (size_t)(colon - address) : 0;
 	pool->loop = loop;
 	pool->hooks = *hooks;
-	pool->max_connections = max_connections;
+	pool->max_connections = max_connections > 0 ? max_connections : 1;
 	str_copy (pool->address, sizeof (pool->address), address);
-	timer_init (&pool->timer, FETCH_POOL_TIMER);
+	CDS_INIT_LIST_HEAD (&pool->conns);
 	CDS_INIT_LIST_HEAD (&pool->running);
-	pool->multi = curl_multi_init ();
-	if (!pool->multi)
-		abort ();
-	curl_multi_setopt (pool->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
-	curl_multi_setopt (pool->multi, CURLMOPT_SOCKETDATA, pool);
-	curl_multi_setopt (pool->multi, CURLMOPT_TIMERFUNCTION, on_timer);
-	curl_multi_setopt (pool->multi, CURLMOPT_TIMERDATA, pool);
-	curl_multi_setopt (pool->multi, CURLMOPT_MAX_HOST_CONNECTIONS, (long)max_connections);
-	curl_multi_setopt (pool->multi, CURLMOPT_MAXCONNECTS, (long)max_connections);
+	CDS_INIT_LIST_HEAD (&pool->waiting);
+	if (colon && len < sizeof (host)) {
+		memcpy (host, address, len);
+		host[len] = '\0';
+		pool->peer.sin_port = htons ((uint16_t)strtoul (colon + 1, NULL, 10));
+		if (inet_pton (AF_INET, host, &pool->peer.sin_addr) == 1)
+			pool->peer.sin_family = AF_INET;
+	}
 	cds_list_add (&pool->node, &loop->pools);
 	return pool;
 }
@@ -132,129 +160,213 @@
 fetch_pool_retire (struct fetch_pool *pool)
 {
 	pool->dead = true;
+	close_conns (pool, true);
 	cds_list_del (&pool->node);
 	cds_list_add (&pool->node, &pool->loop->retired);
 }
 
-static curl_socket_t
-on_open (void *user, curlsocktype purpose, struct curl_sockaddr *address)
+static void
+set_timer (struct fetch *fetch, int64_t due_us)
 {
-	struct fetch *fetch = user;
-	struct fetch_pool *pool = fetch->pool;
-	(void)purpose;
-	if (fetch->may_wait && !pool->dead && !pool->hooks.may_open (pool->hooks.user)) {
-		fetch->held_back = true;
-		return CURL_SOCKET_BAD;
+	timers_set (fetch->pool->loop->timers, &fetch->timer, due_us);
+}
+
+/* Ends a fetch from the next turn of the loop on, when nothing of it was sent. */
+static void
+end_unsent (struct fetch *fetch)
+{
+	fetch->end_us = 0;
+	set_timer (fetch, now (fetch->pool->loop));
+}
+
+static struct fetch_conn *
+open_conn (struct fetch_pool *pool)
+{
+	struct fetch_loop *loop = pool->loop;
+	int fd = pool->peer.sin_family == AF_INET
+			 ? socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0)
+			 : -1;
+	int one = 1;
+	if (fd < 0)
+		return NULL;
+	setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof (one));
+	if (connect (fd, (const struct sockaddr *)&pool->peer, sizeof (pool->peer)) != 0 &&
+		errno != EINPROGRESS) {
+		close (fd);
+		return NULL;
 	}
-	fetch->opened = true;
-	return socket (address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+	struct fetch_conn *conn = xcalloc (1, sizeof (*conn));
+	conn->pool = pool;
+	conn->fd = fd;
+	conn->state = CONN_CONNECTING;
+	conn->keep_until_us = INT64_MAX;
+	buf_init (&conn->line);
+	if (fd >= loop->fd_count) {
+		int count = fd + FD_STEP;
+		loop->by_fd = xrealloc (loop->by_fd, (size_t)count * sizeof (struct fetch_conn *));
+		memset (loop->by_fd + loop->fd_count, 0,
+			(size_t)(count - loop->fd_count) * sizeof (struct fetch_conn *));
+		loop->fd_count = count;
+	}
+	loop->by_fd[fd] = conn;
+	struct epoll_event event = {
+		.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET, .data.fd = fd};
+	epoll_ctl (loop->epoll_fd, EPOLL_CTL_ADD, fd, &event);
+	cds_list_add_tail (&conn->node, &pool->conns);
+	pool->conn_count++;
+	return conn;
 }
 
-/*
- * The library sends a request again by itself when a kept connection turns out to be dead, which
- * neither the caller's budget nor a request that must run once allows.
- */
-static int
-on_send (void *user, char *remote_ip, char *local_ip, int remote_port, int local_port)
+static void
+begin_reply (struct fetch_conn *conn)
 {
-	struct fetch *fetch = user;
-	(void)remote_ip;
-	(void)local_ip;
-	(void)remote_port;
-	(void)local_port;
-	if (fetch->sent)
-		return CURL_PREREQFUNC_ABORT;
-	fetch->sent = true;
-	return CURL_PREREQFUNC_OK;
+	http_parser_init (&conn->parser, HTTP_RESPONSE);
+	conn->parser.data = conn;
+	conn->written = 0;
+	conn->in_value = conn->complete = conn->refused = conn->too_large = false;
+	buf_reset (&conn->line);
 }
 
-static int
-on_close (void *user, curl_socket_t fd)
+/* Writes what the socket takes; false when the connection is broken. */
+static bool
+write_request (struct fetch_conn *conn)
 {
-	struct fetch_pool *pool = user;
-	if (pool->expected_closes > 0)
-		pool->expected_closes--;
-	else if (!pool->dead)
-		pool->hooks.lost (pool->hooks.user);
-	return close (fd);
+	struct fetch *fetch = conn->fetch;
+	while (conn->written < fetch->out.len) {
+		ssize_t n = send (conn->fd, fetch->out.data + conn->written,
+			fetch->out.len - conn->written, MSG_NOSIGNAL);
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n < 0)
+			return errno == EAGAIN || errno == EWOULDBLOCK;
+		fetch->sent = true;
+		conn->written += (size_t)n;
+	}
+	return true;
 }
 
-static size_t
-on_body (char *data, size_t size, size_t count, void *user)
+static void
+attach (struct fetch *fetch, struct fetch_conn *conn)
 {
-	struct fetch *fetch = user;
-	size_t len = size * count;
-	if (fetch->body.len + len > fetch->body_max)
-		return 0;
-	buf_add (&fetch->body, data, len);
-	return len;
+	fetch->conn = conn;
+	conn->fetch = fetch;
+	cds_list_del (&fetch->node);
+	cds_list_add (&fetch->node, &fetch->pool->running);
+	begin_reply (conn);
 }
 
-static size_t
-on_header (char *line, size_t size, size_t count, void *user)
+/* Puts a fetch on an idle connection that still works; false when there is none. */
+static bool
+use_idle (struct fetch *fetch)
 {
-	struct fetch *fetch = user;
-	size_t len = size * count;
-	if (len > 17 && strncasecmp (line, "Connection: close", 17) == 0)
-		fetch->pool->expected_closes++;
-	if (fetch->on_line)
-		return fetch->on_line (fetch, line, len) ? len : 0;
-	reply_header_line (&fetch->headers, line, len);
-	return len;
+	struct fetch_pool *pool = fetch->pool;
+	struct fetch_conn *conn;
+	struct fetch_conn *next;
+	int64_t now_us = now (pool->loop);
+	cds_list_for_each_entry_safe (conn, next, &pool->conns, node) {
+		if (conn->state != CONN_IDLE)
+			continue;
+		if (conn->keep_until_us <= now_us) {
+			close_conn (conn);
+			continue;
+		}
+		conn->state = CONN_BUSY;
+		attach (fetch, conn);
+		set_timer (fetch, fetch->end_us);
+		if (write_request (conn))
+			return true;
+		/* A connection that takes no byte at all has delivered nothing. */
+		bool sent = fetch->sent;
+		close_conn (conn);
+		if (sent)
+			break;
+	}
+	return false;
 }
 
-static CURL *
-take_easy (struct fetch_loop *loop)
+static void
+make_room (struct fetch_pool *pool)
 {
-	if (loop->spare_count > 0)
-		return loop->spare[--loop->spare_count];
-	CURL *easy = curl_easy_init ();
-	if (!easy)
-		abort ();
-	return easy;
+	struct fetch_conn *conn;
+	struct fetch_conn *next;
+	cds_list_for_each_entry_safe (conn, next, &pool->conns, node) {
+		if (pool->conn_count < pool->max_connections)
+			return;
+		if (conn->state == CONN_IDLE)
+			close_conn (conn);
+	}
 }
 
+/* Gives a fetch a connection, or lets it wait for one. */
 static void
-give_easy (struct fetch_loop *loop, CURL *easy)
+dispatch (struct fetch *fetch)
 {
-	if (loop->spare_count == 64) {
-		curl_easy_cleanup (easy);
+	struct fetch_pool *pool = fetch->pool;
+	if (!fetch->fresh && use_idle (fetch))
+		return;
+	if (fetch->sent) {
+		end_unsent (fetch);
+		return;
+	}
+	if (fetch->fresh)
+		make_room (pool);
+	if (pool->conn_count >= pool->max_connections) {
+		/* It may have been on a connection that turned out dead. */
+		cds_list_del (&fetch->node);
+		cds_list_add (&fetch->node, &pool->waiting);
+		return;
+	}
+	if (fetch->may_wait && !pool->dead && !pool->hooks.may_open (pool->hooks.user)) {
+		fetch->held_back = true;
+		end_unsent (fetch);
+		return;
+	}
+	struct fetch_conn *conn = open_conn (pool);
+	if (!conn) {
+		end_unsent (fetch);
 		return;
 	}
-	curl_easy_reset (easy);
-	loop->spare[loop->spare_count++] = easy;
+	fetch->opened = true;
+	attach (fetch, conn);
+	int64_t connect_end_us =
+		fetch->connect_us > 0 ? now (pool->loop) + fetch->connect_us : INT64_MAX;
+	set_timer (fetch, connect_end_us < fetch->end_us ? connect_end_us : fetch->end_us);
 }
 
 static void
-set_request (struct fetch *fetch, const struct fetch_request *request)
-{
-	char url[128];
-	CURL *easy = fetch->easy;
-	snprintf (url, sizeof (url), "http://%s/", fetch->pool->address);
-	curl_easy_setopt (easy, CURLOPT_URL, url);
-	curl_easy_setopt (easy, CURLOPT_REQUEST_TARGET, request->path);
-	if (request->connect_us > 0)
-		curl_easy_setopt (
-			easy, CURLOPT_CONNECTTIMEOUT_MS, (long)(request->connect_us / US_PER_MS));
-	if (request->body) {
-		curl_easy_setopt (easy, CURLOPT_POST, 1L);
-		curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)request->body_len);
-		curl_easy_setopt (easy, CURLOPT_COPYPOSTFIELDS, request->body);
+serve_waiting (struct fetch_pool *pool)
+{
+	struct fetch *fetch;
+	struct fetch *next;
+	cds_list_for_each_entry_safe (fetch, next, &pool->waiting, node) {
+		if (fetch->end_us == 0)
+			continue;
+		dispatch (fetch);
+		if (!fetch->conn && fetch->end_us != 0)
+			return;
 	}
-	if (request->method && strcmp (request->method, "HEAD") == 0)
-		curl_easy_setopt (easy, CURLOPT_NOBODY, 1L);
-	else if (request->method)
-		curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, request->method);
-	for (const char *const *header = request->headers; *header; header++)
-		fetch->list = curl_slist_append (fetch->list, *header);
-	fetch->list = curl_slist_append (fetch->list, "Expect:");
-	curl_easy_setopt (easy, CURLOPT_HTTPHEADER, fetch->list);
-	if (!request->fresh)
-		return;
-	/* On a reused connection that turns out dead, libcurl would send the request again. */
-	curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
-	curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
-	fetch->pool->expected_closes++;
+}
+
+static void
+write_head (struct fetch *fetch, const struct fetch_request *request)
+{
+	const char *preset = request->body ? "POST" : "GET";
+	bool host = false;
+	buf_init (&fetch->out);
+	buf_addf (&fetch->out, "%s %s HTTP/1.1\r\n", request->method ? request->method : preset,
+		request->path);
+	for (const char *const *header = request->headers; *header; header++) {
+		host = host || strncasecmp (*header, "Host:", 5) == 0;
+		buf_add (&fetch->out, *header, strlen (*header));
+		buf_add (&fetch->out, "\r\n", 2);
+	}
+	if (!host)
+		buf_addf (&fetch->out, "Host: %s\r\n", fetch->pool->address);
+	if (request->body)
+		buf_addf (&fetch->out, "Content-Length: %zu\r\n", request->body_len);
+	buf_add (&fetch->out, "\r\n", 2);
+	if (request->body)
+		buf_add (&fetch->out, request->body, request->body_len);
 }
 
 void
@@ -262,67 +374,67 @@
 	void (*done) (struct fetch *, enum fetch_end))
 {
 	fetch->pool = pool;
-	fetch->easy = take_easy (pool->loop);
-	fetch->list = NULL;
+	fetch->conn = NULL;
 	fetch->status = 0;
+	fetch->active = true;
 	fetch->held_back = fetch->opened = fetch->sent = false;
+	fetch->fresh = request->fresh;
+	fetch->head_only = request->method && strcmp (request->method, "HEAD") == 0;
+	fetch->connect_us = request->connect_us;
+	fetch->end_us = now (pool->loop) + request->timeout_us;
 	fetch->on_line = request->on_line;
 	fetch->done = done;
 	memset (&fetch->headers, 0, sizeof (fetch->headers));
 	buf_init (&fetch->body);
 	timer_init (&fetch->timer, FETCH_TIMER);
-	CURL *easy = fetch->easy;
-	curl_easy_setopt (easy, CURLOPT_PRIVATE, fetch);
-	curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
-	curl_easy_setopt (easy, CURLOPT_PROXY, "");
-	curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
-	curl_easy_setopt (easy, CURLOPT_OPENSOCKETFUNCTION, on_open);
-	curl_easy_setopt (easy, CURLOPT_OPENSOCKETDATA, fetch);
-	curl_easy_setopt (easy, CURLOPT_CLOSESOCKETFUNCTION, on_close);
-	curl_easy_setopt (easy, CURLOPT_CLOSESOCKETDATA, pool);
-	curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_send);
-	curl_easy_setopt (easy, CURLOPT_PREREQDATA, fetch);
-	curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
-	curl_easy_setopt (easy, CURLOPT_WRITEDATA, fetch);
-	curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
-	curl_easy_setopt (easy, CURLOPT_HEADERDATA, fetch);
-	set_request (fetch, request);
-	cds_list_add (&fetch->node, &pool->running);
-	pool->loop->set_timer (pool->loop, &fetch->timer, request->timeout_us);
-	curl_multi_add_handle (pool->multi, easy);
-}
-
-/* Takes a fetch out of its pool; a transfer under way loses its connection. */
-static void
-detach (struct fetch *fetch)
+	write_head (fetch, request);
+	cds_list_add_tail (&fetch->node, &pool->waiting);
+	set_timer (fetch, fetch->end_us);
+	dispatch (fetch);
+}
+
+void
+fetch_shorten (struct fetch *fetch, int64_t timeout_us)
 {
-	struct fetch_pool *pool = fetch->pool;
-	timers_clear (pool->loop->timers, &fetch->timer);
-	curl_multi_remove_handle (pool->multi, fetch->easy);
-	give_easy (pool->loop, fetch->easy);
-	fetch->easy = NULL;
-	curl_slist_free_all (fetch->list);
-	fetch->list = NULL;
-	cds_list_del (&fetch->node);
+	if (!fetch->active || fetch->end_us == 0)
+		return;
+	int64_t end_us = now (fetch->pool->loop) + timeout_us;
+	if (end_us >= fetch->end_us)
+		return;
+	fetch->end_us = end_us;
+	set_timer (fetch, end_us);
 }
 
-/* What closes while this runs is closed on purpose. */
+/* Takes a fetch out of its pool; its connection is closed unless it can serve another one. */
 static void
-detach_closing (struct fetch *fetch)
+detach (struct fetch *fetch, bool reusable)
 {
 	struct fetch_pool *pool = fetch->pool;
-	int before = pool->expected_closes;
-	pool->expected_closes = before + 1;
-	detach (fetch);
-	pool->expected_closes = before;
+	struct fetch_conn *conn = fetch->conn;
+	timers_clear (pool->loop->timers, &fetch->timer);
+	cds_list_del (&fetch->node);
+	buf_finish (&fetch->out);
+	fetch->active = false;
+	fetch->conn = NULL;
+	if (conn) {
+		conn->fetch = NULL;
+		conn->state = CONN_IDLE;
+		if (!reusable || pool->dead || fetch->fresh) {
+			close_conn (conn);
+		} else {
+			/* The one used last goes first, so that the others can be given up. */
+			cds_list_del (&conn->node);
+			cds_list_add (&conn->node, &pool->conns);
+		}
+	}
+	serve_waiting (pool);
 }
 
 void
 fetch_cancel (struct fetch *fetch)
 {
-	if (fetch->easy)
-		detach_closing (fetch);
+	if (fetch->active)
+		detach (fetch, false);
 }
 
 void
@@ -331,70 +443,222 @@
 	buf_finish (&fetch->body);
 }
 
-static enum fetch_end
-classify (const struct fetch *fetch, CURLcode code)
-{
-	switch (code) {
-	case CURLE_OK:
-		return FETCH_OK;
-	case CURLE_COULDNT_CONNECT:
-	case CURLE_COULDNT_RESOLVE_HOST:
-	case CURLE_URL_MALFORMAT:
-		return fetch->sent ? FETCH_FAILED : FETCH_NOT_SENT;
-	case CURLE_WRITE_ERROR:
-		return FETCH_TOO_LARGE;
-	default:
-		return fetch->sent ? FETCH_FAILED : FETCH_NOT_SENT;
+static void
+end_fetch (struct fetch *fetch, enum fetch_end end, bool reusable)
+{
+	detach (fetch, reusable);
+	fetch->done (fetch, end);
+}
+
+static bool
+hand_line (struct fetch_conn *conn, const char *line, size_t len)
+{
+	struct fetch *fetch = conn->fetch;
+	if (fetch->on_line)
+		return fetch->on_line (fetch, line, len);
+	reply_header_line (&fetch->headers, line, len);
+	return true;
+}
+
+static void
+note_keep_alive (struct fetch_conn *conn)
+{
+	static const char name[] = "Keep-Alive:";
+	const char *timeout = NULL;
+	if (conn->line.len >= sizeof (name) &&
+		strncasecmp (conn->line.data, name, sizeof (name) - 1) == 0)
+		timeout = strstr (conn->line.data, "timeout=");
+	if (timeout)
+		conn->keep_until_us = now (conn->pool->loop) +
+				      strtol (timeout + 8, NULL, 10) * US_PER_S - KEEP_MARGIN_US;
+}
+
+static int
+end_line (struct fetch_conn *conn)
+{
+	if (conn->line.len == 0)
+		return 0;
+	note_keep_alive (conn);
+	conn->refused = !hand_line (conn, conn->line.data, conn->line.len);
+	buf_reset (&conn->line);
+	return conn->refused;
+}
+
+static int
+on_field (http_parser *parser, const char *at, size_t len)
+{
+	struct fetch_conn *conn = parser->data;
+	if (conn->in_value && end_line (conn) != 0)
+		return 1;
+	conn->in_value = false;
+	buf_add (&conn->line, at, len);
+	return conn->line.len > LINE_MAX_BYTES;
+}
+
+static int
+on_value (http_parser *parser, const char *at, size_t len)
+{
+	struct fetch_conn *conn = parser->data;
+	if (!conn->in_value)
+		buf_add (&conn->line, ": ", 2);
+	conn->in_value = true;
+	buf_add (&conn->line, at, len);
+	return conn->line.len > LINE_MAX_BYTES;
+}
+
+static int
+on_headers (http_parser *parser)
+{
+	struct fetch_conn *conn = parser->data;
+	struct fetch *fetch = conn->fetch;
+	if (end_line (conn) != 0)
+		return -1;
+	conn->in_value = false;
+	if (parser->status_code < 200)
+		return 0;
+	fetch->status = parser->status_code;
+	conn->refused = !hand_line (conn, "\r\n", 2);
+	if (conn->refused)
+		return -1;
+	return fetch->head_only ? 1 : 0;
+}
+
+static int
+on_body (http_parser *parser, const char *at, size_t len)
+{
+	struct fetch_conn *conn = parser->data;
+	struct fetch *fetch = conn->fetch;
+	if (fetch->body.len + len > fetch->body_max) {
+		conn->too_large = true;
+		return 1;
+	}
+	buf_add (&fetch->body, at, len);
+	return 0;
+}
+
+static int
+on_complete (http_parser *parser)
+{
+	struct fetch_conn *conn = parser->data;
+	if (parser->status_code < 200)
+		return 0;
+	conn->complete = true;
+	conn->closing = !http_should_keep_alive (parser);
+	http_parser_pause (parser, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+	.on_header_field = on_field,
+	.on_header_value = on_value,
+	.on_headers_complete = on_headers,
+	.on_body = on_body,
+	.on_message_complete = on_complete,
+};
+
+/* An idle connection must stay quiet: bytes or an end mean that it is of no use. */
+static void
+drop_idle (struct fetch_conn *conn)
+{
+	struct fetch_pool *pool = conn->pool;
+	bool expected = conn->keep_until_us <= now (pool->loop);
+	close_conn (conn);
+	if (!pool->dead && !expected)
+		pool->hooks.lost (pool->hooks.user);
+}
+
+/* Parses what came in; false when the fetch has ended. */
+static bool
+take_bytes (struct fetch_conn *conn, const char *data, size_t len)
+{
+	struct fetch *fetch = conn->fetch;
+	size_t used = http_parser_execute (&conn->parser, &parser_settings, data, len);
+	if (conn->complete) {
+		/* Bytes beyond the reply belong to no request. */
+		bool reusable =
+			!conn->closing && used == len && conn->written == fetch->out.len && len > 0;
+		end_fetch (fetch, FETCH_OK, reusable);
+		return false;
+	}
+	if (HTTP_PARSER_ERRNO (&conn->parser) != HPE_OK || len == 0) {
+		end_fetch (fetch, conn->too_large ? FETCH_TOO_LARGE : FETCH_FAILED, false);
+		return false;
 	}
+	return true;
 }
 
 static void
-finish_done (struct fetch_pool *pool)
+read_reply (struct fetch_conn *conn)
 {
-	CURLMsg *message = NULL;
-	int left = 0;
-	while ((message = curl_multi_info_read (pool->multi, &left))) {
-		if (message->msg != CURLMSG_DONE)
+	char *data = conn->pool->loop->read;
+	for (;;) {
+		ssize_t n = recv (conn->fd, data, READ_BYTES, 0);
+		if (n < 0 && errno == EINTR)
 			continue;
-		struct fetch *fetch = NULL;
-		CURLcode code = message->data.result;
-		curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &fetch);
-		curl_easy_getinfo (message->easy_handle, CURLINFO_RESPONSE_CODE, &fetch->status);
-		detach (fetch);
-		fetch->done (fetch, classify (fetch, code));
+		if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+			return;
+		if (n < 0) {
+			end_fetch (conn->fetch, FETCH_FAILED, false);
+			return;
+		}
+		if (!take_bytes (conn, data, (size_t)n))
+			return;
+		if (n < READ_BYTES)
+			return;
 	}
 }
 
+static void
+finish_connect (struct fetch_conn *conn)
+{
+	struct fetch *fetch = conn->fetch;
+	int fault = 0;
+	socklen_t len = sizeof (fault);
+	getsockopt (conn->fd, SOL_SOCKET, SO_ERROR, &fault, &len);
+	if (fault != 0) {
+		end_fetch (fetch, FETCH_NOT_SENT, false);
+		return;
+	}
+	conn->state = CONN_BUSY;
+	set_timer (fetch, fetch->end_us);
+	if (!write_request (conn))
+		end_fetch (fetch, fetch->sent ? FETCH_FAILED : FETCH_NOT_SENT, false);
+}
+
 void
 fetch_socket_event (struct fetch_loop *loop, int fd, uint32_t events)
 {
-	struct fetch_pool *pool = fd < loop->fd_count ? loop->by_fd[fd] : NULL;
-	int running = 0;
-	int what = 0;
-	if (!pool)
+	struct fetch_conn *conn = fd < loop->fd_count ? loop->by_fd[fd] : NULL;
+	if (!conn)
+		return;
+	if (conn->state == CONN_CONNECTING && events & (EPOLLOUT | EPOLLERR | EPOLLHUP)) {
+		finish_connect (conn);
+		if (conn->state != CONN_BUSY)
+			return;
+	} else if (conn->state == CONN_BUSY && events & EPOLLOUT &&
+		   conn->written < conn->fetch->out.len && !write_request (conn)) {
+		end_fetch (conn->fetch, FETCH_FAILED, false);
 		return;
-	if (events & EPOLLIN)
-		what |= CURL_CSELECT_IN;
-	if (events & EPOLLOUT)
-		what |= CURL_CSELECT_OUT;
-	if (events & (EPOLLERR | EPOLLHUP))
-		what |= CURL_CSELECT_ERR;
-	curl_multi_socket_action (pool->multi, fd, what, &running);
-	finish_done (pool);
+	}
+	if (!(events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)))
+		return;
+	if (conn->state == CONN_IDLE)
+		drop_idle (conn);
+	else if (conn->state == CONN_BUSY)
+		read_reply (conn);
+	/* The end may have come with the last bytes, and this edge was its only sign. */
+	if (conn->state == CONN_IDLE && events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR))
+		drop_idle (conn);
+	else if (conn->state == CONN_BUSY && events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR))
+		read_reply (conn);
 }
 
 void
 fetch_timer_due (struct timer *timer)
 {
-	if (timer->kind == FETCH_TIMER) {
-		struct fetch *fetch = caa_container_of (timer, struct fetch, timer);
-		detach_closing (fetch);
-		/* A connection that was never established carried nothing. */
-		fetch->done (fetch, fetch->sent ? FETCH_SILENT : FETCH_NOT_SENT);
-		return;
-	}
-	struct fetch_pool *pool = caa_container_of (timer, struct fetch_pool, timer);
-	int running = 0;
-	curl_multi_socket_action (pool->multi, CURL_SOCKET_TIMEOUT, 0, &running);
-	finish_done (pool);
+	struct fetch *fetch = caa_container_of (timer, struct fetch, timer);
+	if (!fetch->sent)
+		end_fetch (fetch, FETCH_NOT_SENT, false);
+	else
+		end_fetch (fetch, fetch->end_us == 0 ? FETCH_FAILED : FETCH_SILENT, false);
 }
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -1,25 +1,28 @@
 /**
  * @file fetch.h
- * HTTP requests to targets through libcurl, on the epoll loop of one worker thread.
+ * HTTP requests to targets on the epoll loop of one thread, parsed by http_parser.
  *
- * Each target has a pool of connections. When one of them goes silent the pool is replaced, so
- * that no connection of the same age is reused.
+ * Each target has a pool of connections. A request is written to a connection once: whether it is
+ * sent again is its owner's decision. When a connection goes silent the pool is replaced, so that
+ * no connection of the same age is reused.
  */
 #pragma once
 
 #include "core/buf.h"
+#include "core/clock.h"
 #include "core/timers.h"
 #include "targets/reply.h"
 
-#include <curl/curl.h>
+#include <netinet/in.h>
 #include <stdbool.h>
 #include <stdint.h>
 #include <urcu/list.h>
 
 struct fetch_pool;
+struct fetch_conn;
 
 /** Kinds of the timers that fetches embed. */
-enum { FETCH_TIMER = 1, FETCH_POOL_TIMER = 2, FETCH_TIMER_KINDS = 16 };
+enum { FETCH_TIMER = 1, FETCH_TIMER_KINDS = 16 };
 
 /** How a fetch ended. */
 enum fetch_end {
@@ -32,19 +35,24 @@
 
 /** One request; embedded in the owner's work item. */
 struct fetch {
-	struct cds_list_head node; /**< in its pool */
+	struct cds_list_head node; /**< in its pool: running or waiting for a connection */
 	struct fetch_pool *pool;
-	CURL *easy;
-	struct curl_slist *list;
+	struct fetch_conn *conn; /**< NULL while it waits for one */
 	struct timer timer;
 	struct reply_headers headers;
+	struct buf out; /**< the request as it is written */
 	struct buf body;
 	size_t body_max;
 	long status;
+	int64_t end_us; /**< when it counts as silent */
+	int64_t connect_us;
+	bool active; /**< started and not ended */
+	bool fresh;
+	bool head_only; /**< the reply has no body whatever its headers say */
 	bool held_back; /**< the gate went cold before the connection was opened */
 	bool may_wait;  /**< false: never hold back (probes) */
 	bool opened;    /**< a new connection was opened for it */
-	bool sent;      /**< handed to a connection; from then on it may have arrived */
+	bool sent;      /**< a byte was handed to a connection; it may have arrived */
 	bool (*on_line) (struct fetch *fetch, const char *line, size_t len);
 	void (*done) (struct fetch *fetch, enum fetch_end end);
 };
@@ -53,14 +61,14 @@
 struct fetch_request {
 	const char *method; /**< NULL: GET, or POST with a body */
 	const char *path;   /**< with its query; sent as it is */
-	const char *body;   /**< NULL: GET */
+	const char *body;   /**< NULL: none */
 	size_t body_len;
 	const char *const *headers; /**< "Name: value" lines, NULL-terminated */
 	int64_t connect_us;         /**< longest time to open a connection; 0: the timeout */
-	int64_t timeout_us;         /**< from now on, by the loop's timers */
+	int64_t timeout_us;         /**< from now on */
 	/** Gets each header line instead of fetch.headers; false closes the connection. */
 	bool (*on_line) (struct fetch *fetch, const char *line, size_t len);
-	bool fresh; /**< always opens a connection: the library must not repeat the request */
+	bool fresh; /**< on a connection of its own, which no earlier reply can disturb */
 };
 
 /** What the pool tells its owner. */
@@ -72,40 +80,40 @@
 	void *user;
 };
 
-/** A worker thread's loop as far as fetches need it. */
+/** A thread's loop as far as fetches need it. */
 struct fetch_loop {
 	int epoll_fd;
+	struct clock *clock;
 	struct timers *timers;
 	struct cds_list_head pools;
 	struct cds_list_head retired;
-	struct fetch_pool **by_fd; /**< the pool of each socket */
+	struct fetch_conn **by_fd; /**< the connection of each socket */
 	int fd_count;
-	CURL *spare[64]; /**< easy handles for reuse */
-	int spare_count;
-	void (*set_timer) (struct fetch_loop *loop, struct timer *timer, int64_t delay_us);
+	char *read; /**< bytes that just came in; threads have too little stack for them */
+	struct cds_list_head closed; /**< connections to free at the end of the turn */
 };
 
 struct fetch_pool {
 	struct cds_list_head node; /**< in loop.pools or loop.retired */
 	struct fetch_loop *loop;
 	char address[64];
-	CURLM *multi;
-	struct timer timer; /**< libcurl's own */
-	struct cds_list_head running;
+	struct sockaddr_in peer;
+	struct cds_list_head conns;   /**< struct fetch_conn, idle ones first */
+	struct cds_list_head running; /**< fetches on a connection */
+	struct cds_list_head waiting; /**< fetches without one, oldest first */
+	int conn_count;
 	struct fetch_hooks hooks;
 	int max_connections;
-	int expected_closes; /**< connections about to be closed on purpose */
-	bool dead;           /**< retired; destroyed once nothing runs */
+	bool dead; /**< retired; destroyed once nothing runs */
 };
 
 void
-fetch_loop_init (struct fetch_loop *loop, int epoll_fd, struct timers *timers,
-	void (*set_timer) (struct fetch_loop *, struct timer *, int64_t));
+fetch_loop_init (struct fetch_loop *loop, int epoll_fd, struct clock *clock, struct timers *timers);
 
 void
 fetch_loop_finish (struct fetch_loop *loop);
 
-/** Destroys pools that were retired and are empty; call once per loop turn. */
+/** Frees closed connections and retired pools that are empty; call once per loop turn. */
 void
 fetch_loop_clean (struct fetch_loop *loop);
 
@@ -122,6 +130,10 @@
 fetch_start (struct fetch *fetch, struct fetch_pool *pool, const struct fetch_request *request,
 	void (*done) (struct fetch *, enum fetch_end));
 
+/** Counts a request as silent this long from now on, instead of its timeout. */
+void
+fetch_shorten (struct fetch *fetch, int64_t timeout_us);
+
 /** Ends a request by closing its connection; done is not called. */
 void
 fetch_cancel (struct fetch *fetch);
