control: the leader reads the target list for all and hands it out with the polls

An entry that has not heard of a list read for 2 s reads it itself; targets of a returned data centre wait for a list that was read a second later.

Ruled out: the list in the log (it is news, not a decision, and changes while targets warm).

--- a/control/follower.c
+++ b/control/follower.c
@@ -58,6 +58,7 @@
 	}
 	state_finish (&follower->state);
 	recent_finish (&follower->recent);
+	roster_finish (&follower->roster);
 }
 
 bool
@@ -85,6 +86,7 @@
 	if (follower->hold_count > 0 && follower->holds[0].reported < poll->released)
 		poll->released = follower->holds[0].reported;
 	poll->leaving_work = follower->leaving_work;
+	poll->roster = follower->roster.stamp;
 	poll->leaving = follower->leaving;
 	poll->gone = follower->gone;
 	wire.u.poll.seq = ++follower->seq;
@@ -200,12 +202,12 @@
 bool
 follower_receive (struct follower *follower, const struct poll_reply *reply, int64_t now_us)
 {
-	(void)now_us;
 	if (reply->seq != follower->seq || follower->sent_us == 0)
 		return false;
 	int64_t sent_us = follower->sent_us;
 	follower->sent_us = 0;
 	take_voters (follower, reply);
+	roster_take (&follower->roster, &reply->roster, now_us);
 	if (follower->gone)
 		follower->gone_acknowledged = reply->seq;
 	if (reply->revision < follower->state.applied)
--- a/control/follower.h
+++ b/control/follower.h
@@ -54,7 +54,8 @@
 	uint32_t all_leaving_work;
 	int node_count;
 	uint64_t gone_acknowledged; /**< the seq of a last poll that was answered */
-	struct recent recent;       /**< for watchers */
+	struct roster roster;
+	struct recent recent; /**< for watchers */
 	struct cds_list_head outbox;
 };
 
--- a/control/voter.c
+++ b/control/voter.c
@@ -50,6 +50,14 @@
 	state_finish (&voter->state);
 	grants_finish (&voter->grants);
 	recent_finish (&voter->recent);
+	roster_finish (&voter->roster);
+}
+
+void
+voter_roster_read (struct voter *voter, const void *data, size_t len, int64_t now_us)
+{
+	if (voter->raft.role == RAFT_LEADER)
+		roster_read (&voter->roster, voter->raft.term, data, len, now_us);
 }
 
 bool
@@ -175,14 +183,16 @@
 	struct waiting_poll *waiting = add_waiting (
 		voter, from, wire->u.relay.seq, wire->u.relay.polls, wire->u.relay.count, now_us);
 	waiting->relay = true;
+	waiting->roster = wire->u.relay.roster;
 	wire->u.relay.polls = NULL;
 	wire->u.relay.count = 0;
 }
 
 static void
-receive_relay_reply (struct voter *voter, const struct relay_reply *reply)
+receive_relay_reply (struct voter *voter, const struct relay_reply *reply, int64_t now_us)
 {
 	struct waiting_poll *waiting;
+	roster_take (&voter->roster, &reply->roster, now_us);
 	if (reply->seq == voter->relay_seq)
 		voter->relay_sent_us = 0;
 	cds_list_for_each_entry (waiting, &voter->polls, node) {
@@ -190,6 +200,7 @@
 			continue;
 		waiting->stamped = true;
 		waiting->answer = *reply;
+		waiting->answer.roster = (struct roster_news){0};
 	}
 }
 
@@ -242,7 +253,7 @@
 		receive_relay (voter, from, wire, now_us);
 		return;
 	case WIRE_RELAY_REPLY:
-		receive_relay_reply (voter, &wire->u.relay_reply);
+		receive_relay_reply (voter, &wire->u.relay_reply, now_us);
 		return;
 	case WIRE_PROPOSE:
 		receive_propose (voter, from, wire, now_us);
@@ -291,8 +302,8 @@
 }
 
 static void
-answer_poll (
-	struct voter *voter, const struct waiting_poll *waiting, const struct relay_reply *answer)
+answer_poll (struct voter *voter, const struct waiting_poll *waiting,
+	const struct relay_reply *answer, int64_t now_us)
 {
 	const struct poll *poll = &waiting->polls[0];
 	struct wire wire = {.kind = WIRE_POLL_REPLY};
@@ -306,6 +317,7 @@
 	reply->node_count = answer->node_count;
 	add_voters (voter, reply);
 	add_missing (voter, reply, poll->applied);
+	reply->roster = roster_tell (&voter->roster, poll->roster, now_us);
 	outbox_add (&voter->outbox, &waiting->route, &wire);
 }
 
@@ -340,10 +352,12 @@
 }
 
 static void
-answer_relay (struct voter *voter, const struct waiting_poll *waiting, struct relay_reply answer)
+answer_relay (struct voter *voter, const struct waiting_poll *waiting, struct relay_reply answer,
+	int64_t now_us)
 {
 	struct wire wire = {.kind = WIRE_RELAY_REPLY};
 	answer.seq = waiting->seq;
+	answer.roster = roster_tell (&voter->roster, waiting->roster, now_us);
 	wire.u.relay_reply = answer;
 	outbox_add (&voter->outbox, &waiting->route, &wire);
 }
@@ -369,9 +383,9 @@
 			grants_extend (&voter->grants, waiting->polls[i].incarnation,
 				now_us + grant_length (voter));
 		if (waiting->relay)
-			answer_relay (voter, waiting, answer);
+			answer_relay (voter, waiting, answer, now_us);
 		else
-			answer_poll (voter, waiting, &answer);
+			answer_poll (voter, waiting, &answer, now_us);
 		free_poll (waiting);
 	}
 }
@@ -390,14 +404,14 @@
 }
 
 static void
-answer_as_follower (struct voter *voter)
+answer_as_follower (struct voter *voter, int64_t now_us)
 {
 	struct waiting_poll *waiting;
 	struct waiting_poll *next;
 	cds_list_for_each_entry_safe (waiting, next, &voter->polls, node) {
 		if (!waiting->stamped || voter->state.applied < waiting->answer.commit)
 			continue;
-		answer_poll (voter, waiting, &waiting->answer);
+		answer_poll (voter, waiting, &waiting->answer, now_us);
 		free_poll (waiting);
 	}
 }
@@ -417,6 +431,7 @@
 		return;
 	struct wire wire = {.kind = WIRE_RELAY};
 	wire.u.relay.seq = ++voter->relay_seq;
+	wire.u.relay.roster = voter->roster.stamp;
 	wire.u.relay.polls = xcalloc ((size_t)count, sizeof (struct poll));
 	cds_list_for_each_entry (waiting, &voter->polls, node) {
 		if (waiting->relay_seq != 0 || waiting->relay ||
@@ -525,7 +540,7 @@
 		raft_flush (&voter->raft, now_us);
 		answer_as_leader (voter, now_us);
 	} else {
-		answer_as_follower (voter);
+		answer_as_follower (voter, now_us);
 		relay_polls (voter, now_us);
 	}
 	flush_raft (voter, NULL);
--- a/control/voter.h
+++ b/control/voter.h
@@ -41,7 +41,8 @@
 	uint64_t seq;
 	struct poll *polls; /**< owned */
 	int count;
-	bool relay; /**< came from another voter */
+	bool relay;      /**< came from another voter */
+	uint64_t roster; /**< stamp that the relaying voter holds */
 	int64_t arrived_us;
 	uint64_t need_round; /**< leader: the round that has to be confirmed */
 	uint64_t relay_seq;  /**< follower: the batch that it went up with; 0: not yet */
@@ -65,6 +66,7 @@
 	struct state state;
 	struct grants grants;
 	struct recent recent;
+	struct roster roster;
 	struct cds_list_head polls;
 	struct cds_list_head proposals;
 	struct cds_list_head outbox;
@@ -107,6 +109,10 @@
 bool
 voter_compact (struct voter *voter);
 
+/** The platform's list of targets was read; only the leader hands it out. */
+void
+voter_roster_read (struct voter *voter, const void *data, size_t len, int64_t now_us);
+
 /** Proposes that a VM starts leaving because the platform's list says so. */
 void
 voter_platform_leaving (struct voter *voter, const char *vm, int64_t now_us);
--- a/control/wire.c
+++ b/control/wire.c
@@ -8,7 +8,7 @@
 static void
 write_poll (struct pack_writer *w, const struct poll *poll)
 {
-	pack_array (w, 12);
+	pack_array (w, 13);
 	pack_str (w, poll->name);
 	pack_str (w, poll->data_centre);
 	pack_str (w, poll->address);
@@ -21,6 +21,7 @@
 	pack_bool (w, poll->gone);
 	pack_u64 (w, poll->acting);
 	pack_bool (w, poll->entry);
+	pack_u64 (w, poll->roster);
 }
 
 static void
@@ -62,7 +63,7 @@
 static void
 write_poll_reply (struct pack_writer *w, const struct poll_reply *reply)
 {
-	pack_array (w, 10);
+	pack_array (w, 11);
 	pack_u64 (w, reply->seq);
 	pack_bool (w, reply->granted);
 	pack_u64 (w, reply->revision);
@@ -80,6 +81,7 @@
 		pack_u64 (w, reply->changes[i].index);
 		write_bytes (w, reply->changes[i].data, reply->changes[i].len);
 	}
+	roster_news_write (&reply->roster, w);
 }
 
 static void
@@ -103,13 +105,14 @@
 static void
 write_relay_reply (struct pack_writer *w, const struct relay_reply *reply)
 {
-	pack_array (w, 6);
+	pack_array (w, 7);
 	pack_u64 (w, reply->seq);
 	pack_u64 (w, reply->commit);
 	pack_u64 (w, reply->settled);
 	pack_u64 (w, reply->in_force);
 	pack_u64 (w, reply->leaving_work);
 	pack_i64 (w, reply->node_count);
+	roster_news_write (&reply->roster, w);
 }
 
 void *
@@ -135,7 +138,8 @@
 		break;
 	case WIRE_RELAY:
 		pack_u64 (w, wire->u.relay.seq);
-		pack_array (w, (size_t)wire->u.relay.count);
+		pack_array (w, (size_t)wire->u.relay.count + 1);
+		pack_u64 (w, wire->u.relay.roster);
 		for (int i = 0; i < wire->u.relay.count; i++)
 			write_poll (w, &wire->u.relay.polls[i]);
 		break;
@@ -199,6 +203,7 @@
 	poll->gone = pack_get_bool (pack_at (node, 9));
 	poll->acting = read_u64 (node, 10);
 	poll->entry = pack_get_bool (pack_at (node, 11));
+	poll->roster = read_u64 (node, 12);
 }
 
 static void
@@ -262,6 +267,7 @@
 		change->index = read_u64 (item, 0);
 		change->data = read_bytes (item, 1, &change->len);
 	}
+	roster_news_read (&reply->roster, pack_at (node, 10));
 }
 
 static void
@@ -285,12 +291,13 @@
 read_relay (struct pack_node array, struct wire *wire)
 {
 	size_t count = pack_length (array);
-	if (count > WIRE_MAX_POLLS) {
+	if (count == 0 || count > WIRE_MAX_POLLS + 1) {
 		pack_fail (array);
 		return;
 	}
+	wire->u.relay.roster = read_u64 (array, 0);
 	wire->u.relay.polls = xcalloc (count, sizeof (struct poll));
-	for (size_t i = 0; i < count && pack_ok (array); i++)
+	for (size_t i = 1; i < count && pack_ok (array); i++)
 		read_poll (pack_at (array, i), &wire->u.relay.polls[wire->u.relay.count++]);
 }
 
@@ -303,6 +310,7 @@
 	reply->in_force = read_u64 (node, 3);
 	reply->leaving_work = pack_get_u64 (pack_at (node, 4));
 	reply->node_count = pack_get_i64 (pack_at (node, 5));
+	roster_news_read (&reply->roster, pack_at (node, 6));
 }
 
 static void
@@ -369,6 +377,7 @@
 			free (wire->u.poll_reply.changes[i].data);
 		free (wire->u.poll_reply.changes);
 		free (wire->u.poll_reply.snapshot);
+		free (wire->u.poll_reply.roster.data);
 		break;
 	case WIRE_RELAY:
 		free (wire->u.relay.polls);
@@ -379,8 +388,10 @@
 	case WIRE_PROPOSE_REPLY:
 		free (wire->u.propose_reply.body);
 		break;
-	case WIRE_POLL:
 	case WIRE_RELAY_REPLY:
+		free (wire->u.relay_reply.roster.data);
+		break;
+	case WIRE_POLL:
 	case WIRE_KINDS:
 		break;
 	}
--- a/control/wire.h
+++ b/control/wire.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "control/raft.h"
+#include "control/roster.h"
 #include "control/state.h"
 
 enum { WIRE_MAX_VOTERS = RAFT_MAX_NODES, WIRE_MAX_POLLS = 1024 };
@@ -31,6 +32,7 @@
 	uint64_t acting;       /**< newest revision that its request path follows */
 	uint64_t released;     /**< newest revision whose lost targets it no longer works on */
 	uint32_t leaving_work; /**< sub-requests in flight at targets that are leaving */
+	uint64_t roster;       /**< stamp of the target list that it holds */
 	bool entry;            /**< it serves callers of declared routes */
 	bool leaving;          /**< it began a planned stop */
 	bool gone;             /**< it holds nothing any more and ends now */
@@ -57,6 +59,7 @@
 	size_t snapshot_len;
 	struct wire_change *changes;
 	int change_count;
+	struct roster_news roster;
 };
 
 /** What a leader tells a voter that relays polls. */
@@ -67,6 +70,7 @@
 	uint64_t in_force;
 	uint32_t leaving_work;
 	int node_count;
+	struct roster_news roster;
 };
 
 enum propose_status { PROPOSE_APPLIED, PROPOSE_NOT_LEADER, PROPOSE_REFUSED };
@@ -91,6 +95,7 @@
 		struct poll_reply poll_reply;
 		struct {
 			uint64_t seq;
+			uint64_t roster;    /**< stamp that the relaying voter holds */
 			struct poll *polls; /**< owned */
 			int count;
 		} relay;
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -13,7 +13,14 @@
 #include <unistd.h>
 #include <urcu.h>
 
-enum control_mail { CONTROL_WIRE, CONTROL_PROPOSE, CONTROL_CHANGE, CONTROL_READ, CONTROL_CALL };
+enum control_mail {
+	CONTROL_WIRE,
+	CONTROL_PROPOSE,
+	CONTROL_CHANGE,
+	CONTROL_READ,
+	CONTROL_ROSTER,
+	CONTROL_CALL
+};
 
 enum { ELECTION_US = 300000, HEARTBEAT_US = 75000, STORE_EXIT = 3 };
 
@@ -31,6 +38,12 @@
 	size_t len;
 };
 
+struct roster_mail {
+	struct mail mail;
+	void *data;
+	size_t len;
+};
+
 struct call_mail {
 	struct mail mail;
 	void (*run) (struct control *control, void *arg);
@@ -192,7 +205,7 @@
 		mailbox_post (&node->workers[i].mailbox, &mail->mail);
 	}
 	node_view_publish (node, view);
-	if (node->front)
+	if (node->options.front_address[0])
 		front_post_state (node->front, state);
 	log_event (&control->log, EVENT_RESOURCE_CHANGED, "revision %llu, epoch %llu, %d members",
 		(unsigned long long)state->applied, (unsigned long long)state->epoch,
@@ -253,6 +266,8 @@
 		follower_poll_soon (follower, now_us);
 	}
 	answer_reads (control, reply);
+	if (control->node->options.front_address[0] && follower->roster.stamp != 0)
+		front_post_roster (control->node->front, &follower->roster);
 	atomic_store (&control->node->settled, follower->settled);
 	control->granted_us = follower->lease_until_us;
 	control->granted_revision = control->node->view ? control->node->view->revision : 0;
@@ -350,6 +365,15 @@
 	follower_poll_soon (&control->follower, now (control));
 }
 
+static void
+handle_roster (struct control *control, struct roster_mail *mail)
+{
+	if (control->has_voter)
+		voter_roster_read (&control->voter, mail->data, mail->len, now (control));
+	free (mail->data);
+	free (mail);
+}
+
 static void
 handle_call (struct control *control, struct call_mail *call)
 {
@@ -376,6 +400,9 @@
 	case CONTROL_READ:
 		handle_read (control, caa_container_of (mail, struct control_read, mail));
 		return;
+	case CONTROL_ROSTER:
+		handle_roster (control, caa_container_of (mail, struct roster_mail, mail));
+		return;
 	case CONTROL_CALL:
 		handle_call (control, caa_container_of (mail, struct call_mail, mail));
 		return;
@@ -423,6 +450,8 @@
 			voters > control->last_voters ? EVENT_VOTER_ADDED : EVENT_VOTER_REMOVED,
 			"%d voters", voters);
 	control->was_leader = leads (control);
+	if (control->node->front)
+		atomic_store (&control->node->front->leads, leads (control));
 	control->last_voters = voters;
 }
 
@@ -495,6 +524,16 @@
 	mailbox_post (&control->mailbox, &mail->mail);
 }
 
+void
+control_post_roster (struct control *control, void *data, size_t len)
+{
+	struct roster_mail *mail = xcalloc (1, sizeof (*mail));
+	mail->mail.kind = CONTROL_ROSTER;
+	mail->data = data;
+	mail->len = len;
+	mailbox_post (&control->mailbox, &mail->mail);
+}
+
 void
 control_propose (struct control *control, const struct command *command, uint64_t request)
 {
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -126,6 +126,10 @@
 bool
 control_read_routing (struct control *control, struct state_routing *routing, struct error *error);
 
+/** Hands over the list of targets that this node has read; takes the bytes over. Any thread. */
+void
+control_post_roster (struct control *control, void *data, size_t len);
+
 /** Runs a function on the control thread and waits for it. */
 void
 control_call (struct control *control, void (*run) (struct control *control, void *arg), void *arg);
--- a/daemon/discovery.c
+++ b/daemon/discovery.c
@@ -1,5 +1,7 @@
 #include "daemon/discovery.h"
 
+#include "core/pack.h"
+#include "daemon/control.h"
 #include "daemon/forward.h"
 #include "daemon/front.h"
 
@@ -15,7 +17,8 @@
 period_us (const struct discovery *discovery)
 {
 	const struct front *front = discovery->front;
-	int nodes = front->state && front->state->nodes > 0 ? front->state->nodes : 1;
+	bool alone = front->node->options.front_address[0] == '\0';
+	int nodes = !alone && front->state && front->state->nodes > 0 ? front->state->nodes : 1;
 	double rate = front->node->options.front_list_rate / DISCOVERY_RATE_SHARE;
 	int pages = discovery->pages > 0 ? discovery->pages : 1;
 	int64_t fair_us = rate > 0 ? (int64_t)(pages * nodes / rate * US_PER_S) : 0;
@@ -50,13 +53,13 @@
 		str_copy (replica->address, sizeof (replica->address), target->address);
 		str_copy (replica->data_centre, sizeof (replica->data_centre), target->data_centre);
 		replica->born = target->born;
+		replica->evacuated = front_is_leaving (front, target->data_centre);
 		CDS_INIT_LIST_HEAD (&replica->running);
 		cds_list_add_tail (&replica->node, &set->replicas);
 	}
 	replica->slots = target->slots;
 	replica->state = target->state;
 	replica->listed = true;
-	replica->evacuated = front_is_leaving (front, target->data_centre);
 	if (target->cold_left_us > 0)
 		replica->cold_until_us = now_us + target->cold_left_us;
 }
@@ -77,7 +80,7 @@
 
 /* A whole list replaces what was known; work on targets that vanished may end. */
 static void
-apply_list (struct discovery *discovery)
+apply_list (struct discovery *discovery, const struct listed_targets *list)
 {
 	struct front *front = discovery->front;
 	struct replica_set *set;
@@ -87,21 +90,49 @@
 		cds_list_for_each_entry (replica, &set->replicas, node)
 			replica->listed = false;
 	}
-	for (int i = 0; i < discovery->list.count; i++)
-		apply_target (discovery, &discovery->list.items[i], now_us);
+	for (int i = 0; i < list->count; i++)
+		apply_target (discovery, &list->items[i], now_us);
 	cds_list_for_each_entry (set, &front->sets, node) {
 		drop_unlisted (set);
 		scatter_serve_waiting (set, now_us);
 	}
 }
 
+void
+discovery_take (struct discovery *discovery, const void *data, size_t len, int64_t read_us)
+{
+	struct listed_targets list;
+	listed_targets_init (&list);
+	if (data && listed_targets_decode (&list, data, len))
+		apply_list (discovery, &list);
+	if (read_us > discovery->read_us)
+		discovery->read_us = read_us;
+	front_readmit (discovery->front, discovery->read_us);
+	listed_targets_finish (&list);
+}
+
+/* What a control node reads is for the others; an entry reads for itself. */
+static void
+use_list (struct discovery *discovery)
+{
+	struct front *front = discovery->front;
+	size_t len = 0;
+	if (front->node->options.front_address[0]) {
+		apply_list (discovery, &discovery->list);
+		front_readmit (front, front_now_us (front));
+		return;
+	}
+	void *data = listed_targets_encode (&discovery->list, &len);
+	control_post_roster (front->node->control, data, len);
+}
+
 static void
 end_read (struct discovery *discovery, bool ok)
 {
 	struct front *front = discovery->front;
 	discovery->reading = false;
 	if (ok) {
-		apply_list (discovery);
+		use_list (discovery);
 		if (discovery->failures > 0 || discovery->read_us == 0)
 			log_event (&front->log, EVENT_LIST_READ,
 				"%d targets on %d pages, %d unreadable", discovery->list.count,
@@ -170,11 +201,26 @@
 	fetch_start (&discovery->fetch, discovery->pool, &request, on_page);
 }
 
+/* The leader reads for all; others only when they have not heard of a list for too long. */
+static bool
+is_wanted (const struct discovery *discovery)
+{
+	const struct front *front = discovery->front;
+	if (!front->node->options.front_address[0])
+		return atomic_load (&front->leads);
+	return discovery->read_us + DISCOVERY_STALE_US < front_now_us (front);
+}
+
 void
 discovery_timer_due (struct discovery *discovery)
 {
 	if (discovery->reading)
 		return;
+	if (!is_wanted (discovery)) {
+		timers_set (&discovery->front->timers, &discovery->timer,
+			front_now_us (discovery->front) + DISCOVERY_PERIOD_US);
+		return;
+	}
 	discovery->reading = true;
 	discovery->pages = 1;
 	listed_targets_init (&discovery->list);
@@ -200,3 +246,52 @@
 	}
 	listed_targets_finish (&discovery->list);
 }
+
+void *
+listed_targets_encode (const struct listed_targets *list, size_t *len)
+{
+	struct pack_writer writer;
+	pack_start (&writer);
+	pack_array (&writer, (size_t)list->count);
+	for (int i = 0; i < list->count; i++) {
+		const struct listed_target *target = &list->items[i];
+		pack_array (&writer, 8);
+		pack_str (&writer, target->id);
+		pack_str (&writer, target->service);
+		pack_str (&writer, target->address);
+		pack_str (&writer, target->data_centre);
+		pack_i64 (&writer, target->slots);
+		pack_u64 (&writer, target->state);
+		/* Whole seconds, rounded up, so that a list changes little while a target warms. */
+		pack_i64 (&writer, (target->cold_left_us + US_PER_S - 1) / US_PER_S);
+		pack_u64 (&writer, target->born);
+	}
+	return pack_end (&writer, len);
+}
+
+static void
+decode_target (struct pack_node node, struct listed_target *target)
+{
+	memset (target, 0, sizeof (*target));
+	pack_get_str (pack_at (node, 0), target->id, sizeof (target->id));
+	pack_get_str (pack_at (node, 1), target->service, sizeof (target->service));
+	pack_get_str (pack_at (node, 2), target->address, sizeof (target->address));
+	pack_get_str (pack_at (node, 3), target->data_centre, sizeof (target->data_centre));
+	target->slots = (int)pack_get_i64 (pack_at (node, 4));
+	target->state = (enum replica_state)pack_get_below (pack_at (node, 5), REPLICA_LEAVING + 1);
+	target->cold_left_us = pack_get_i64 (pack_at (node, 6)) * US_PER_S;
+	target->born = pack_get_u64 (pack_at (node, 7));
+}
+
+bool
+listed_targets_decode (struct listed_targets *list, const void *data, size_t len)
+{
+	struct pack_tree tree;
+	struct pack_node root = pack_parse (&tree, data, len);
+	size_t count = pack_length (root);
+	list->items = xcalloc (count + 1, sizeof (*list->items));
+	list->cap = (int)count + 1;
+	for (size_t i = 0; i < count && pack_ok (root); i++)
+		decode_target (pack_at (root, i), &list->items[list->count++]);
+	return pack_free (&tree);
+}
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -10,6 +10,8 @@
 #include <unistd.h>
 #include <urcu.h>
 
+enum front_mail { FRONT_STATE, FRONT_ROSTER };
+
 enum {
 	EVENTS_PER_WAIT = 128,
 	IDLE_WAIT_MS = 200,
@@ -97,11 +99,28 @@
 	struct replica *replica;
 	cds_list_for_each_entry (set, &front->sets, node) {
 		cds_list_for_each_entry (replica, &set->replicas, node) {
-			bool leaving = front_is_leaving (front, replica->data_centre);
-			/* One that returns waits for a list read that may call it cold. */
-			if (leaving)
+			if (front_is_leaving (front, replica->data_centre)) {
 				replica->evacuated = true;
+				replica->returned_us = 0;
+			} else if (replica->evacuated && replica->returned_us == 0) {
+				replica->returned_us = front_now_us (front);
+			}
+		}
+	}
+}
+
+void
+front_readmit (struct front *front, int64_t read_us)
+{
+	struct replica_set *set;
+	struct replica *replica;
+	cds_list_for_each_entry (set, &front->sets, node) {
+		cds_list_for_each_entry (replica, &set->replicas, node) {
+			if (replica->evacuated && replica->returned_us != 0 &&
+				read_us >= replica->returned_us + FRONT_RETURN_LAG_US)
+				replica->evacuated = false;
 		}
+		scatter_serve_waiting (set, front_now_us (front));
 	}
 }
 
@@ -146,6 +165,7 @@
 front_post_state (struct front *front, const struct state *declared)
 {
 	struct front_state *state = xcalloc (1, sizeof (*state));
+	state->mail.kind = FRONT_STATE;
 	if (declared->routing.version > front->posted_version) {
 		struct error error = {0};
 		struct routing *routing =
@@ -170,6 +190,34 @@
 	mailbox_post (&front->mailbox, &state->mail);
 }
 
+void
+front_post_roster (struct front *front, const struct roster *roster)
+{
+	bool news = roster->stamp != front->posted_roster;
+	size_t len = news ? roster->len : 0;
+	struct front_roster *mail = xmalloc (sizeof (*mail) + len);
+	front->posted_roster = roster->stamp;
+	mail->mail.kind = FRONT_ROSTER;
+	mail->read_us = roster->read_us;
+	mail->len = len;
+	if (len)
+		memcpy (mail->data, roster->data, len);
+	mailbox_post (&front->mailbox, &mail->mail);
+}
+
+static void
+handle_mail (struct front *front, struct mail *mail)
+{
+	if (mail->kind == FRONT_STATE) {
+		apply_state (front, caa_container_of (mail, struct front_state, mail));
+		return;
+	}
+	struct front_roster *roster = caa_container_of (mail, struct front_roster, mail);
+	discovery_take (
+		&front->discovery, roster->len ? roster->data : NULL, roster->len, roster->read_us);
+	free (roster);
+}
+
 static void
 answer_readiness (struct ingress_request *request, void *user)
 {
@@ -206,6 +254,13 @@
 	return other_ms >= 0 && other_ms < wait_ms ? other_ms : wait_ms;
 }
 
+/* A control node has a front too, which does nothing but read the list of targets. */
+static bool
+serves (const struct front *front)
+{
+	return front->callers.daemon != NULL;
+}
+
 static int
 wait_ms (const struct front *front)
 {
@@ -216,6 +271,8 @@
 		return 0;
 	if (next_us != INT64_MAX && (next_us - now_us) / US_PER_MS < wait)
 		wait = (int)((next_us - now_us + US_PER_MS - 1) / US_PER_MS);
+	if (!serves (front))
+		return wait;
 	wait = least_wait (wait, ingress_wait_ms (&front->callers));
 	return least_wait (wait, ingress_wait_ms (&front->balancer));
 }
@@ -226,8 +283,9 @@
 {
 	for (int i = 0; i < count; i++) {
 		int fd = events[i].data.fd;
-		if (fd == front->mailbox.event_fd || fd == ingress_fd (&front->callers) ||
-			fd == ingress_fd (&front->balancer))
+		if (fd == front->mailbox.event_fd ||
+			(serves (front) && (fd == ingress_fd (&front->callers) ||
+						   fd == ingress_fd (&front->balancer))))
 			continue;
 		if (!ingress_socket_event (&front->callers, fd, events[i].events) &&
 			!ingress_socket_event (&front->balancer, fd, events[i].events))
@@ -244,13 +302,15 @@
 	rcu_register_thread ();
 	while (!atomic_load (&front->stop)) {
 		int count = epoll_wait (front->epoll_fd, events, EVENTS_PER_WAIT, wait_ms (front));
+		handle_events (front, events, count);
 		mailbox_clear (&front->mailbox);
 		while ((mail = mailbox_take (&front->mailbox)))
-			apply_state (front, caa_container_of (mail, struct front_state, mail));
-		handle_events (front, events, count);
+			handle_mail (front, mail);
 		run_timers (front);
-		ingress_run (&front->callers);
-		ingress_run (&front->balancer);
+		if (serves (front)) {
+			ingress_run (&front->callers);
+			ingress_run (&front->balancer);
+		}
 		fetch_loop_clean (&front->fetches);
 		atomic_store (&front->connections, front->callers.connections);
 	}
@@ -290,10 +350,11 @@
 	epoll_ctl (front->epoll_fd, EPOLL_CTL_ADD, front->mailbox.event_fd, &event);
 	fetch_loop_init (&front->fetches, front->epoll_fd, &node->clock, &front->timers);
 	discovery_start (&front->discovery, front);
-	if (!ingress_start (&front->callers, options->front_address, front->epoll_fd,
-		    (int)options->front_connections, &limits, &callers, error) ||
-		!ingress_start (&front->balancer, options->front_ready_address, front->epoll_fd,
-			READY_CONNECTIONS, &limits, &balancer, error))
+	if (options->front_address[0] &&
+		(!ingress_start (&front->callers, options->front_address, front->epoll_fd,
+			 (int)options->front_connections, &limits, &callers, error) ||
+			!ingress_start (&front->balancer, options->front_ready_address,
+				front->epoll_fd, READY_CONNECTIONS, &limits, &balancer, error)))
 		return false;
 	if (pthread_create (&front->thread, NULL, run, front) != 0)
 		return error_set (error, ERROR_IO, "no thread can be started; raise the limit");
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -7,6 +7,7 @@
  */
 #pragma once
 
+#include "control/roster.h"
 #include "control/state.h"
 #include "core/timers.h"
 #include "daemon/discovery.h"
@@ -20,8 +21,9 @@
 
 enum {
 	FRONT_MAX_LEAVING = 32,
-	FRONT_STOP_REFUSE_TIMES = 4,  /**< usual latencies that a request needs during a stop */
-	FRONT_READY_LAG_US = 2500000, /**< the balancer asks once a second and needs two misses */
+	FRONT_STOP_REFUSE_TIMES = 4,   /**< usual latencies that a request needs during a stop */
+	FRONT_RETURN_LAG_US = 1000000, /**< the list says by then which targets returned cold */
+	FRONT_READY_LAG_US = 2500000,  /**< the balancer asks once a second and needs two misses */
 };
 
 /** Kinds of timer of the front's loop, beyond those of net/fetch.h. */
@@ -37,6 +39,14 @@
 	int nodes; /**< entries that share what targets bear */
 };
 
+/** A target list from control. */
+struct front_roster {
+	struct mail mail;
+	int64_t read_us;
+	size_t len; /**< 0: the list in use is confirmed */
+	char data[];
+};
+
 struct front {
 	struct node *node;
 	struct log log;
@@ -47,6 +57,8 @@
 	struct fetch_loop fetches;
 	struct ingress callers;
 	struct ingress balancer;   /**< asks for readiness */
+	_Atomic bool leads;        /**< this control node reads the target list for all */
+	uint64_t posted_roster;    /**< control thread: stamp of the list that was posted last */
 	struct front_state *state; /**< the newest; NULL before the first */
 	uint64_t posted_version;   /**< control thread: routing version that was posted last */
 	struct routing *posted;    /**< control thread: that routing */
@@ -71,6 +83,10 @@
 void
 front_post_state (struct front *front, const struct state *state);
 
+/** Hands the front the target list that control holds. Control thread only. */
+void
+front_post_roster (struct front *front, const struct roster *roster);
+
 int64_t
 front_now_us (const struct front *front);
 
@@ -82,6 +98,10 @@
 void
 front_bind_set (struct front *front, struct replica_set *set);
 
+/** Lets targets of returned data centres have work again, once a later list was read. */
+void
+front_readmit (struct front *front, int64_t read_us);
+
 /** True when a data centre is declared as leaving. */
 bool
 front_is_leaving (const struct front *front, const char *data_centre);
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -199,7 +199,7 @@
 		if (!worker_start (&node->workers[i], node, i, error))
 			return false;
 	}
-	if (options->front_address[0]) {
+	if (options->front_address[0] || options->front_list_address[0]) {
 		node->front = front;
 		if (!front_start (front, node, error))
 			return false;
@@ -331,8 +331,10 @@
 	control_set_leaving (node->control, false);
 	if (servers->callers)
 		stop_callers (node, servers->callers, signals);
-	if (node->front)
+	if (node->front && node->options.front_address[0])
 		stop_front (node, signals);
+	else if (node->front)
+		front_stop (node->front);
 	control_set_leaving (node->control, true);
 	wait_until (node, signals, is_gone, node->front ? GONE_FRONT_WAIT_MS : GONE_WAIT_MS);
 	if (servers->orders)
--- a/query/replica.h
+++ b/query/replica.h
@@ -40,7 +40,8 @@
 	char data_centre[REPLICA_NAME_SIZE];
 	int slots;
 	enum replica_state state;
-	bool evacuated;        /**< its data centre is leaving */
+	bool evacuated;        /**< its data centre is leaving, or returned just now */
+	int64_t returned_us;   /**< when its data centre returned; 0: not since it left */
 	bool listed;           /**< in the newest target list */
 	uint64_t born;         /**< start of this incarnation; 0: not told */
 	int64_t cold_until_us; /**< it bears only the service's cold rate until then */
--- a/test/platform.sh
+++ b/test/platform.sh
@@ -54,6 +54,9 @@
 			bootstrap = true
 			orders_address = 127.0.0.1:$((BASE + n))
 			data_dir = $RUN/data$n
+			[front]
+			list_address = 127.0.0.1:$PLATFORM
+			list_rate = 50
 		END
 	fi
 }
