--- a/daemon/discovery.c
+++ b/daemon/discovery.c
@@ -41,7 +41,7 @@
 }
 
 static void
-apply_target (struct discovery *discovery, const struct listed_target *target, int64_t now_us)
+apply_target (struct discovery *discovery, const struct listed_target *target, int64_t read_us)
 {
 	struct front *front = discovery->front;
 	struct replica_set *set = front_set (front, target->service);
@@ -61,7 +61,7 @@
 	replica->state = target->state;
 	replica->listed = true;
 	if (target->cold_left_us > 0)
-		replica->cold_until_us = now_us + target->cold_left_us;
+		replica_note_cold (replica, read_us + target->cold_left_us, front_now_us (front));
 }
 
 static void
@@ -80,7 +80,7 @@
 
 /* A whole list replaces what was known; work on targets that vanished may end. */
 static void
-apply_list (struct discovery *discovery, const struct listed_targets *list)
+apply_list (struct discovery *discovery, const struct listed_targets *list, int64_t read_us)
 {
 	struct front *front = discovery->front;
 	struct replica_set *set;
@@ -91,7 +91,7 @@
 			replica->listed = false;
 	}
 	for (int i = 0; i < list->count; i++)
-		apply_target (discovery, &list->items[i], now_us);
+		apply_target (discovery, &list->items[i], read_us);
 	cds_list_for_each_entry (set, &front->sets, node) {
 		drop_unlisted (set);
 		scatter_serve_waiting (set, now_us);
@@ -104,7 +104,7 @@
 	struct listed_targets list;
 	listed_targets_init (&list);
 	if (data && listed_targets_decode (&list, data, len))
-		apply_list (discovery, &list);
+		apply_list (discovery, &list, read_us);
 	if (read_us > discovery->read_us)
 		discovery->read_us = read_us;
 	front_readmit (discovery->front, discovery->read_us);
@@ -118,7 +118,7 @@
 	struct front *front = discovery->front;
 	size_t len = 0;
 	if (front->node->options.front_address[0]) {
-		apply_list (discovery, &discovery->list);
+		apply_list (discovery, &discovery->list, front_now_us (front));
 		front_readmit (front, front_now_us (front));
 		return;
 	}
@@ -262,8 +262,7 @@
 		pack_str (&writer, target->data_centre);
 		pack_i64 (&writer, target->slots);
 		pack_u64 (&writer, target->state);
-		/* Whole seconds, rounded up, so that a list changes little while a target warms. */
-		pack_i64 (&writer, (target->cold_left_us + US_PER_S - 1) / US_PER_S);
+		pack_i64 (&writer, target->cold_left_us);
 		pack_u64 (&writer, target->born);
 	}
 	return pack_end (&writer, len);
@@ -279,7 +278,7 @@
 	pack_get_str (pack_at (node, 3), target->data_centre, sizeof (target->data_centre));
 	target->slots = (int)pack_get_i64 (pack_at (node, 4));
 	target->state = (enum replica_state)pack_get_below (pack_at (node, 5), REPLICA_LEAVING + 1);
-	target->cold_left_us = pack_get_i64 (pack_at (node, 6)) * US_PER_S;
+	target->cold_left_us = pack_get_i64 (pack_at (node, 6));
 	target->born = pack_get_u64 (pack_at (node, 7));
 }
 
--- a/query/replica.c
+++ b/query/replica.c
@@ -114,6 +114,16 @@
 	return any ? REPLICA_NO_ROOM : REPLICA_NONE;
 }
 
+void
+replica_note_cold (struct replica *replica, int64_t end_us, int64_t now_us)
+{
+	int64_t known_us = replica->cold_until_us;
+	bool ends_sooner = known_us > now_us && end_us < known_us;
+	bool again = end_us > known_us + REPLICA_LIST_LAG_US;
+	if (end_us > now_us && (known_us == 0 || again || ends_sooner))
+		replica->cold_until_us = end_us;
+}
+
 void
 replica_begin (struct replica *replica, struct replica_use *use, int64_t now_us)
 {
--- a/query/replica.h
+++ b/query/replica.h
@@ -22,6 +22,7 @@
 	REPLICA_FAILURE_AVOID_US = 500000, /**< first avoidance after a failure; doubles */
 	REPLICA_AVOID_MAX_US = 4000000,
 	REPLICA_REFUSED_AVOID_US = 50000, /**< after a refusal for want of room */
+	REPLICA_LIST_LAG_US = 1000000,    /**< the list may be this much behind, with its reading */
 	REPLICA_REMOTE_US = 3000,         /**< a round trip between data centres of one region */
 	REPLICA_MEMORY_US = 4000000,      /**< what was learned of a target fades over this time */
 	REPLICA_TROUBLE_UNIT = 1024,      /**< all of the recent sub-requests failed */
@@ -101,6 +102,13 @@
 replica_choose (struct replica_set *set, const struct replica_wish *wish, int64_t now_us,
 	struct replica **chosen);
 
+/**
+ * The list says that the target is cold until @p end_us at the latest. It lags, so that an end
+ * only moves forward when it does so by more than the lag: then the target is cold again.
+ */
+void
+replica_note_cold (struct replica *replica, int64_t end_us, int64_t now_us);
+
 /** Counts a sub-request to the target. */
 void
 replica_begin (struct replica *replica, struct replica_use *use, int64_t now_us);
--- a/test/routes.c
+++ b/test/routes.c
@@ -392,6 +392,26 @@
 	routing_put (bed.routing);
 }
 
+static void
+test_end_of_a_cold_start (void)
+{
+	struct replica replica = {0};
+	now_us = 10000 * MS;
+	replica_note_cold (&replica, now_us + 3000 * MS, now_us);
+	CU_ASSERT_EQUAL (replica.cold_until_us, now_us + 3000 * MS);
+	/* A later read is closer to the truth when it names an earlier end, and stale otherwise. */
+	replica_note_cold (&replica, now_us + 3500 * MS, now_us);
+	CU_ASSERT_EQUAL (replica.cold_until_us, now_us + 3000 * MS);
+	replica_note_cold (&replica, now_us + 2800 * MS, now_us);
+	CU_ASSERT_EQUAL (replica.cold_until_us, now_us + 2800 * MS);
+	now_us += 2900 * MS;
+	replica_note_cold (&replica, now_us + 500 * MS, now_us);
+	CU_ASSERT_TRUE (replica.cold_until_us < now_us);
+	/* It can turn cold again at any moment. */
+	replica_note_cold (&replica, now_us + 2000 * MS, now_us);
+	CU_ASSERT_EQUAL (replica.cold_until_us, now_us + 2000 * MS);
+}
+
 static void
 test_routes_by_host_and_longest_prefix (void)
 {
@@ -557,6 +577,7 @@
 		TEST (nothing_to_send_to_is_refused_at_once),
 		TEST (stalled_and_troubled_replicas_go_last),
 		TEST (cold_replica_gets_its_part),
+		TEST (end_of_a_cold_start),
 		TEST (routes_by_host_and_longest_prefix),
 		TEST (invalid_manifests_are_refused),
 		TEST (list_with_unreadable_entries),
