query: half of a target's connections stay free, but two for each node

Cause: after a loss of power of all, targets still hold the old connections; with 3 of 31 for each of 8 entries 1,135 to 3,685 new ones were reset in the first seconds.

--- a/daemon/front.c
+++ b/daemon/front.c
@@ -48,10 +48,7 @@
 	struct routing_service *service = &routing->services[at];
 	int nodes = front->state->nodes > 0 ? front->state->nodes : 1;
 	service->set = set;
-	/* One more part than there are nodes is kept for one that joins. */
-	set->connections = service->max_connections / (nodes + 1);
-	if (set->connections < 1)
-		set->connections = 1;
+	set->connections = replica_connections (service->max_connections, nodes);
 	set->cold_us = service->cold_us;
 	double per_s = service->cold_per_s * options->front_cold_factor +
 		       (double)options->front_cold_slack;
--- a/query/replica.c
+++ b/query/replica.c
@@ -14,6 +14,15 @@
 	set->connections = 1;
 }
 
+int
+replica_connections (int most, int nodes)
+{
+	int part = most / (2 * nodes);
+	if (part < 2)
+		part = most / nodes < 2 ? most / nodes : 2;
+	return part < 1 ? 1 : part;
+}
+
 bool
 replica_usable (const struct replica *replica)
 {
--- a/query/replica.h
+++ b/query/replica.h
@@ -97,6 +97,14 @@
 void
 replica_set_init (struct replica_set *set, const char *name);
 
+/**
+ * One node's part of the connections that a target takes from all nodes. Half of them stay free
+ * where that leaves two: after a loss of power a target still holds the old ones while all nodes
+ * open new ones, and behind a single one every pause of the target is waited out.
+ */
+int
+replica_connections (int most, int nodes);
+
 /** Chooses a target. */
 enum replica_verdict
 replica_choose (struct replica_set *set, const struct replica_wish *wish, int64_t now_us,
--- a/test/routes.c
+++ b/test/routes.c
@@ -392,6 +392,15 @@
 	routing_put (bed.routing);
 }
 
+static void
+test_part_of_the_connections (void)
+{
+	static const int cases[][3] = {
+		{31, 8, 2}, {25, 6, 2}, {110, 8, 6}, {74, 84, 1}, {10, 6, 1}, {30, 1, 15}};
+	for (size_t i = 0; i < sizeof (cases) / sizeof (cases[0]); i++)
+		CU_ASSERT_EQUAL (replica_connections (cases[i][0], cases[i][1]), cases[i][2]);
+}
+
 static void
 test_end_of_a_cold_start (void)
 {
@@ -578,6 +587,7 @@
 		TEST (stalled_and_troubled_replicas_go_last),
 		TEST (cold_replica_gets_its_part),
 		TEST (end_of_a_cold_start),
+		TEST (part_of_the_connections),
 		TEST (routes_by_host_and_longest_prefix),
 		TEST (invalid_manifests_are_refused),
 		TEST (list_with_unreadable_entries),
