daemon: limits of the routing in force, settings that change without a signal, peers read again

Header and body limits of the accepted routing hold for callers, and idle connections stay open for longer than callers reuse them. Changed settings are noticed within a second or on SIGHUP, and new seeds are taken over while the node runs. test/platform.sh covers chunks, 100-continue, pipelined requests, limits, a caller that leaves and both ways of rereading.

--- a/control/follower.c
+++ b/control/follower.c
@@ -48,6 +48,12 @@
 			(int)(settings->self.incarnation % (uint64_t)follower->voter_count);
 }
 
+void
+follower_seeds_changed (struct follower *follower)
+{
+	add_seeds (follower);
+}
+
 void
 follower_finish (struct follower *follower)
 {
--- a/control/follower.h
+++ b/control/follower.h
@@ -68,6 +68,10 @@
 void
 follower_tick (struct follower *follower, int64_t now_us);
 
+/** The seeds have changed; they are tried after the known voters. */
+void
+follower_seeds_changed (struct follower *follower);
+
 /** Polls at the next tick. */
 void
 follower_poll_soon (struct follower *follower, int64_t now_us);
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -667,9 +667,8 @@
 
 /* The addresses to poll at first: this node's own, when it votes, and the seeds. */
 static void
-set_seeds (struct control *control)
+set_seeds (struct control *control, const struct options *options)
 {
-	const struct options *options = &control->node->options;
 	struct buf out;
 	buf_init (&out);
 	buf_addf (&out, "%s,", control->has_voter ? options->node_peer_address : "");
@@ -746,7 +745,7 @@
 		.poll_us = options->control_poll_ms * US_PER_MS,
 		.seeds = control->seeds,
 	};
-	set_seeds (control);
+	set_seeds (control, options);
 	struct poll *self = &settings.self;
 	str_copy (self->name, sizeof (self->name), options->node_name);
 	str_copy (self->data_centre, sizeof (self->data_centre), options->node_data_center);
@@ -757,6 +756,25 @@
 	follower_init (&control->follower, &settings, now (control));
 }
 
+struct peers_call {
+	const struct options *options;
+};
+
+static void
+change_peers (struct control *control, void *arg)
+{
+	const struct peers_call *call = arg;
+	set_seeds (control, call->options);
+	follower_seeds_changed (&control->follower);
+}
+
+void
+control_set_peers (struct control *control, const struct options *options)
+{
+	struct peers_call call = {options};
+	control_call (control, change_peers, &call);
+}
+
 bool
 control_start (struct control *control, struct node *node, bool bootstrap, struct error *error)
 {
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -134,6 +134,10 @@
 void
 control_call (struct control *control, void (*run) (struct control *control, void *arg), void *arg);
 
+/** Takes the seeds of settings that were read again over. */
+void
+control_set_peers (struct control *control, const struct options *options);
+
 /** Announces that this node leaves (it owns nothing from then on), or that it is gone. */
 void
 control_set_leaving (struct control *control, bool gone);
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -9,6 +9,7 @@
 
 enum {
 	SUB_MAX_BODY = 64 * 1024 * 1024,
+	HEADER_EXTRA_BYTES = 4,         /* colon, space and end of line */
 	SUB_LINES = 4,                  /* headers of the product, with the end of the list */
 	SUB_SILENCE_LEAST_US = 1000000, /* longer than any ordinary pause of a target */
 	SUB_CONNECT_US = 200000,        /* several times a dear handshake between data centres */
@@ -378,6 +379,7 @@
 struct header_scan {
 	struct forward *forward;
 	char host[256];
+	size_t bytes;  /* of all headers */
 	bool has_body; /* a length or a transfer coding was given */
 };
 
@@ -385,6 +387,7 @@
 take_header (void *user, const char *name, const char *value)
 {
 	struct header_scan *scan = user;
+	scan->bytes += strlen (name) + strlen (value) + HEADER_EXTRA_BYTES;
 	if (strcasecmp (name, "Host") == 0)
 		str_copy (scan->host, sizeof (scan->host), value);
 	if (strcasecmp (name, "Content-Length") == 0 || strcasecmp (name, "Transfer-Encoding") == 0)
@@ -448,6 +451,11 @@
 	ingress_headers (request, take_header, &scan);
 	struct routing_rule *rule =
 		routing ? routing_match (routing, scan.host, request->target) : NULL;
+	if (routing && (int64_t)scan.bytes > routing->limits.header_bytes) {
+		drop (forward);
+		refuse (request, 431, true);
+		return;
+	}
 	if (!rule || comes_too_late (front, rule)) {
 		drop (forward);
 		refuse (request, rule || !routing ? 503 : 404, closes_after (front));
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -18,7 +18,8 @@
 	READY_CONNECTIONS = 16,
 	HEADER_BYTES = 32768, /* before a routing says otherwise; larger ones get 431 */
 	BODY_BYTES = 262144,
-	IDLE_US = 20000000, /* beyond the longest that callers reuse an idle connection */
+	IDLE_MARGIN_US = 2000000, /* a caller that reuses a connection in time must find it open */
+	IDLE_US = 20000000,       /* beyond the longest that callers reuse an idle connection */
 };
 
 int64_t
@@ -135,6 +136,10 @@
 	cds_list_for_each_entry (set, &front->sets, node)
 		front_bind_set (front, set);
 	evacuate (front);
+	if (state->routing) {
+		front->callers.limits.body_bytes = state->routing->limits.body_bytes;
+		front->callers.limits.idle_us = state->routing->limits.idle_us + IDLE_MARGIN_US;
+	}
 	if (state->routing && state->routing != old_routing)
 		log_event (&front->log, EVENT_ROUTING_IN_FORCE,
 			"version %llu at revision %llu: %d routes, %d services",
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -17,6 +17,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/random.h>
+#include <sys/stat.h>
 #include <time.h>
 #include <unistd.h>
 #include <urcu.h>
@@ -27,6 +28,7 @@
 enum { KEY_CHECK = 256, KEY_BOOTSTRAP, KEY_EVENTS, KEY_OPTIONS };
 
 enum {
+	SETTINGS_CHECK_S = 1, /* a changed file without a signal is noticed after this */
 	STOP_STEP_MS = 20,
 	STOP_MAX_MS = 60000,     /* a planned stop ends after this whatever is left */
 	STOP_HANDOVER_MS = 8000, /* time for other nodes to take the targets over */
@@ -359,29 +361,47 @@
 	buf_finish (&out);
 }
 
-/* Peers are found through the log after the start, so that only the check is left to do. */
+/* The seeds are what may change while a node runs; other settings hold from the next start on. */
 static void
 reload (struct node *node)
 {
-	struct options fresh;
+	static struct options fresh;
 	struct error error = {0};
-	if (options_load (&fresh, node->config_path, &error))
-		log_event (&node->log, EVENT_SETTINGS_READ, "%s", node->config_path);
-	else
+	if (!options_load (&fresh, node->config_path, &error)) {
 		log_event (&node->log, EVENT_SETTINGS_BAD, "%s", error.message);
+		return;
+	}
+	control_set_peers (node->control, &fresh);
+	log_event (&node->log, EVENT_SETTINGS_READ, "%s: peers %.300s", node->config_path,
+		fresh.control_peers);
 }
 
+static bool
+is_changed (const char *path, struct timespec *known)
+{
+	struct stat info;
+	if (stat (path, &info) != 0 ||
+		(info.st_mtim.tv_sec == known->tv_sec && info.st_mtim.tv_nsec == known->tv_nsec))
+		return false;
+	*known = info.st_mtim;
+	return true;
+}
+
+/* The settings file may change without a signal too. */
 static void
 serve (struct node *node, const sigset_t *signals)
 {
+	struct timespec known = {0};
+	struct timespec wait = {.tv_sec = SETTINGS_CHECK_S};
+	is_changed (node->config_path, &known);
 	for (;;) {
-		int signal = sigwaitinfo (signals, NULL);
+		int signal = sigtimedwait (signals, NULL, &wait);
 		if (signal == SIGUSR1)
 			write_dump (node);
-		else if (signal == SIGHUP)
-			reload (node);
 		else if (signal == SIGTERM || signal == SIGINT)
 			return;
+		if (signal == SIGHUP || is_changed (node->config_path, &known))
+			reload (node);
 	}
 }
 
--- a/net/ingress.c
+++ b/net/ingress.c
@@ -51,6 +51,8 @@
 		client->fd = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)
 				     ->connect_fd;
 		watch_client (ingress, client);
+		MHD_set_connection_option (connection, MHD_CONNECTION_OPTION_TIMEOUT,
+			(unsigned)(ingress->limits.idle_us / US_PER_S));
 		ingress->connections++;
 		*context = client;
 		return;
--- a/net/ingress.h
+++ b/net/ingress.h
@@ -26,7 +26,7 @@
 	char *target; /**< path and query as sent */
 	char method[32];
 	struct buf body;
-	bool too_large;
+	bool too_large; /**< its body */
 	bool suspended;
 	bool answered;
 	bool left; /**< the caller closed its connection */
@@ -50,7 +50,7 @@
 struct ingress_limits {
 	int64_t header_bytes;
 	int64_t body_bytes;
-	int64_t idle_us;
+	int64_t idle_us; /**< for connections that open from now on */
 };
 
 struct ingress {
--- a/test/platform.sh
+++ b/test/platform.sh
@@ -139,6 +139,25 @@
 expect "the target's proof is passed on" "$answer" '^Oleanderstile-Server-Stamp: s3.b1'
 expect "it ran once" "$(runs b1)" '^1$'
 
+echo "how requests may come in:"
+expect "a body in chunks" "$(ask 4 j1 /file/x -H 'Transfer-Encoding: chunked' -d chunked)" '^chunked'
+expect "a caller that waits for 100" "$(ask 4 j2 /file/x -H 'Expect: 100-continue' -d expected)" '^expected'
+expect "a body over the limit" "$(head -c 300000 /dev/zero | ask 4 j3 /file/x --data-binary @-)" '^HTTP/1.1 413'
+expect "headers over the limit" "$(ask 4 j4 /file/x -H "X-Long: $(head -c 20000 /dev/zero | tr '\0' x)" -d x)" '^HTTP/1.1 431'
+for id in j3 j4; do expect "what was too large did not run" "$(runs $id)" '^0$'; done
+head='Host: site.example\r\nOleanderstile-Deadline-Ms: 2000\r\nOleanderstile-Attempt-Id:'
+exec 8<> "/dev/tcp/127.0.0.1/$((BASE + 4))"
+printf "GET /all/x HTTP/1.1\r\n$head k1\r\n\r\nGET /all/y HTTP/1.1\r\n$head k2\r\nConnection: close\r\n\r\n" >&8
+answer=$(timeout 5 cat <&8 | tr -d '\r')
+exec 8>&-
+expect "two requests at once, in their order" "$(grep Attempt-Id <<< "$answer" | tr -d '\n')" 'k1.*k2$'
+
+echo "a caller that leaves:"
+for t in 9 10 11; do fault mute $t 1; done
+call -m 0.2 -H 'Host: site.example' -H 'Oleanderstile-Attempt-Id: l1' -H 'Oleanderstile-Deadline-Ms: 2000' -d x "http://127.0.0.1:$((BASE + 4))/file/x"
+for t in 9 10 11; do fault mute $t 0; done
+expect "the others are served" "$(ask 4 l2 /all/x)" '^HTTP/1.1 200'
+
 echo "a target that fails every request:"
 for t in 9 10 11; do fault fail $t 1; done
 expect "a filing that failed is not repeated" "$(ask 4 b2 /file/x -d x)" '^HTTP/1.1 500'
@@ -190,6 +209,13 @@
 sleep 1.5
 for n in 4 5; do expect "entry $n serves it" "$(ask $n "f$n" /new/x)" '^HTTP/1.1 200'; done
 
+echo "settings that change without a signal:"
+sed -i "s/^peers = .*/peers = 127.0.0.1:$((BASE + 203)),127.0.0.1:$((BASE + 202))/" "$RUN/n4.ini"
+wait_for 5 grep -q SETTINGS_READ "$RUN/n4.log" || fail "the settings were not read again"
+kill -HUP "${PIDS[n5]}"
+wait_for 5 grep -q SETTINGS_READ "$RUN/n5.log" || fail "SIGHUP was not followed"
+expect "it goes on" "$(ask 5 m1 /all/x)" '^HTTP/1.1 200'
+
 echo "control is lost:"
 for n in 1 2 3; do kill -STOP "${PIDS[n$n]}"; done
 sleep 4
