test: fuzz targets of the platform's decoders and of requests on declared routes

The oracle knows only what was sent and how it ended: at most one run where a request must not be repeated, attempts within the route's, a refusal only when nothing ran, truthful counts of shards, an end by the deadline.

--- /dev/null
+++ b/test/fuzz/platform.c
@@ -0,0 +1,97 @@
+/**
+ * @file platform.c
+ * Any bytes as a manifest, a page of the target list, reply headers and a call: nothing crashes,
+ * and what is accepted keeps what the rest of the program relies on.
+ */
+#include "core/buf.h"
+#include "platform/list.h"
+#include "platform/manifest.h"
+#include "platform/orders.h"
+#include "platform/replies.h"
+
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+
+static void
+check (bool holds)
+{
+	if (!holds)
+		abort ();
+}
+
+static void
+try_manifest (const char *text, size_t len)
+{
+	struct error error = {0};
+	struct routing *routing = manifest_decode (text, len, &error);
+	check ((routing != NULL) != (error.kind == ERROR_INVALID));
+	for (int i = 0; routing && i < routing->rule_count; i++) {
+		struct routing_rule *rule = &routing->rules[i];
+		check (rule->timeout_us > 0 && rule->attempts > 0 && rule->part_count > 0);
+		for (int j = 0; j < rule->part_count; j++)
+			check (rule->parts[j].service < routing->service_count);
+		int part = routing_next_part (rule);
+		check (part >= 0 && part < rule->part_count);
+		check (routing_match (routing, rule->host, rule->prefix) != NULL);
+	}
+	routing_put (routing);
+}
+
+static void
+try_list (const char *text, size_t len)
+{
+	struct listed_targets list;
+	char next[LIST_TOKEN_SIZE * 3 + 64];
+	listed_targets_init (&list);
+	if (list_decode_page (&list, text, len, next, sizeof (next)))
+		check (strlen (next) < sizeof (next) && !strpbrk (next, " \r\n"));
+	for (int i = 0; i < list.count; i++)
+		check (list.items[i].slots > 0 && strchr (list.items[i].address, ':'));
+	listed_targets_finish (&list);
+}
+
+static void
+try_reply (const char *text, size_t len)
+{
+	struct reply_head head;
+	reply_head_init (&head);
+	const char *end = text + len;
+	while (text < end) {
+		const char *feed = memchr (text, '\n', (size_t)(end - text));
+		size_t line = feed ? (size_t)(feed - text) + 1 : (size_t)(end - text);
+		reply_head_line (&head, text, line);
+		text += line;
+	}
+	/* Without this request's id nothing counts as its answer. */
+	if (strcmp (head.attempt_id, "id") != 0)
+		check (reply_head_judge (&head, "id", 200, true) != SUB_END_PART);
+}
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+{
+	if (size == 0)
+		return 0;
+	char *text = xmemdup (data + 1, size - 1);
+	struct order order;
+	switch (data[0] % 4) {
+	case 0:
+		try_manifest (text, size - 1);
+		break;
+	case 1:
+		try_list (text, size - 1);
+		break;
+	case 2:
+		try_reply (text, size - 1);
+		break;
+	default:
+		order_decode (&order, "POST", text);
+		break;
+	}
+	free (text);
+	return 0;
+}
--- a/test/fuzz/run.sh
+++ b/test/fuzz/run.sh
@@ -12,11 +12,13 @@
 	gate) echo 100000 ;;
 	query) echo 20000 ;;
 	control) echo 600 ;;
+	platform) echo 100000 ;;
+	scatter) echo 100000 ;;
 	esac
 }
 
 if [ "$1" = --list ]; then
-	printf '%s\n' messages replies settings gate query control
+	printf '%s\n' messages replies settings gate query control platform scatter
 	exit 0
 fi
 name=$1
--- /dev/null
+++ b/test/fuzz/scatter.c
@@ -0,0 +1,250 @@
+/**
+ * @file scatter.c
+ * Requests on declared routes under any order of events, against an oracle that knows only what was
+ * sent and how it ended.
+ */
+#include "query/scatter.h"
+#include "test/fuzz/input.h"
+
+#include "core/buf.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+
+enum { SERVICES = 4, COPIES = 3, REQUESTS = 3, MAX_SENDS = 256, MS = 1000 };
+
+/* One request and what the oracle saw of it. */
+struct asked {
+	struct scatter scatter;
+	bool started;
+	int finished;
+	int may_have_run[SERVICES]; /* attempts of each shard that ran, run or may have run */
+	bool once;
+};
+
+struct send {
+	struct asked *asked;
+	int shard;
+	struct replica_use use;
+	bool open;
+};
+
+static struct asked asked[REQUESTS];
+static struct send sends[MAX_SENDS];
+static int send_count;
+static int64_t now_us;
+
+static void
+check (bool holds)
+{
+	if (!holds)
+		abort ();
+}
+
+static void
+on_send (struct scatter *scatter, int shard, struct replica *replica)
+{
+	struct asked *request = caa_container_of (scatter, struct asked, scatter);
+	check (request->finished == 0);
+	check (replica_usable (replica) && replica->in_flight < replica->set->connections);
+	check (scatter->shards[shard].set == replica->set);
+	for (int i = 0; i < send_count; i++)
+		check (sends[i].asked != request || sends[i].shard != shard ||
+			sends[i].use.replica != replica);
+	request->may_have_run[shard]++;
+	check (request->may_have_run[shard] <= scatter->rule->attempts);
+	if (request->once)
+		check (request->may_have_run[shard] == 1);
+	check (send_count < MAX_SENDS);
+	struct send *one = &sends[send_count++];
+	*one = (struct send){.asked = request, .shard = shard, .open = true};
+	replica_begin (replica, &one->use, now_us);
+}
+
+static bool
+nothing_ran (const struct asked *request)
+{
+	for (int i = 0; i < SERVICES; i++) {
+		if (request->may_have_run[i] > 0)
+			return false;
+	}
+	return true;
+}
+
+static void
+on_finish (struct scatter *scatter)
+{
+	struct asked *request = caa_container_of (scatter, struct asked, scatter);
+	size_t len = 0;
+	int parts = 0;
+	check (request->finished++ == 0);
+	for (int i = 0; i < scatter->shard_count; i++)
+		parts += scatter->shards[i].answered;
+	switch (scatter->result) {
+	case SCATTER_MERGED:
+		check (parts >= scatter->rule->least * scatter->shard_count - 1e-4);
+		check (parts == scatter->answered && parts > 0);
+		char *merged = scatter_merge (scatter, &len);
+		for (size_t i = SCATTER_RECORD_BYTES; i < len; i += SCATTER_RECORD_BYTES)
+			check (memcmp (merged + i - SCATTER_RECORD_BYTES, merged + i,
+				       SCATTER_RECORD_BYTES) >= 0);
+		check (len <= (size_t)scatter->rule->top * SCATTER_RECORD_BYTES);
+		free (merged);
+		return;
+	case SCATTER_REFUSED:
+		check (nothing_ran (request));
+		return;
+	case SCATTER_REPLY:
+		check (scatter->shards[0].body != NULL);
+		return;
+	case SCATTER_FAILED:
+	case SCATTER_TIMEOUT:
+		check (!nothing_ran (request));
+		return;
+	}
+}
+
+static const struct scatter_hooks hooks = {on_send, on_finish};
+static const struct scatter_policy policy = {
+	.data_centre = "z0", .extra_percent = 20, .margin_us = 10 * MS};
+
+static struct routing *
+make_routing (struct input *input, struct replica_set *sets)
+{
+	struct routing *routing = routing_new ();
+	routing->rule_count = 2;
+	routing->rules = xcalloc (2, sizeof (*routing->rules));
+	routing->service_count = SERVICES;
+	routing->services = xcalloc (SERVICES, sizeof (*routing->services));
+	for (int i = 0; i < SERVICES; i++)
+		routing->services[i].set = &sets[i];
+	for (int i = 0; i < 2; i++) {
+		struct routing_rule *rule = &routing->rules[i];
+		rule->shape = i == 0 ? ROUTE_FAN_OUT : ROUTE_SPLIT;
+		rule->timeout_us = 1000 * MS;
+		rule->aim_us = (20 + input_below (input, 200)) * MS;
+		rule->attempts = 1 + (int)input_below (input, 4);
+		rule->top = 1 + (int)input_below (input, 5);
+		rule->least = (double)input_below (input, 101) / 100;
+		rule->part_count = i == 0 ? 1 + (int)input_below (input, SERVICES) : 1;
+		rule->parts = xcalloc (SERVICES, sizeof (*rule->parts));
+		for (int j = 0; j < rule->part_count; j++)
+			rule->parts[j] = (struct routing_part){.service = j, .weight = 1};
+		if (i == 1 && input_below (input, 2))
+			rule->repeat = REPEAT_NEVER;
+	}
+	return routing;
+}
+
+static void
+start (struct asked *request, struct routing *routing, struct input *input)
+{
+	struct routing_rule *rule = &routing->rules[input_below (input, 2)];
+	memset (request, 0, sizeof (*request));
+	request->started = true;
+	request->once = rule->repeat == REPEAT_NEVER;
+	scatter_init (&request->scatter, routing, rule, &policy, &hooks, now_us,
+		now_us + (1 + input_below (input, 1200)) * MS);
+	scatter_start (&request->scatter, now_us);
+}
+
+static void
+end_one (struct input *input)
+{
+	static const enum sub_end ends[] = {SUB_END_PART, SUB_END_PART, SUB_END_STATUS,
+		SUB_END_NOT_RUN, SUB_END_NOT_SENT, SUB_END_BROKEN};
+	char body[64];
+	if (send_count == 0)
+		return;
+	struct send *one = &sends[input_below (input, (unsigned)send_count)];
+	if (!one->open)
+		return;
+	one->open = false;
+	enum sub_end end = ends[input_below (input, 6)];
+	memset (body, (int)input_below (input, 256), sizeof (body));
+	struct sub_answer answer = {.http_status = 200,
+		.stamp = "s",
+		.content_type = "",
+		.body = body,
+		.body_len = input_below (input, sizeof (body))};
+	if (end == SUB_END_NOT_RUN || end == SUB_END_NOT_SENT)
+		one->asked->may_have_run[one->shard]--;
+	struct replica_set *set = one->use.replica->set;
+	replica_end (&one->use, (enum replica_outcome)input_below (input, 4), now_us);
+	scatter_ended (&one->asked->scatter, one->shard, end, &answer, now_us);
+	scatter_serve_waiting (set, now_us);
+}
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+{
+	struct input input = {data, size};
+	struct replica_set sets[SERVICES];
+	struct replica replicas[SERVICES][COPIES];
+	memset (replicas, 0, sizeof (replicas));
+	memset (asked, 0, sizeof (asked));
+	send_count = 0;
+	now_us = 1000000 * MS;
+	for (int i = 0; i < SERVICES; i++) {
+		replica_set_init (&sets[i], "s");
+		budget_init_burst (&sets[i].extra, 3);
+		sets[i].connections = 1 + (int)input_below (&input, 3);
+		sets[i].cold_gap_us = 100 * MS;
+		for (int j = 0; j < COPIES; j++) {
+			struct replica *replica = &replicas[i][j];
+			replica->set = &sets[i];
+			snprintf (replica->data_centre, sizeof (replica->data_centre), "z%d", j);
+			replica->slots = 2;
+			replica->listed = input_below (&input, 8) != 0;
+			replica->cold_until_us = input_below (&input, 4) ? 0 : now_us + 500 * MS;
+			CDS_INIT_LIST_HEAD (&replica->running);
+			cds_list_add_tail (&replica->node, &sets[i].replicas);
+		}
+	}
+	struct routing *routing = make_routing (&input, sets);
+	while (input.left > 0) {
+		struct asked *request = &asked[input_below (&input, REQUESTS)];
+		switch (input_below (&input, 5)) {
+		case 0:
+			if (!request->started)
+				start (request, routing, &input);
+			break;
+		case 1:
+		case 2:
+			end_one (&input);
+			break;
+		case 3:
+			now_us += (int64_t)input_below (&input, 64) * MS;
+			break;
+		default:
+			now_us += (int64_t)input_below (&input, 8) * MS;
+			if (request->started && request->finished == 0)
+				scatter_tick (&request->scatter, now_us);
+			break;
+		}
+	}
+	for (int i = 0; i < REQUESTS; i++) {
+		if (!asked[i].started)
+			continue;
+		now_us += 2000 * MS;
+		if (asked[i].finished == 0)
+			scatter_tick (&asked[i].scatter, now_us);
+		check (asked[i].finished == 1);
+	}
+	for (int i = 0; i < send_count; i++) {
+		if (sends[i].open)
+			replica_end (&sends[i].use, REPLICA_DROPPED, now_us);
+	}
+	for (int i = 0; i < REQUESTS; i++) {
+		if (asked[i].started)
+			scatter_finish (&asked[i].scatter);
+	}
+	for (int i = 0; i < SERVICES; i++)
+		check (sets[i].waiting_count == 0 && cds_list_empty (&sets[i].waiting));
+	routing_put (routing);
+	return 0;
+}
