--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 
 demo: build
 	@BUILD=$(BUILD) bash test/demo.sh
+	@BUILD=$(BUILD) bash test/platform.sh
 
 check: build
 	@BUILD=$(BUILD) bash test/check.sh
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -351,20 +351,30 @@
 	metric_add (METRIC_TARGET_STARTED, 1);
 }
 
-/* Headers that concern one connection only are not passed on. */
+/* True when a comma-separated list of names, such as that of Connection, holds a name. */
 static bool
-is_hop_by_hop (const char *name)
+names_header (const char *list, const char *name)
 {
-	static const char *const names[] = {"Connection", "Keep-Alive", "Proxy-Connection",
-		"Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding", "Upgrade",
-		"Content-Length", "Expect"};
-	for (size_t i = 0; i < sizeof (names) / sizeof (names[0]); i++) {
-		if (strcasecmp (name, names[i]) == 0)
+	size_t len = strlen (name);
+	while (*list) {
+		list += strspn (list, ", \t");
+		size_t token = strcspn (list, ", \t");
+		if (token == len && strncasecmp (list, name, len) == 0)
 			return true;
+		list += token;
 	}
 	return false;
 }
 
+/* Headers that concern one connection only are not passed on. */
+static bool
+is_hop_by_hop (const char *name, const char *connection)
+{
+	static const char names[] = "Connection,Keep-Alive,Proxy-Connection,Proxy-Authorization,TE,"
+				    "Trailer,Transfer-Encoding,Upgrade,Content-Length,Expect";
+	return names_header (names, name) || names_header (connection, name);
+}
+
 static void
 add_line (struct forward *forward, const char *name, const char *value)
 {
@@ -379,8 +389,9 @@
 struct header_scan {
 	struct forward *forward;
 	char host[256];
-	size_t bytes;  /* of all headers */
-	bool has_body; /* a length or a transfer coding was given */
+	char connection[256]; /* names of headers that are for this connection only */
+	size_t bytes;         /* of all headers */
+	bool has_body;        /* a length or a transfer coding was given */
 };
 
 static void
@@ -392,7 +403,8 @@
 		str_copy (scan->host, sizeof (scan->host), value);
 	if (strcasecmp (name, "Content-Length") == 0 || strcasecmp (name, "Transfer-Encoding") == 0)
 		scan->has_body = true;
-	if (caller_head_add (&scan->forward->head, name, value) || is_hop_by_hop (name))
+	if (caller_head_add (&scan->forward->head, name, value) ||
+		is_hop_by_hop (name, scan->connection))
 		return;
 	add_line (scan->forward, name, value);
 }
@@ -448,6 +460,8 @@
 	struct header_scan scan = {.forward = forward};
 	forward->front = front;
 	caller_head_init (&forward->head);
+	str_copy (
+		scan.connection, sizeof (scan.connection), ingress_header (request, "Connection"));
 	ingress_headers (request, take_header, &scan);
 	struct routing_rule *rule =
 		routing ? routing_match (routing, scan.host, request->target) : NULL;
--- a/net/ingress.c
+++ b/net/ingress.c
@@ -295,6 +295,14 @@
 	request->suspended = false;
 }
 
+const char *
+ingress_header (struct ingress_request *request, const char *name)
+{
+	const char *value =
+		MHD_lookup_connection_value (request->connection, MHD_HEADER_KIND, name);
+	return value ? value : "";
+}
+
 struct each_header {
 	void (*each) (void *user, const char *name, const char *value);
 	void *user;
--- a/net/ingress.h
+++ b/net/ingress.h
@@ -97,6 +97,10 @@
 ingress_answer (struct ingress_request *request, int status, const struct buf *head, char *body,
 	size_t len, bool close);
 
+/** The first value of a header; empty when it did not come. */
+const char *
+ingress_header (struct ingress_request *request, const char *name);
+
 /** Calls a function for each header of a request. */
 void
 ingress_headers (struct ingress_request *request,
