--- a/core/log.c
+++ b/core/log.c
@@ -2,8 +2,10 @@
 
 #include "core/metrics.h"
 
+#include <fcntl.h>
 #include <jansson.h>
 #include <stdarg.h>
+#include <stdatomic.h>
 #include <stddef.h>
 #include <stdio.h>
 #include <string.h>
@@ -36,6 +38,37 @@
 	return &events[0];
 }
 
+/* How often an event was logged in the present second, and how often it was left out since. */
+struct event_rate {
+	_Atomic int64_t second;
+	_Atomic int lines;
+	_Atomic int left_out;
+};
+
+static struct event_rate rates[sizeof (events) / sizeof (events[0])];
+static _Atomic int output = STDOUT_FILENO;
+
+void
+log_set_output (int fd)
+{
+	int flags = fcntl (fd, F_GETFL);
+	if (flags >= 0)
+		fcntl (fd, F_SETFL, flags | O_NONBLOCK);
+	atomic_store (&output, fd);
+}
+
+/* Returns how many lines were left out before this one; -1 when this one is left out too. */
+static int
+admit (struct event_rate *rate, int64_t second)
+{
+	if (atomic_exchange (&rate->second, second) != second)
+		atomic_store (&rate->lines, 0);
+	if (atomic_fetch_add (&rate->lines, 1) < LOG_LINES_PER_S)
+		return atomic_exchange (&rate->left_out, 0);
+	atomic_fetch_add (&rate->left_out, 1);
+	return -1;
+}
+
 int
 log_level_parse (const char *name)
 {
@@ -52,22 +85,29 @@
 	const struct event_info *info = find_event (event);
 	if (info->level > log->level)
 		return;
+	struct timespec ts;
+	clock_gettime (CLOCK_REALTIME, &ts);
+	int left_out = admit (&rates[info - events], ts.tv_sec);
+	if (left_out < 0) {
+		metric_add (METRIC_LOG_LEFT_OUT, 1);
+		return;
+	}
 	char detail[512];
 	va_list args;
 	va_start (args, format);
 	vsnprintf (detail, sizeof (detail), format, args);
 	va_end (args);
-	struct timespec ts;
-	clock_gettime (CLOCK_REALTIME, &ts);
 	json_t *line = json_pack ("{s:f, s:s, s:i, s:s, s:s, s:s+}", "time",
 		(double)ts.tv_sec + (double)(ts.tv_nsec / 1000000) / 1e3, "level",
 		level_names[info->level], "event", (int)event, "name", info->name, "module",
 		log->module, "detail", detail, "");
+	if (line && left_out > 0)
+		json_object_set_new (line, "left_out", json_integer (left_out));
 	char *text = line ? json_dumps (line, JSON_COMPACT | JSON_REAL_PRECISION (14)) : NULL;
 	if (text) {
 		/* One write a line, so that lines of several threads do not mix. */
 		struct iovec parts[] = {{text, strlen (text)}, {(void *)"\n", 1}};
-		if (writev (STDOUT_FILENO, parts, 2) < 0)
+		if (writev (atomic_load (&output), parts, 2) < 0)
 			metric_add (METRIC_LOG_LOST, 1);
 	}
 	free (text);
--- a/core/log.h
+++ b/core/log.h
@@ -19,7 +19,17 @@
 	enum log_level level; /**< events above this level are dropped */
 };
 
-/** Writes one line to standard output: time, level, number, name, module, detail. */
+/** Lines of one event a second; beyond that they are counted instead of written. */
+enum { LOG_LINES_PER_S = 40 };
+
+/**
+ * Sets where lines go; standard output until then. A reader that stops never makes a thread wait:
+ * lines that the descriptor does not take are counted as lost.
+ */
+void
+log_set_output (int fd);
+
+/** Writes one line to the output: time, level, number, name, module, detail. */
 void
 log_event (const struct log *log, enum log_event event, const char *format, ...)
 	__attribute__ ((format (printf, 3, 4)));
--- a/daemon/discovery.c
+++ b/daemon/discovery.c
@@ -1,5 +1,6 @@
 #include "daemon/discovery.h"
 
+#include "core/metrics.h"
 #include "core/pack.h"
 #include "daemon/control.h"
 #include "daemon/forward.h"
@@ -46,6 +47,7 @@
 	struct front *front = discovery->front;
 	struct replica_set *set = front_set (front, target->service);
 	struct replica *replica = find_replica (set, target);
+	bool is_new = replica == NULL;
 	if (!replica) {
 		replica = xcalloc (1, sizeof (*replica));
 		replica->set = set;
@@ -57,6 +59,11 @@
 		CDS_INIT_LIST_HEAD (&replica->running);
 		cds_list_add_tail (&replica->node, &set->replicas);
 	}
+	if (is_new || replica->state != target->state)
+		log_event (&front->log, EVENT_TARGET_STATE, "%s of %s at %s: %s, cold for %lld ms",
+			replica->id, set->name, replica->address,
+			target->state == REPLICA_LEAVING ? "leaving" : "ready",
+			(long long)(target->cold_left_us / US_PER_MS));
 	replica->slots = target->slots;
 	replica->state = target->state;
 	replica->listed = true;
@@ -65,13 +72,15 @@
 }
 
 static void
-drop_unlisted (struct replica_set *set)
+drop_unlisted (struct front *front, struct replica_set *set)
 {
 	struct replica *replica;
 	struct replica *next;
 	cds_list_for_each_entry_safe (replica, next, &set->replicas, node) {
 		if (replica->listed || replica->in_flight > 0)
 			continue;
+		log_event (&front->log, EVENT_TARGET_STATE, "%s of %s at %s: gone", replica->id,
+			set->name, replica->address);
 		forward_drop_connections (replica);
 		cds_list_del (&replica->node);
 		free (replica);
@@ -93,7 +102,7 @@
 	for (int i = 0; i < list->count; i++)
 		apply_target (discovery, &list->items[i], read_us);
 	cds_list_for_each_entry (set, &front->sets, node) {
-		drop_unlisted (set);
+		drop_unlisted (front, set);
 		scatter_serve_waiting (set, now_us);
 	}
 }
@@ -103,8 +112,12 @@
 {
 	struct listed_targets list;
 	listed_targets_init (&list);
-	if (data && listed_targets_decode (&list, data, len))
+	if (data && listed_targets_decode (&list, data, len)) {
 		apply_list (discovery, &list, read_us);
+		log_event (&discovery->front->log, EVENT_LIST_TAKEN, "%d targets, read %lld ms ago",
+			list.count,
+			(long long)((front_now_us (discovery->front) - read_us) / US_PER_MS));
+	}
 	if (read_us > discovery->read_us)
 		discovery->read_us = read_us;
 	front_readmit (discovery->front, discovery->read_us);
@@ -138,6 +151,7 @@
 				"%d targets on %d pages, %d unreadable", discovery->list.count,
 				discovery->pages, discovery->list.unreadable);
 		discovery->failures = 0;
+		metric_add (METRIC_LIST_READS, 1);
 		discovery->read_us = front_now_us (front);
 	} else if (discovery->failures++ == 0) {
 		log_event (&front->log, EVENT_LIST_LOST, "status %ld; the last one is %lld ms old",
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -165,6 +165,25 @@
 		(unsigned long long)scatter->routing->version);
 }
 
+static void
+count_outcome (const struct scatter *scatter, int64_t took_us)
+{
+	switch (scatter->result) {
+	case SCATTER_MERGED:
+	case SCATTER_REPLY:
+		if (took_us > scatter->rule->aim_us)
+			metric_add (METRIC_ROUTE_LATE, 1);
+		return;
+	case SCATTER_REFUSED:
+		metric_add (METRIC_ROUTE_REFUSED, 1);
+		return;
+	case SCATTER_FAILED:
+	case SCATTER_TIMEOUT:
+		metric_add (METRIC_ROUTE_FAILED, 1);
+		return;
+	}
+}
+
 static void
 finish_forward (struct scatter *scatter)
 {
@@ -185,6 +204,7 @@
 		}
 	}
 	log_outcome (forward, status);
+	count_outcome (scatter, front_now_us (forward->front) - scatter->start_us);
 	metric_add (METRIC_SUBS_HEDGE, (uint64_t)scatter->hedges);
 	metric_add (METRIC_SUBS_RETRY, (uint64_t)scatter->retries);
 	if (scatter->answered < scatter->shard_count)
@@ -248,6 +268,27 @@
 	replica->told_us = now_us;
 }
 
+static void
+log_sub (const struct sub *sub, enum sub_end end, int64_t now_us)
+{
+	static const char *const names[] = {
+		[SUB_END_STATUS] = "it ran and failed",
+		[SUB_END_NOT_RUN] = "refused, not run",
+		[SUB_END_NOT_SENT] = "no connection, not sent",
+		[SUB_END_BROKEN] = "no valid reply, may have run",
+	};
+	const struct replica *replica = sub->use.replica;
+	if (end == SUB_END_PART || !sub->forward)
+		return;
+	log_event (&sub->front->log, EVENT_SUB_REQUEST_FAILED,
+		"%s: %s of %s at %s: %s; status %ld, reply to '%s', %lld ms, %d in flight, list "
+		"%lld ms old",
+		sub->attempt_id, replica->id, replica->set->name, replica->address, names[end],
+		sub->fetch.status, sub->head.attempt_id,
+		(long long)((now_us - sub->use.sent_us) / US_PER_MS), replica->in_flight,
+		(long long)((now_us - sub->front->discovery.read_us) / US_PER_MS));
+}
+
 static void
 on_sub_done (struct fetch *fetch, enum fetch_end how)
 {
@@ -266,6 +307,7 @@
 		.body_len = fetch->body.len,
 	};
 	note_load (replica, &sub->head, now_us);
+	log_sub (sub, end, now_us);
 	if (end == SUB_END_PART && forward)
 		quantile_observe (&forward->scatter.rule->latency, now_us - sub->use.sent_us);
 	if (end == SUB_END_NOT_RUN && fetch->status == 421)
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -12,6 +12,7 @@
 #include "daemon/worker.h"
 
 #include <argp.h>
+#include <fcntl.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -356,8 +357,12 @@
 	buf_init (&out);
 	operators_dump (node, &out);
 	log_event (&node->log, EVENT_STATE_DUMPED, "%zu bytes on standard output", out.len);
+	/* Logs never wait for the reader of standard output, but a dump has to be whole. */
+	int flags = fcntl (STDOUT_FILENO, F_GETFL);
+	fcntl (STDOUT_FILENO, F_SETFL, flags & ~O_NONBLOCK);
 	printf ("%s\n", out.data);
 	fflush (stdout);
+	fcntl (STDOUT_FILENO, F_SETFL, flags);
 	buf_finish (&out);
 }
 
@@ -475,6 +480,7 @@
 	node.config_path = arguments.config;
 	if (getrandom (&node.incarnation, sizeof (node.incarnation), 0) < 0)
 		return EXIT_FAILURE;
+	log_set_output (STDOUT_FILENO);
 	clock_init_system (&node.clock);
 	node.log.module = "node";
 	node.log.level = (enum log_level)log_level_parse (node.options.log_level);
--- a/test/platform.sh
+++ b/test/platform.sh
@@ -187,6 +187,16 @@
 for t in 0 1 2; do fault draining $t 0; done
 sleep 2
 
+echo "the logs explain each of them by its id:"
+because () {
+	grep -h "\"$1: " "$RUN"/n4.log
+}
+expect "refused" "$(because b3)" 'SUB_REQUEST_FAILED.*i-(9|10|11) of s3.*refused, not run'
+expect "and what became of it" "$(because b3)" 'REQUEST_FAILED.*status 503 on route file'
+expect "without a shard" "$(because a4)" 'REQUEST_DEGRADED.*2 of 3 shards.*shard s0 tried 0'
+expect "unknown outcome" "$(because b4)" "SUB_REQUEST_FAILED.*may have run.*reply to 'another'"
+expect "targets that leave" "$(grep -h TARGET_STATE "$RUN"/n4.log)" 'i-0 of s0 at [0-9.:]*: leaving'
+
 echo "slow targets:"
 for t in 0 3 6; do fault slow $t 1; done
 for i in 1 2 3 4 5 6; do
--- a/test/units.c
+++ b/test/units.c
@@ -5,6 +5,8 @@
 #include "control/members.h"
 #include "control/owner.h"
 #include "control/view.h"
+#include "core/log.h"
+#include "core/metrics.h"
 #include "core/pack.h"
 #include "core/timers.h"
 #include "options/options.h"
@@ -21,6 +23,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/stat.h>
+#include <time.h>
 #include <unistd.h>
 
 enum { MS = 1000, SLOTS = 3, SHARDS = 3, REPLICAS = 3 };
@@ -39,6 +42,38 @@
 	return options_parse (&options, text, "test.ini", error);
 }
 
+static void
+test_logs_never_wait_for_their_reader (void)
+{
+	int fds[2];
+	char text[65536];
+	struct log log = {.module = "test", .level = LOG_DEBUG};
+	uint64_t left_out = metric_get (METRIC_LOG_LEFT_OUT);
+	CU_ASSERT_EQUAL_FATAL (pipe (fds), 0);
+	log_set_output (fds[1]);
+	/* Nobody reads: a pipe that blocks would stop the test here. */
+	for (int i = 0; i < 3000; i++) {
+		log_event (&log, EVENT_REQUEST_FAILED, "%0400d", i);
+		log_event (&log, EVENT_NODE_STARTED, "%d", i);
+	}
+	CU_ASSERT_TRUE (metric_get (METRIC_LOG_LEFT_OUT) - left_out > 3000);
+	fcntl (fds[0], F_SETFL, O_NONBLOCK);
+	ssize_t len = read (fds[0], text, sizeof (text) - 1);
+	CU_ASSERT_TRUE (len > 0);
+	text[len > 0 ? len : 0] = '\0';
+	CU_ASSERT_PTR_NOT_NULL (strstr (text, "REQUEST_FAILED"));
+	/* The next line of a later second says how many were left out. */
+	struct timespec second = {.tv_sec = 1, .tv_nsec = 100000000};
+	nanosleep (&second, NULL);
+	log_event (&log, EVENT_REQUEST_FAILED, "later");
+	len = read (fds[0], text, sizeof (text) - 1);
+	text[len > 0 ? len : 0] = '\0';
+	CU_ASSERT_PTR_NOT_NULL (strstr (text, "\"left_out\":"));
+	log_set_output (STDOUT_FILENO);
+	close (fds[0]);
+	close (fds[1]);
+}
+
 static void
 test_settings_name_line_field_and_remedy (void)
 {
@@ -709,6 +744,7 @@
 		const char *name;
 		void (*run) (void);
 	} tests[] = {
+		TEST (logs_never_wait_for_their_reader),
 		TEST (settings_name_line_field_and_remedy),
 		TEST (documents_refuse_unknown_fields),
 		TEST (cold_target_gets_its_limit_only),
