daemon: a node that has just started holds requests until it has its view

Ruled out: a longer Retry-After (callers wait at most a third of what they have left) and no listening before the view is there (a refused connection costs the same attempt).

test/platform.sh fails without it (503) and passes.

--- a/daemon/discovery.c
+++ b/daemon/discovery.c
@@ -121,6 +121,7 @@
 	if (read_us > discovery->read_us)
 		discovery->read_us = read_us;
 	front_readmit (discovery->front, discovery->read_us);
+	forward_release_held (discovery->front);
 	listed_targets_finish (&list);
 }
 
@@ -153,6 +154,7 @@
 		discovery->failures = 0;
 		metric_add (METRIC_LIST_READS, 1);
 		discovery->read_us = front_now_us (front);
+		forward_release_held (front);
 	} else if (discovery->failures++ == 0) {
 		log_event (&front->log, EVENT_LIST_LOST, "status %ld; the last one is %lld ms old",
 			discovery->fetch.status,
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -430,25 +430,22 @@
 
 struct header_scan {
 	struct forward *forward;
-	char host[256];
 	char connection[256]; /* names of headers that are for this connection only */
-	size_t bytes;         /* of all headers */
-	bool has_body;        /* a length or a transfer coding was given */
 };
 
 static void
 take_header (void *user, const char *name, const char *value)
 {
 	struct header_scan *scan = user;
-	scan->bytes += strlen (name) + strlen (value) + HEADER_EXTRA_BYTES;
+	struct forward *forward = scan->forward;
+	forward->header_bytes += strlen (name) + strlen (value) + HEADER_EXTRA_BYTES;
 	if (strcasecmp (name, "Host") == 0)
-		str_copy (scan->host, sizeof (scan->host), value);
+		str_copy (forward->host, sizeof (forward->host), value);
 	if (strcasecmp (name, "Content-Length") == 0 || strcasecmp (name, "Transfer-Encoding") == 0)
-		scan->has_body = true;
-	if (caller_head_add (&scan->forward->head, name, value) ||
-		is_hop_by_hop (name, scan->connection))
+		forward->has_body = true;
+	if (caller_head_add (&forward->head, name, value) || is_hop_by_hop (name, scan->connection))
 		return;
-	add_line (scan->forward, name, value);
+	add_line (forward, name, value);
 }
 
 static void
@@ -471,20 +468,21 @@
 	free (forward);
 }
 
+/* When this request's caller stops waiting, counted from its arrival. */
 static int64_t
-deadline_us (const struct forward *forward, const struct routing_rule *rule, int64_t now_us)
+deadline_us (const struct forward *forward, const struct routing_rule *rule)
 {
 	int64_t left_us = forward->head.left_us;
 	int64_t margin_us = forward->front->policy.margin_us;
 	if (left_us != INT64_MAX)
 		left_us = left_us > 2 * margin_us ? left_us - margin_us : left_us / 2;
-	return now_us + (left_us < rule->timeout_us ? left_us : rule->timeout_us);
+	return forward->arrived_us + (left_us < rule->timeout_us ? left_us : rule->timeout_us);
 }
 
 static void
-take_body (struct forward *forward, struct ingress_request *request, const struct header_scan *scan)
+take_body (struct forward *forward, struct ingress_request *request)
 {
-	if (!scan->has_body && request->body.len == 0)
+	if (!forward->has_body && request->body.len == 0)
 		return;
 	forward->body_len = request->body.len;
 	forward->body = xmalloc (forward->body_len + 1);
@@ -493,48 +491,116 @@
 	forward->body[forward->body_len] = '\0';
 }
 
+static void
+run (struct forward *forward, struct ingress_request *request, struct routing_rule *rule)
+{
+	struct front *front = forward->front;
+	take_body (forward, request);
+	str_copy (forward->method, sizeof (forward->method), request->method);
+	forward->target = xstrdup (request->target);
+	forward->request = request;
+	request->user = forward;
+	cds_list_add (&forward->node, &front->forwards);
+	atomic_fetch_add (&front->in_flight, 1);
+	metric_add (METRIC_QUERIES, 1);
+	scatter_init (&forward->scatter, front->state->routing, rule, &front->policy, &hooks,
+		forward->arrived_us, deadline_us (forward, rule));
+	/* A queued request needs its timer before scatter_start can end it. */
+	set_timer (forward);
+	scatter_start (&forward->scatter, front_now_us (front));
+	if (request->user == forward)
+		set_timer (forward);
+}
+
+/* Finds the route and starts the request, or refuses it. */
+static void
+begin (struct forward *forward, struct ingress_request *request)
+{
+	struct front *front = forward->front;
+	const struct routing *routing = front->state->routing;
+	struct routing_rule *rule = routing_match (routing, forward->host, request->target);
+	int status = 0;
+	if ((int64_t)forward->header_bytes > routing->limits.header_bytes)
+		status = 431;
+	else if (!rule)
+		status = 404;
+	else if (comes_too_late (front, rule))
+		status = 503;
+	if (status == 0) {
+		run (forward, request, rule);
+		return;
+	}
+	drop (forward);
+	refuse (request, status, status == 431 || closes_after (front));
+}
+
+/*
+ * A node that has just started has its view within a second or so, even when all have started
+ * together; callers that came back to it would spend their last attempt on a refusal.
+ */
+static void
+hold (struct forward *forward, struct ingress_request *request)
+{
+	struct front *front = forward->front;
+	int64_t end_us = front->started_us + FRONT_START_HOLD_US;
+	bool too_long = forward->head.left_us != INT64_MAX &&
+			forward->arrived_us + forward->head.left_us <= end_us;
+	if (too_long || front_now_us (front) >= end_us || atomic_load (&front->stopping_us) != 0) {
+		drop (forward);
+		refuse (request, 503, closes_after (front));
+		return;
+	}
+	forward->held = true;
+	forward->request = request;
+	request->user = forward;
+	cds_list_add_tail (&forward->node, &front->forwards);
+	timers_set (&front->timers, &forward->timer, end_us);
+}
+
+/* Takes a held request out of the list; it is neither started nor answered yet. */
+static struct ingress_request *
+unhold (struct forward *forward)
+{
+	struct ingress_request *request = forward->request;
+	timers_clear (&forward->front->timers, &forward->timer);
+	cds_list_del (&forward->node);
+	forward->held = false;
+	forward->request = NULL;
+	request->user = NULL;
+	return request;
+}
+
 void
 forward_request (struct ingress_request *request, void *user)
 {
 	struct front *front = user;
-	struct routing *routing = front->state ? front->state->routing : NULL;
 	struct forward *forward = xcalloc (1, sizeof (*forward));
 	struct header_scan scan = {.forward = forward};
 	forward->front = front;
+	forward->arrived_us = front_now_us (front);
+	CDS_INIT_LIST_HEAD (&forward->subs);
+	timer_init (&forward->timer, FORWARD_TIMER);
 	caller_head_init (&forward->head);
 	str_copy (
 		scan.connection, sizeof (scan.connection), ingress_header (request, "Connection"));
 	ingress_headers (request, take_header, &scan);
-	struct routing_rule *rule =
-		routing ? routing_match (routing, scan.host, request->target) : NULL;
-	if (routing && (int64_t)scan.bytes > routing->limits.header_bytes) {
-		drop (forward);
-		refuse (request, 431, true);
-		return;
-	}
-	if (!rule || comes_too_late (front, rule)) {
-		drop (forward);
-		refuse (request, rule || !routing ? 503 : 404, closes_after (front));
+	if (front_has_view (front))
+		begin (forward, request);
+	else
+		hold (forward, request);
+}
+
+void
+forward_release_held (struct front *front)
+{
+	struct forward *forward;
+	struct forward *next;
+	if (!front_has_view (front))
 		return;
+	cds_list_for_each_entry_safe (forward, next, &front->forwards, node) {
+		if (forward->held)
+			begin (forward, unhold (forward));
 	}
-	take_body (forward, request, &scan);
-	str_copy (forward->method, sizeof (forward->method), request->method);
-	forward->target = xstrdup (request->target);
-	forward->request = request;
-	request->user = forward;
-	CDS_INIT_LIST_HEAD (&forward->subs);
-	timer_init (&forward->timer, FORWARD_TIMER);
-	cds_list_add (&forward->node, &front->forwards);
-	atomic_fetch_add (&front->in_flight, 1);
-	metric_add (METRIC_QUERIES, 1);
-	int64_t now_us = front_now_us (front);
-	scatter_init (&forward->scatter, routing, rule, &front->policy, &hooks, now_us,
-		deadline_us (forward, rule, now_us));
-	/* A queued request needs its timer before scatter_start can end it. */
-	set_timer (forward);
-	scatter_start (&forward->scatter, now_us);
-	if (request->user == forward)
-		set_timer (forward);
 }
 
 void
@@ -544,6 +610,11 @@
 	(void)user;
 	if (!forward)
 		return;
+	if (forward->held) {
+		unhold (forward);
+		drop (forward);
+		return;
+	}
 	request->user = NULL;
 	forward->request = NULL;
 	/* Sub-requests become orphans, which end by themselves or soon lose their connection. */
@@ -555,6 +626,12 @@
 {
 	struct forward *forward = caa_container_of (timer, struct forward, timer);
 	struct ingress_request *request = forward->request;
+	if (forward->held) {
+		unhold (forward);
+		drop (forward);
+		refuse (request, 503, false);
+		return;
+	}
 	scatter_tick (&forward->scatter, front_now_us (forward->front));
 	if (request->user == forward)
 		set_timer (forward);
--- a/daemon/forward.h
+++ b/daemon/forward.h
@@ -12,6 +12,11 @@
 	struct cds_list_head node; /**< in front.forwards */
 	struct front *front;
 	struct ingress_request *request; /**< NULL once the caller left */
+	bool held; /**< waits for the first view of a node that has just started */
+	int64_t arrived_us;
+	char host[256];
+	size_t header_bytes; /**< of all headers that came */
+	bool has_body;       /**< a length or a transfer coding was given */
 	struct scatter scatter;
 	struct caller_head head;
 	struct timer timer;
@@ -28,6 +33,10 @@
 void
 forward_request (struct ingress_request *request, void *user);
 
+/** The node has a view now: starts what was held for it. */
+void
+forward_release_held (struct front *front);
+
 /** The caller left before the answer. */
 void
 forward_left (struct ingress_request *request, void *user);
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -28,6 +28,12 @@
 	return clock_now_us (&front->node->clock);
 }
 
+bool
+front_has_view (const struct front *front)
+{
+	return front->state && front->state->routing && front->discovery.read_us != 0;
+}
+
 bool
 front_is_leaving (const struct front *front, const char *data_centre)
 {
@@ -150,6 +156,7 @@
 		routing_put (old->routing);
 		free (old);
 	}
+	forward_release_held (front);
 }
 
 static void
@@ -224,8 +231,7 @@
 answer_readiness (struct ingress_request *request, void *user)
 {
 	const struct front *front = user;
-	bool ready = front->state && front->state->routing && front->discovery.read_us != 0 &&
-		     atomic_load (&front->stopping_us) == 0;
+	bool ready = front_has_view (front) && atomic_load (&front->stopping_us) == 0;
 	ingress_answer (request, ready ? 200 : 503, NULL, NULL, 0, false);
 }
 
@@ -338,6 +344,7 @@
 	const struct options *options = &node->options;
 	memset (front, 0, sizeof (*front));
 	front->node = node;
+	front->started_us = clock_now_us (&node->clock);
 	front->log = node->log;
 	front->log.module = "front";
 	front->rng.state = node->incarnation;
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -22,6 +22,7 @@
 enum {
 	FRONT_MAX_LEAVING = 32,
 	FRONT_STOP_REFUSE_TIMES = 4,   /**< usual latencies that a request needs during a stop */
+	FRONT_START_HOLD_US = 1200000, /**< a start of all nodes hands views out within this */
 	FRONT_RETURN_LAG_US = 1000000, /**< the list says by then which targets returned cold */
 	FRONT_READY_LAG_US = 2500000,  /**< the balancer asks once a second and needs two misses */
 };
@@ -56,9 +57,10 @@
 	struct timers timers;
 	struct fetch_loop fetches;
 	struct ingress callers;
-	struct ingress balancer;   /**< asks for readiness */
-	_Atomic bool leads;        /**< this control node reads the target list for all */
-	uint64_t posted_roster;    /**< control thread: stamp of the list that was posted last */
+	struct ingress balancer; /**< asks for readiness */
+	_Atomic bool leads;      /**< this control node reads the target list for all */
+	uint64_t posted_roster;  /**< control thread: stamp of the list that was posted last */
+	int64_t started_us;
 	struct front_state *state; /**< the newest; NULL before the first */
 	uint64_t posted_version;   /**< control thread: routing version that was posted last */
 	struct routing *posted;    /**< control thread: that routing */
@@ -90,6 +92,10 @@
 int64_t
 front_now_us (const struct front *front);
 
+/** True when the node knows routes and targets, and can serve. */
+bool
+front_has_view (const struct front *front);
+
 /** The set of a service, created when it is not known yet. */
 struct replica_set *
 front_set (struct front *front, const char *service);
--- a/test/platform.sh
+++ b/test/platform.sh
@@ -233,10 +233,12 @@
 for n in 1 2 3; do kill -CONT "${PIDS[n$n]}"; done
 wait_for 10 eval "[ \"\$(order 1 GET /config/get)\" = 200 ]" || fail "control did not come back"
 
-echo "all control nodes are killed and start again:"
-for n in 1 2 3; do kill -KILL "${PIDS[n$n]}"; done
+echo "all nodes are killed and start again:"
+for n in 1 2 3 4; do kill -KILL "${PIDS[n$n]}"; done
 sleep 0.2
-for n in 1 2 3; do start_node $n; done
+for n in 4 1 2 3; do start_node $n; done
+wait_for 5 eval "ask 4 n1 /all/x > '$RUN/held'; [ -s '$RUN/held' ]" || fail "entry 4 did not start"
+expect "a caller of a node that starts is served" "$(cat "$RUN/held")" '^HTTP/1.1 200'
 wait_for 10 eval "[ \"\$(order 2 GET /config/get)\" = 200 ]" || fail "control did not restart"
 expect "what was accepted is still there" "$(cat "$RUN/answer")" '"version":9'
 
