--- a/daemon/control.c
+++ b/daemon/control.c
@@ -3,6 +3,7 @@
 #include "core/metrics.h"
 #include "daemon/front.h"
 #include "daemon/platform.h"
+#include "daemon/proposals.h"
 #include "daemon/worker.h"
 
 #include <poll.h>
@@ -22,7 +23,7 @@
 	CONTROL_CALL
 };
 
-enum { ELECTION_US = 300000, HEARTBEAT_US = 75000, STORE_EXIT = 3 };
+enum { STORE_EXIT = 3 };
 
 struct wire_mail {
 	struct mail mail;
@@ -53,143 +54,6 @@
 	pthread_cond_t cond;
 };
 
-static int64_t
-now (const struct control *control)
-{
-	return clock_now_us (&control->node->clock);
-}
-
-static bool
-leads (const struct control *control)
-{
-	return control->has_voter && control->voter.raft.role == RAFT_LEADER;
-}
-
-static void
-send_proposal (struct control *control, struct proposal *proposal)
-{
-	struct follower *follower = &control->follower;
-	const char *address = control->leader;
-	proposal->sent_us = now (control);
-	if (leads (control))
-		address = control->node->options.node_peer_address;
-	if (address[0] == '\0') {
-		if (follower->voter_count == 0)
-			return;
-		address = follower->voters[control->next_voter++ % follower->voter_count];
-	}
-	struct route route = route_to_address (address);
-	struct wire wire = {.kind = WIRE_PROPOSE};
-	wire.u.propose.id = proposal->id;
-	wire.u.propose.data = xmemdup (proposal->data, proposal->len);
-	wire.u.propose.len = proposal->len;
-	outbox_add (&follower->outbox, &route, &wire);
-}
-
-static void
-finish_change (struct control_change *change, bool answered, struct propose_reply *reply)
-{
-	pthread_mutex_lock (&change->lock);
-	change->answered = answered;
-	if (reply) {
-		change->reply = *reply;
-		reply->body = NULL;
-	}
-	change->done = true;
-	pthread_cond_signal (&change->cond);
-	pthread_mutex_unlock (&change->lock);
-}
-
-static void
-free_proposal (struct proposal *proposal)
-{
-	cds_list_del (&proposal->node);
-	free (proposal->data);
-	free (proposal);
-}
-
-static void
-finish_proposal (struct control *control, struct proposal *proposal, struct propose_reply *reply)
-{
-	if (proposal->waiter) {
-		finish_change (proposal->waiter, true, reply);
-	} else {
-		struct worker *worker = node_worker_of_request (control->node, proposal->request);
-		struct claimed_mail *mail = xcalloc (1, sizeof (*mail));
-		mail->mail.kind = WORKER_CLAIMED;
-		mail->request = proposal->request;
-		mail->reply = *reply;
-		reply->body = NULL;
-		mailbox_post (&worker->mailbox, &mail->mail);
-	}
-	free_proposal (proposal);
-}
-
-static void
-receive_propose_reply (struct control *control, struct propose_reply *reply)
-{
-	struct proposal *proposal;
-	struct proposal *next;
-	cds_list_for_each_entry_safe (proposal, next, &control->proposals, node) {
-		if (proposal->id != reply->id)
-			continue;
-		if (reply->status != PROPOSE_NOT_LEADER) {
-			finish_proposal (control, proposal, reply);
-			return;
-		}
-		bool news = strcmp (control->leader, reply->leader) != 0;
-		str_copy (control->leader, sizeof (control->leader), reply->leader);
-		if (news && reply->leader[0] != '\0')
-			send_proposal (control, proposal);
-		return;
-	}
-}
-
-static void
-retry_proposals (struct control *control)
-{
-	struct proposal *proposal;
-	struct proposal *next;
-	int64_t now_us = now (control);
-	cds_list_for_each_entry_safe (proposal, next, &control->proposals, node) {
-		if (proposal->until_us <= now_us) {
-			if (proposal->waiter)
-				finish_change (proposal->waiter, false, NULL);
-			free_proposal (proposal);
-		} else if (proposal->sent_us + CONTROL_PROPOSE_RETRY_US <= now_us) {
-			control->leader[0] = '\0';
-			send_proposal (control, proposal);
-		}
-	}
-}
-
-/* One proposal at a time stands for a once-only request; a repeat of it changes nothing. */
-static bool
-is_proposed (const struct control *control, uint64_t request, enum command_kind kind)
-{
-	const struct proposal *proposal;
-	cds_list_for_each_entry (proposal, &control->proposals, node) {
-		if (request != 0 && proposal->request == request && proposal->kind == kind)
-			return true;
-	}
-	return false;
-}
-
-static struct proposal *
-add_proposal (
-	struct control *control, uint64_t request, enum command_kind kind, void *data, size_t len)
-{
-	struct proposal *proposal = xcalloc (1, sizeof (*proposal));
-	proposal->id = ++control->proposal_id;
-	proposal->request = request;
-	proposal->kind = kind;
-	proposal->data = data;
-	proposal->len = len;
-	proposal->until_us = now (control) + CONTROL_PROPOSE_KEEP_US;
-	cds_list_add_tail (&proposal->node, &control->proposals);
-	return proposal;
-}
-
 static void
 publish (struct control *control)
 {
@@ -212,60 +76,17 @@
 		view->member_count);
 }
 
-static void
-finish_read (struct control_read *read, const struct state_routing *routing)
-{
-	cds_list_del (&read->node);
-	pthread_mutex_lock (&read->lock);
-	if (routing) {
-		read->confirmed = true;
-		read->routing = *routing;
-		if (routing->document)
-			read->routing.document = xstrdup (routing->document);
-	}
-	read->done = true;
-	pthread_cond_signal (&read->cond);
-	pthread_mutex_unlock (&read->lock);
-}
-
-/* A reply to a poll that began after the question carries all that was accepted before it. */
-static void
-answer_reads (struct control *control, const struct poll_reply *reply)
-{
-	struct control_read *read;
-	struct control_read *next;
-	const struct state *state = &control->follower.state;
-	if (!reply->granted || state->applied != reply->revision)
-		return;
-	cds_list_for_each_entry_safe (read, next, &control->reads, node) {
-		if (reply->seq >= read->need_seq)
-			finish_read (read, &state->routing);
-	}
-}
-
-static void
-expire_reads (struct control *control)
-{
-	struct control_read *read;
-	struct control_read *next;
-	int64_t now_us = now (control);
-	cds_list_for_each_entry_safe (read, next, &control->reads, node) {
-		if (read->until_us <= now_us)
-			finish_read (read, NULL);
-	}
-}
-
 static void
 receive_poll_reply (struct control *control, const struct poll_reply *reply)
 {
 	struct follower *follower = &control->follower;
-	int64_t now_us = now (control);
+	int64_t now_us = control_now_us (control);
 	bool changed = follower_receive (follower, reply, now_us);
 	if (changed) {
 		publish (control);
 		follower_poll_soon (follower, now_us);
 	}
-	answer_reads (control, reply);
+	reads_answer (control, reply);
 	if (control->node->options.front_address[0] && follower->roster.stamp != 0)
 		front_post_roster (control->node->front, &follower->roster);
 	atomic_store (&control->node->settled, follower->settled);
@@ -289,7 +110,7 @@
 		released = one < released ? one : released;
 		leaving_work += atomic_load (&node->workers[i].leaving_work);
 	}
-	int64_t now_us = now (control);
+	int64_t now_us = control_now_us (control);
 	bool moved = follower->acting != acting || follower->released != released;
 	follower->acting = acting;
 	follower->released = released;
@@ -317,7 +138,7 @@
 		receive_poll_reply (control, &mail->wire.u.poll_reply);
 		break;
 	case WIRE_PROPOSE_REPLY:
-		receive_propose_reply (control, &mail->wire.u.propose_reply);
+		proposals_answer (control, &mail->wire.u.propose_reply);
 		break;
 	case WIRE_RAFT:
 	case WIRE_POLL:
@@ -325,7 +146,8 @@
 	case WIRE_RELAY_REPLY:
 	case WIRE_PROPOSE:
 		if (control->has_voter)
-			voter_receive (&control->voter, &mail->from, &mail->wire, now (control));
+			voter_receive (&control->voter, &mail->from, &mail->wire,
+				control_now_us (control));
 		break;
 	case WIRE_KINDS:
 		break;
@@ -337,11 +159,11 @@
 static void
 handle_propose (struct control *control, struct propose_mail *mail)
 {
-	if (is_proposed (control, mail->request, mail->kind))
+	if (proposal_exists (control, mail->request, mail->kind))
 		free (mail->data);
 	else
-		send_proposal (control,
-			add_proposal (control, mail->request, mail->kind, mail->data, mail->len));
+		proposal_send (control,
+			proposal_add (control, mail->request, mail->kind, mail->data, mail->len));
 	free (mail);
 }
 
@@ -350,26 +172,27 @@
 {
 	size_t len = 0;
 	void *data = command_encode (change->command, &len);
-	struct proposal *proposal = add_proposal (control, 0, COMMAND_CHANGE, data, len);
+	struct proposal *proposal = proposal_add (control, 0, COMMAND_CHANGE, data, len);
 	proposal->waiter = change;
-	proposal->until_us = now (control) + change->wait_us;
-	send_proposal (control, proposal);
+	proposal->until_us = control_now_us (control) + change->wait_us;
+	proposal_send (control, proposal);
 }
 
 static void
 handle_read (struct control *control, struct control_read *read)
 {
 	read->need_seq = control->follower.seq + 1;
-	read->until_us = now (control) + CONTROL_ORDER_US;
+	read->until_us = control_now_us (control) + CONTROL_ORDER_US;
 	cds_list_add_tail (&read->node, &control->reads);
-	follower_poll_soon (&control->follower, now (control));
+	follower_poll_soon (&control->follower, control_now_us (control));
 }
 
 static void
 handle_roster (struct control *control, struct roster_mail *mail)
 {
 	if (control->has_voter)
-		voter_roster_read (&control->voter, mail->data, mail->len, now (control));
+		voter_roster_read (
+			&control->voter, mail->data, mail->len, control_now_us (control));
 	free (mail->data);
 	free (mail);
 }
@@ -441,17 +264,17 @@
 {
 	const struct raft *raft = &control->voter.raft;
 	int voters = raft_voter_count (&raft->config);
-	if (leads (control) != control->was_leader)
+	if (control_leads (control) != control->was_leader)
 		log_event (&control->log,
-			leads (control) ? EVENT_LEADER_ELECTED : EVENT_LEADER_LOST, "term %llu",
-			(unsigned long long)raft->term);
+			control_leads (control) ? EVENT_LEADER_ELECTED : EVENT_LEADER_LOST,
+			"term %llu", (unsigned long long)raft->term);
 	if (voters != control->last_voters)
 		log_event (&control->log,
 			voters > control->last_voters ? EVENT_VOTER_ADDED : EVENT_VOTER_REMOVED,
 			"%d voters", voters);
-	control->was_leader = leads (control);
+	control->was_leader = control_leads (control);
 	if (control->node->front)
-		atomic_store (&control->node->front->leads, leads (control));
+		atomic_store (&control->node->front->leads, control_leads (control));
 	control->last_voters = voters;
 }
 
@@ -459,7 +282,7 @@
 step_voter (struct control *control)
 {
 	struct voter *voter = &control->voter;
-	int64_t now_us = now (control);
+	int64_t now_us = control_now_us (control);
 	voter_tick (voter, now_us, clock_wall_ms (&control->node->clock));
 	voter_step (voter, now_us);
 	while (raft_unsaved (&voter->raft)) {
@@ -497,10 +320,10 @@
 		mailbox_clear (&control->mailbox);
 		while ((mail = mailbox_take (&control->mailbox)))
 			handle_mail (control, mail);
-		retry_proposals (control);
-		expire_reads (control);
+		proposals_retry (control);
+		reads_expire (control);
 		update_lease (control);
-		follower_tick (&control->follower, now (control));
+		follower_tick (&control->follower, control_now_us (control));
 		send_outbox (control, &control->follower.outbox);
 		if (control->has_voter) {
 			platform_check (control);
@@ -631,7 +454,7 @@
 	const bool *gone = arg;
 	control->follower.leaving = true;
 	control->follower.gone = *gone;
-	follower_poll_soon (&control->follower, now (control));
+	follower_poll_soon (&control->follower, control_now_us (control));
 }
 
 void
@@ -640,161 +463,6 @@
 	control_call (control, set_leaving, &gone);
 }
 
-/* Appends a peer address as it is reached: with control.peer_port where one is set. */
-static void
-add_seed (struct buf *out, const struct options *options, const char *at, size_t len)
-{
-	size_t host = strcspn (at, ":, ");
-	if (options->control_peer_port > 0)
-		buf_addf (out, "%.*s:%d", (int)host, at, (int)options->control_peer_port);
-	else
-		buf_addf (out, "%.*s", (int)len, at);
-}
-
-/* On the first start of the whole system its first seed starts the log; the others join it. */
-static bool
-is_first_seed (const struct options *options)
-{
-	struct buf first;
-	const char *at = options->control_peers + strspn (options->control_peers, ", ");
-	buf_init (&first);
-	add_seed (&first, options, at, strcspn (at, ", "));
-	bool own = options->control_bootstrap != 0 &&
-		   strcmp (first.data, options->node_peer_address) == 0;
-	buf_finish (&first);
-	return own;
-}
-
-/* The addresses to poll at first: this node's own, when it votes, and the seeds. */
-static void
-set_seeds (struct control *control, const struct options *options)
-{
-	struct buf out;
-	buf_init (&out);
-	buf_addf (&out, "%s,", control->has_voter ? options->node_peer_address : "");
-	const char *at = options->control_peers;
-	while (*at) {
-		at += strspn (at, ", ");
-		size_t len = strcspn (at, ", ");
-		if (len > 0) {
-			add_seed (&out, options, at, len);
-			buf_addf (&out, ",");
-		}
-		at += len;
-	}
-	str_copy (control->seeds, sizeof (control->seeds), out.data);
-	buf_finish (&out);
-}
-
-static int
-seed_count (const struct options *options)
-{
-	int count = options->control_peers[0] != '\0';
-	for (const char *at = options->control_peers; *at; at++)
-		count += *at == ',';
-	return count;
-}
-
-static bool
-start_voter (struct control *control, bool bootstrap, struct error *error)
-{
-	struct node *node = control->node;
-	const struct options *options = &node->options;
-	struct raft_times times = {.election_us = ELECTION_US, .heartbeat_us = HEARTBEAT_US};
-	struct voter_settings settings = {
-		.lease_us = options->control_lease_ms * US_PER_MS,
-		.voters_wanted = (int)options->control_voters,
-		.compact_entries = (uint64_t)options->control_compact_entries,
-		.replace_us = options->control_replace_ms * US_PER_MS,
-	};
-	settings.voters_least = seed_count (options);
-	if (settings.voters_least > settings.voters_wanted)
-		settings.voters_least = settings.voters_wanted;
-	if (!store_open (&control->store, options->control_data_dir, error))
-		return false;
-	str_copy (settings.name, sizeof (settings.name), options->node_name);
-	str_copy (settings.address, sizeof (settings.address), options->node_peer_address);
-	settings.disk_id = control->store.disk_id;
-	voter_init (&control->voter, &settings, &times, node->incarnation, now (control));
-	if (!store_load (&control->store, &control->voter.raft, error))
-		return false;
-	if (control->store.torn)
-		log_event (&control->log, EVENT_LOG_TAIL_CUT, "%s", options->control_data_dir);
-	if (!voter_restore_state (&control->voter))
-		return error_set (error, ERROR_DAMAGED,
-			"%.160s/snapshot: cannot be read; move the folder away and restart",
-			options->control_data_dir);
-	bool empty = raft_last_index (&control->voter.raft) == 0 && control->voter.raft.term == 0;
-	if (bootstrap && !empty)
-		return error_set (error, ERROR_CONFIG,
-			"--bootstrap: the data folder %.120s is in use already; start without it",
-			options->control_data_dir);
-	if (bootstrap || (empty && is_first_seed (options)))
-		raft_bootstrap (
-			&control->voter.raft, options->node_name, options->node_peer_address);
-	control->has_voter = true;
-	return true;
-}
-
-static void
-start_follower (struct control *control)
-{
-	const struct options *options = &control->node->options;
-	struct follower_settings settings = {
-		.lease_us = options->control_lease_ms * US_PER_MS,
-		.poll_us = options->control_poll_ms * US_PER_MS,
-		.seeds = control->seeds,
-	};
-	set_seeds (control, options);
-	struct poll *self = &settings.self;
-	str_copy (self->name, sizeof (self->name), options->node_name);
-	str_copy (self->data_centre, sizeof (self->data_centre), options->node_data_center);
-	str_copy (self->address, sizeof (self->address), options->node_peer_address);
-	self->incarnation = control->node->incarnation;
-	self->entry = options->front_address[0] != '\0';
-	self->disk_id = control->has_voter ? control->store.disk_id : 0;
-	follower_init (&control->follower, &settings, now (control));
-}
-
-struct peers_call {
-	const struct options *options;
-};
-
-static void
-change_peers (struct control *control, void *arg)
-{
-	const struct peers_call *call = arg;
-	set_seeds (control, call->options);
-	follower_seeds_changed (&control->follower);
-}
-
-void
-control_set_peers (struct control *control, const struct options *options)
-{
-	struct peers_call call = {options};
-	control_call (control, change_peers, &call);
-}
-
-bool
-control_start (struct control *control, struct node *node, bool bootstrap, struct error *error)
-{
-	memset (control, 0, sizeof (*control));
-	control->node = node;
-	control->log = node->log;
-	control->log.module = "control";
-	CDS_INIT_LIST_HEAD (&control->proposals);
-	CDS_INIT_LIST_HEAD (&control->reads);
-	if (!mailbox_init (&control->mailbox))
-		return error_set (error, ERROR_IO, "no file descriptor is left; raise the limit");
-	if (node->options.control_data_dir[0] && !start_voter (control, bootstrap, error))
-		return false;
-	if (bootstrap && !control->has_voter)
-		return error_set (
-			error, ERROR_CONFIG, "--bootstrap needs control.data_dir; set it");
-	start_follower (control);
-	return true;
-}
-
 bool
 control_run (struct control *control, struct error *error)
 {
--- /dev/null
+++ b/daemon/control_start.c
@@ -0,0 +1,162 @@
+#include "daemon/proposals.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum { ELECTION_US = 300000, HEARTBEAT_US = 75000 };
+
+/* Appends a peer address as it is reached: with control.peer_port where one is set. */
+static void
+add_seed (struct buf *out, const struct options *options, const char *at, size_t len)
+{
+	size_t host = strcspn (at, ":, ");
+	if (options->control_peer_port > 0)
+		buf_addf (out, "%.*s:%d", (int)host, at, (int)options->control_peer_port);
+	else
+		buf_addf (out, "%.*s", (int)len, at);
+}
+
+/* On the first start of the whole system its first seed starts the log; the others join it. */
+static bool
+is_first_seed (const struct options *options)
+{
+	struct buf first;
+	const char *at = options->control_peers + strspn (options->control_peers, ", ");
+	buf_init (&first);
+	add_seed (&first, options, at, strcspn (at, ", "));
+	bool own = options->control_bootstrap != 0 &&
+		   strcmp (first.data, options->node_peer_address) == 0;
+	buf_finish (&first);
+	return own;
+}
+
+/* The addresses to poll at first: this node's own, when it votes, and the seeds. */
+static void
+set_seeds (struct control *control, const struct options *options)
+{
+	struct buf out;
+	buf_init (&out);
+	buf_addf (&out, "%s,", control->has_voter ? options->node_peer_address : "");
+	const char *at = options->control_peers;
+	while (*at) {
+		at += strspn (at, ", ");
+		size_t len = strcspn (at, ", ");
+		if (len > 0) {
+			add_seed (&out, options, at, len);
+			buf_addf (&out, ",");
+		}
+		at += len;
+	}
+	str_copy (control->seeds, sizeof (control->seeds), out.data);
+	buf_finish (&out);
+}
+
+static int
+seed_count (const struct options *options)
+{
+	int count = options->control_peers[0] != '\0';
+	for (const char *at = options->control_peers; *at; at++)
+		count += *at == ',';
+	return count;
+}
+
+static bool
+start_voter (struct control *control, bool bootstrap, struct error *error)
+{
+	struct node *node = control->node;
+	const struct options *options = &node->options;
+	struct raft_times times = {.election_us = ELECTION_US, .heartbeat_us = HEARTBEAT_US};
+	struct voter_settings settings = {
+		.lease_us = options->control_lease_ms * US_PER_MS,
+		.voters_wanted = (int)options->control_voters,
+		.compact_entries = (uint64_t)options->control_compact_entries,
+		.replace_us = options->control_replace_ms * US_PER_MS,
+	};
+	settings.voters_least = seed_count (options);
+	if (settings.voters_least > settings.voters_wanted)
+		settings.voters_least = settings.voters_wanted;
+	if (!store_open (&control->store, options->control_data_dir, error))
+		return false;
+	str_copy (settings.name, sizeof (settings.name), options->node_name);
+	str_copy (settings.address, sizeof (settings.address), options->node_peer_address);
+	settings.disk_id = control->store.disk_id;
+	voter_init (
+		&control->voter, &settings, &times, node->incarnation, control_now_us (control));
+	if (!store_load (&control->store, &control->voter.raft, error))
+		return false;
+	if (control->store.torn)
+		log_event (&control->log, EVENT_LOG_TAIL_CUT, "%s", options->control_data_dir);
+	if (!voter_restore_state (&control->voter))
+		return error_set (error, ERROR_DAMAGED,
+			"%.160s/snapshot: cannot be read; move the folder away and restart",
+			options->control_data_dir);
+	bool empty = raft_last_index (&control->voter.raft) == 0 && control->voter.raft.term == 0;
+	if (bootstrap && !empty)
+		return error_set (error, ERROR_CONFIG,
+			"--bootstrap: the data folder %.120s is in use already; start without it",
+			options->control_data_dir);
+	if (bootstrap || (empty && is_first_seed (options)))
+		raft_bootstrap (
+			&control->voter.raft, options->node_name, options->node_peer_address);
+	control->has_voter = true;
+	return true;
+}
+
+static void
+start_follower (struct control *control)
+{
+	const struct options *options = &control->node->options;
+	struct follower_settings settings = {
+		.lease_us = options->control_lease_ms * US_PER_MS,
+		.poll_us = options->control_poll_ms * US_PER_MS,
+		.seeds = control->seeds,
+	};
+	set_seeds (control, options);
+	struct poll *self = &settings.self;
+	str_copy (self->name, sizeof (self->name), options->node_name);
+	str_copy (self->data_centre, sizeof (self->data_centre), options->node_data_center);
+	str_copy (self->address, sizeof (self->address), options->node_peer_address);
+	self->incarnation = control->node->incarnation;
+	self->entry = options->front_address[0] != '\0';
+	self->disk_id = control->has_voter ? control->store.disk_id : 0;
+	follower_init (&control->follower, &settings, control_now_us (control));
+}
+
+struct peers_call {
+	const struct options *options;
+};
+
+static void
+change_peers (struct control *control, void *arg)
+{
+	const struct peers_call *call = arg;
+	set_seeds (control, call->options);
+	follower_seeds_changed (&control->follower);
+}
+
+void
+control_set_peers (struct control *control, const struct options *options)
+{
+	struct peers_call call = {options};
+	control_call (control, change_peers, &call);
+}
+
+bool
+control_start (struct control *control, struct node *node, bool bootstrap, struct error *error)
+{
+	memset (control, 0, sizeof (*control));
+	control->node = node;
+	control->log = node->log;
+	control->log.module = "control";
+	CDS_INIT_LIST_HEAD (&control->proposals);
+	CDS_INIT_LIST_HEAD (&control->reads);
+	if (!mailbox_init (&control->mailbox))
+		return error_set (error, ERROR_IO, "no file descriptor is left; raise the limit");
+	if (node->options.control_data_dir[0] && !start_voter (control, bootstrap, error))
+		return false;
+	if (bootstrap && !control->has_voter)
+		return error_set (
+			error, ERROR_CONFIG, "--bootstrap needs control.data_dir; set it");
+	start_follower (control);
+	return true;
+}
--- /dev/null
+++ b/daemon/proposals.c
@@ -0,0 +1,186 @@
+#include "daemon/proposals.h"
+
+#include "daemon/worker.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+int64_t
+control_now_us (const struct control *control)
+{
+	return clock_now_us (&control->node->clock);
+}
+
+bool
+control_leads (const struct control *control)
+{
+	return control->has_voter && control->voter.raft.role == RAFT_LEADER;
+}
+
+void
+proposal_send (struct control *control, struct proposal *proposal)
+{
+	struct follower *follower = &control->follower;
+	const char *address = control->leader;
+	proposal->sent_us = control_now_us (control);
+	if (control_leads (control))
+		address = control->node->options.node_peer_address;
+	if (address[0] == '\0') {
+		if (follower->voter_count == 0)
+			return;
+		address = follower->voters[control->next_voter++ % follower->voter_count];
+	}
+	struct route route = route_to_address (address);
+	struct wire wire = {.kind = WIRE_PROPOSE};
+	wire.u.propose.id = proposal->id;
+	wire.u.propose.data = xmemdup (proposal->data, proposal->len);
+	wire.u.propose.len = proposal->len;
+	outbox_add (&follower->outbox, &route, &wire);
+}
+
+static void
+finish_change (struct control_change *change, bool answered, struct propose_reply *reply)
+{
+	pthread_mutex_lock (&change->lock);
+	change->answered = answered;
+	if (reply) {
+		change->reply = *reply;
+		reply->body = NULL;
+	}
+	change->done = true;
+	pthread_cond_signal (&change->cond);
+	pthread_mutex_unlock (&change->lock);
+}
+
+static void
+free_proposal (struct proposal *proposal)
+{
+	cds_list_del (&proposal->node);
+	free (proposal->data);
+	free (proposal);
+}
+
+static void
+finish_proposal (struct control *control, struct proposal *proposal, struct propose_reply *reply)
+{
+	if (proposal->waiter) {
+		finish_change (proposal->waiter, true, reply);
+	} else {
+		struct worker *worker = node_worker_of_request (control->node, proposal->request);
+		struct claimed_mail *mail = xcalloc (1, sizeof (*mail));
+		mail->mail.kind = WORKER_CLAIMED;
+		mail->request = proposal->request;
+		mail->reply = *reply;
+		reply->body = NULL;
+		mailbox_post (&worker->mailbox, &mail->mail);
+	}
+	free_proposal (proposal);
+}
+
+void
+proposals_answer (struct control *control, struct propose_reply *reply)
+{
+	struct proposal *proposal;
+	struct proposal *next;
+	cds_list_for_each_entry_safe (proposal, next, &control->proposals, node) {
+		if (proposal->id != reply->id)
+			continue;
+		if (reply->status != PROPOSE_NOT_LEADER) {
+			finish_proposal (control, proposal, reply);
+			return;
+		}
+		bool news = strcmp (control->leader, reply->leader) != 0;
+		str_copy (control->leader, sizeof (control->leader), reply->leader);
+		if (news && reply->leader[0] != '\0')
+			proposal_send (control, proposal);
+		return;
+	}
+}
+
+void
+proposals_retry (struct control *control)
+{
+	struct proposal *proposal;
+	struct proposal *next;
+	int64_t now_us = control_now_us (control);
+	cds_list_for_each_entry_safe (proposal, next, &control->proposals, node) {
+		if (proposal->until_us <= now_us) {
+			if (proposal->waiter)
+				finish_change (proposal->waiter, false, NULL);
+			free_proposal (proposal);
+		} else if (proposal->sent_us + CONTROL_PROPOSE_RETRY_US <= now_us) {
+			control->leader[0] = '\0';
+			proposal_send (control, proposal);
+		}
+	}
+}
+
+/* One proposal at a time stands for a once-only request; a repeat of it changes nothing. */
+bool
+proposal_exists (const struct control *control, uint64_t request, enum command_kind kind)
+{
+	const struct proposal *proposal;
+	cds_list_for_each_entry (proposal, &control->proposals, node) {
+		if (request != 0 && proposal->request == request && proposal->kind == kind)
+			return true;
+	}
+	return false;
+}
+
+struct proposal *
+proposal_add (
+	struct control *control, uint64_t request, enum command_kind kind, void *data, size_t len)
+{
+	struct proposal *proposal = xcalloc (1, sizeof (*proposal));
+	proposal->id = ++control->proposal_id;
+	proposal->request = request;
+	proposal->kind = kind;
+	proposal->data = data;
+	proposal->len = len;
+	proposal->until_us = control_now_us (control) + CONTROL_PROPOSE_KEEP_US;
+	cds_list_add_tail (&proposal->node, &control->proposals);
+	return proposal;
+}
+
+static void
+finish_read (struct control_read *read, const struct state_routing *routing)
+{
+	cds_list_del (&read->node);
+	pthread_mutex_lock (&read->lock);
+	if (routing) {
+		read->confirmed = true;
+		read->routing = *routing;
+		if (routing->document)
+			read->routing.document = xstrdup (routing->document);
+	}
+	read->done = true;
+	pthread_cond_signal (&read->cond);
+	pthread_mutex_unlock (&read->lock);
+}
+
+/* A reply to a poll that began after the question carries all that was accepted before it. */
+void
+reads_answer (struct control *control, const struct poll_reply *reply)
+{
+	struct control_read *read;
+	struct control_read *next;
+	const struct state *state = &control->follower.state;
+	if (!reply->granted || state->applied != reply->revision)
+		return;
+	cds_list_for_each_entry_safe (read, next, &control->reads, node) {
+		if (reply->seq >= read->need_seq)
+			finish_read (read, &state->routing);
+	}
+}
+
+void
+reads_expire (struct control *control)
+{
+	struct control_read *read;
+	struct control_read *next;
+	int64_t now_us = control_now_us (control);
+	cds_list_for_each_entry_safe (read, next, &control->reads, node) {
+		if (read->until_us <= now_us)
+			finish_read (read, NULL);
+	}
+}
--- a/test/control.c
+++ b/test/control.c
@@ -2,9 +2,9 @@
  * @file control.c
  * Focused tests of control: each causes one of the faults that the brief lists, or two of them.
  */
+#include "test/suite.h"
 #include "test/world.h"
 
-#include <CUnit/Basic.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -566,18 +566,10 @@
 	end ();
 }
 
-#define TEST(name)                                                                                 \
-	{                                                                                          \
-#name, test_##name                                                                 \
-	}
-
 int
 main (void)
 {
-	static const struct {
-		const char *name;
-		void (*run) (void);
-	} tests[] = {
+	static const struct suite_test tests[] = {
 		TEST (racing_operators),
 		TEST (resend_survives_leader_and_snapshot),
 		TEST (restart_far_behind),
@@ -599,13 +591,5 @@
 		TEST (outcome_that_overtakes_its_claim),
 		TEST (lost_quorum_stops_new_work),
 	};
-	CU_initialize_registry ();
-	CU_pSuite suite = CU_add_suite ("control", NULL, NULL);
-	for (size_t i = 0; i < sizeof (tests) / sizeof (tests[0]); i++)
-		CU_add_test (suite, tests[i].name, tests[i].run);
-	CU_basic_set_mode (CU_BRM_VERBOSE);
-	CU_basic_run_tests ();
-	unsigned failures = CU_get_number_of_failures ();
-	CU_cleanup_registry ();
-	return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run ("control", tests, sizeof (tests) / sizeof (tests[0]));
 }
--- a/test/fetch.c
+++ b/test/fetch.c
@@ -3,8 +3,8 @@
  * Tests of the HTTP client against a scripted peer on loopback: each reply is given byte by byte.
  */
 #include "net/fetch.h"
+#include "test/suite.h"
 
-#include <CUnit/Basic.h>
 #include <arpa/inet.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -391,18 +391,10 @@
 	bed_finish (&bed);
 }
 
-#define TEST(function)                                                                             \
-	{                                                                                          \
-#function, test_##function                                                         \
-	}
-
 int
 main (void)
 {
-	static const struct {
-		const char *name;
-		CU_TestFunc run;
-	} tests[] = {
+	static const struct suite_test tests[] = {
 		TEST (reply_in_pieces_and_reuse),
 		TEST (replies_that_end_early),
 		TEST (extra_bytes_close_the_connection),
@@ -413,13 +405,5 @@
 		TEST (silence_and_cancel),
 		TEST (idle_connections_end_in_time),
 	};
-	CU_initialize_registry ();
-	CU_pSuite suite = CU_add_suite ("fetch", NULL, NULL);
-	for (size_t i = 0; i < sizeof (tests) / sizeof (tests[0]); i++)
-		CU_add_test (suite, tests[i].name, tests[i].run);
-	CU_basic_set_mode (CU_BRM_VERBOSE);
-	CU_basic_run_tests ();
-	unsigned failures = CU_get_number_of_failures ();
-	CU_cleanup_registry ();
-	return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run ("fetch", tests, sizeof (tests) / sizeof (tests[0]));
 }
--- a/test/routes.c
+++ b/test/routes.c
@@ -10,8 +10,8 @@
 #include "platform/orders.h"
 #include "platform/replies.h"
 #include "query/scatter.h"
+#include "test/suite.h"
 
-#include <CUnit/Basic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -562,18 +562,10 @@
 	CU_ASSERT_EQUAL (order.kind, ORDER_UNKNOWN);
 }
 
-#define TEST(function)                                                                             \
-	{                                                                                          \
-#function, test_##function                                                         \
-	}
-
 int
 main (void)
 {
-	static const struct {
-		const char *name;
-		CU_TestFunc run;
-	} tests[] = {
+	static const struct suite_test tests[] = {
 		TEST (whole_answer_is_merged),
 		TEST (enough_shards_answer_near_the_aim),
 		TEST (too_few_shards_fail_at_once),
@@ -594,13 +586,5 @@
 		TEST (replies_are_judged),
 		TEST (orders_are_decoded),
 	};
-	CU_initialize_registry ();
-	CU_pSuite suite = CU_add_suite ("routes", NULL, NULL);
-	for (size_t i = 0; i < sizeof (tests) / sizeof (tests[0]); i++)
-		CU_add_test (suite, tests[i].name, tests[i].run);
-	CU_basic_set_mode (CU_BRM_VERBOSE);
-	CU_basic_run_tests ();
-	unsigned failures = CU_get_number_of_failures ();
-	CU_cleanup_registry ();
-	return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run ("routes", tests, sizeof (tests) / sizeof (tests[0]));
 }
--- a/test/units.c
+++ b/test/units.c
@@ -16,8 +16,8 @@
 #include "store/store.h"
 #include "targets/gate.h"
 #include "test/fixture.h"
+#include "test/suite.h"
 
-#include <CUnit/Basic.h>
 #include <fcntl.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -732,18 +732,10 @@
 	timers_finish (&timers);
 }
 
-#define TEST(name)                                                                                 \
-	{                                                                                          \
-#name, test_##name                                                                 \
-	}
-
 int
 main (void)
 {
-	static const struct {
-		const char *name;
-		void (*run) (void);
-	} tests[] = {
+	static const struct suite_test tests[] = {
 		TEST (logs_never_wait_for_their_reader),
 		TEST (settings_name_line_field_and_remedy),
 		TEST (documents_refuse_unknown_fields),
@@ -771,14 +763,5 @@
 		TEST (timers_come_in_order),
 	};
 	hint_table_init (&hints);
-	CU_initialize_registry ();
-	CU_pSuite suite = CU_add_suite ("units", NULL, NULL);
-	for (size_t i = 0; i < sizeof (tests) / sizeof (tests[0]); i++)
-		CU_add_test (suite, tests[i].name, tests[i].run);
-	CU_basic_set_mode (CU_BRM_VERBOSE);
-	CU_basic_run_tests ();
-	unsigned failures = CU_get_number_of_failures ();
-	CU_cleanup_registry ();
-	hint_table_finish (&hints);
-	return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run ("units", tests, sizeof (tests) / sizeof (tests[0]));
 }
