query: the bound of a cold target holds over all nodes in every second

Cause: each entry had its own pace of one request in nodes/bound seconds, and all could send their first in the same second: 6 to 8 entries against a bound of 5. Where there is not one a second for each entry, only the first few by hash send any, one a second.

test_cold_bound_holds_for_all_nodes takes the worst case and fails with the old pace.

--- a/daemon/discovery.c
+++ b/daemon/discovery.c
@@ -67,8 +67,10 @@
 	replica->slots = target->slots;
 	replica->state = target->state;
 	replica->listed = true;
-	if (target->cold_left_us > 0)
-		replica_note_cold (replica, read_us + target->cold_left_us, front_now_us (front));
+	if (target->cold_left_us <= 0)
+		return;
+	front_share_cold (front, replica);
+	replica_note_cold (replica, read_us + target->cold_left_us, front_now_us (front));
 }
 
 static void
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -9,6 +9,7 @@
 #include <sys/epoll.h>
 #include <unistd.h>
 #include <urcu.h>
+#include <xxhash.h>
 
 enum front_mail { FRONT_STATE, FRONT_ROSTER };
 
@@ -44,6 +45,37 @@
 	return false;
 }
 
+/* How many entries come before this one for a target; every entry counts alike. */
+static int
+rank_of (const struct front *front, const struct replica *replica)
+{
+	uint64_t seed = XXH64 (replica->id, strlen (replica->id), 0);
+	int rank = 0;
+	for (int i = 0; i < front->state->nodes; i++)
+		rank += XXH64 (&front->state->entries[i], sizeof (uint64_t), seed) <
+			XXH64 (&front->state->own_entry, sizeof (uint64_t), seed);
+	return rank;
+}
+
+void
+front_share_cold (struct front *front, struct replica *replica)
+{
+	if (!front->state || front->state->nodes == 0)
+		return;
+	replica->cold_gap_us = replica_cold_gap (
+		replica->set->cold_per_s, front->state->nodes, rank_of (front, replica));
+}
+
+static void
+share_cold (struct front *front, struct replica_set *set)
+{
+	struct replica *replica;
+	cds_list_for_each_entry (replica, &set->replicas, node) {
+		if (replica->cold_until_us > front_now_us (front))
+			front_share_cold (front, replica);
+	}
+}
+
 void
 front_bind_set (struct front *front, struct replica_set *set)
 {
@@ -57,9 +89,9 @@
 	service->set = set;
 	set->connections = replica_connections (service->max_connections, nodes);
 	set->cold_us = service->cold_us;
-	double per_s = service->cold_per_s * options->front_cold_factor +
-		       (double)options->front_cold_slack;
-	set->cold_gap_us = per_s >= 1 ? (int64_t)(nodes / per_s * US_PER_S) : INT64_MAX / 4;
+	set->cold_per_s = service->cold_per_s * options->front_cold_factor +
+			  (double)options->front_cold_slack;
+	share_cold (front, set);
 }
 
 struct replica_set *
@@ -154,6 +186,7 @@
 			state->routing->service_count);
 	if (old) {
 		routing_put (old->routing);
+		free (old->entries);
 		free (old);
 	}
 	forward_release_held (front);
@@ -170,6 +203,12 @@
 	json_decref (spec);
 }
 
+static uint64_t
+name_hash (const char *name)
+{
+	return XXH64 (name, strlen (name), 0);
+}
+
 void
 front_post_state (struct front *front, const struct state *declared)
 {
@@ -194,8 +233,13 @@
 		if (declared->resources.items[i]->kind == RESOURCE_DATA_CENTRE)
 			add_leaving (state, declared->resources.items[i]);
 	}
-	for (size_t i = 0; i < declared->members.count; i++)
-		state->nodes += declared->members.items[i].entry;
+	state->entries = xcalloc (declared->members.count + 1, sizeof (*state->entries));
+	state->own_entry = name_hash (front->node->options.node_name);
+	for (size_t i = 0; i < declared->members.count; i++) {
+		if (declared->members.items[i].entry)
+			state->entries[state->nodes++] =
+				name_hash (declared->members.items[i].name);
+	}
 	mailbox_post (&front->mailbox, &state->mail);
 }
 
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -37,7 +37,9 @@
 	struct routing *routing; /**< NULL: none was accepted yet; a reference is held */
 	char leaving[FRONT_MAX_LEAVING][RESOURCE_NAME_MAX + 1]; /**< data centres */
 	int leaving_count;
-	int nodes; /**< entries that share what targets bear */
+	uint64_t *entries;  /**< hashes of their names, owned */
+	uint64_t own_entry; /**< hash of this node's name */
+	int nodes;          /**< entries that share what targets bear */
 };
 
 /** A target list from control. */
@@ -100,6 +102,10 @@
 struct replica_set *
 front_set (struct front *front, const char *service);
 
+/** Sets this node's part of what a cold target bears. */
+void
+front_share_cold (struct front *front, struct replica *replica);
+
 /** Applies to a set what the declared state says of its service. */
 void
 front_bind_set (struct front *front, struct replica_set *set);
--- a/query/replica.c
+++ b/query/replica.c
@@ -103,7 +103,7 @@
 		if (replica->in_flight >= set->connections)
 			continue;
 		if (replica->cold_until_us > now_us) {
-			if (replica->cold_next_us <= now_us)
+			if (replica->cold_gap_us > 0 && replica->cold_next_us <= now_us)
 				cold = replica;
 			continue;
 		}
@@ -123,6 +123,17 @@
 	return any ? REPLICA_NO_ROOM : REPLICA_NONE;
 }
 
+int64_t
+replica_cold_gap (double per_s, int nodes, int rank)
+{
+	int whole = per_s < 1 ? 0 : (int)per_s;
+	int part = whole / (nodes > 0 ? nodes : 1);
+	if (part > 0)
+		return REPLICA_COLD_SECOND_US / part;
+	/* There is not one a second for each node, so that only the first few send any. */
+	return rank < whole ? REPLICA_COLD_SECOND_US : 0;
+}
+
 void
 replica_note_cold (struct replica *replica, int64_t end_us, int64_t now_us)
 {
@@ -140,7 +151,7 @@
 	use->sent_us = now_us;
 	replica->in_flight++;
 	if (replica->cold_until_us > now_us)
-		replica->cold_next_us = now_us + replica->set->cold_gap_us;
+		replica->cold_next_us = now_us + replica->cold_gap_us;
 	cds_list_add_tail (&use->node, &replica->running);
 }
 
--- a/query/replica.h
+++ b/query/replica.h
@@ -22,6 +22,7 @@
 	REPLICA_FAILURE_AVOID_US = 500000, /**< first avoidance after a failure; doubles */
 	REPLICA_AVOID_MAX_US = 4000000,
 	REPLICA_REFUSED_AVOID_US = 50000, /**< after a refusal for want of room */
+	REPLICA_COLD_SECOND_US = 1050000, /**< a second, with room for the way to the target */
 	REPLICA_LIST_LAG_US = 1000000,    /**< the list may be this much behind, with its reading */
 	REPLICA_REMOTE_US = 3000,         /**< a round trip between data centres of one region */
 	REPLICA_MEMORY_US = 4000000,      /**< what was learned of a target fades over this time */
@@ -47,6 +48,7 @@
 	uint64_t born;         /**< start of this incarnation; 0: not told */
 	int64_t cold_until_us; /**< it bears only the service's cold rate until then */
 	int64_t cold_next_us;  /**< when this node may send it the next request while cold */
+	int64_t cold_gap_us;   /**< this node's least time between two of them; 0: none at all */
 	int64_t avoid_until_us;
 	int failures; /**< in a row */
 	int in_flight;
@@ -76,7 +78,7 @@
 	struct budget extra; /**< sub-requests beyond the first of each request */
 	int connections;     /**< this node's part of each target's connections */
 	int64_t cold_us;     /**< length of a cold start */
-	int64_t cold_gap_us; /**< this node's least time between requests to a cold target */
+	double cold_per_s;   /**< requests a second that a cold target bears, from all nodes */
 };
 
 /** What a replica is chosen for. */
@@ -110,6 +112,15 @@
 replica_choose (struct replica_set *set, const struct replica_wish *wish, int64_t now_us,
 	struct replica **chosen);
 
+/**
+ * One node's least time between two requests to a cold target, so that all nodes together never
+ * send more than the bound within any second; 0 when this node may send none.
+ * @param per_s what the target bears in a second
+ * @param rank of this node among all nodes, for this target
+ */
+int64_t
+replica_cold_gap (double per_s, int nodes, int rank);
+
 /**
  * The list says that the target is cold until @p end_us at the latest. It lags, so that an end
  * only moves forward when it does so by more than the lag: then the target is cold again.
--- a/test/fuzz/scatter.c
+++ b/test/fuzz/scatter.c
@@ -193,12 +193,12 @@
 		replica_set_init (&sets[i], "s");
 		budget_init_burst (&sets[i].extra, 3);
 		sets[i].connections = 1 + (int)input_below (&input, 3);
-		sets[i].cold_gap_us = 100 * MS;
 		for (int j = 0; j < COPIES; j++) {
 			struct replica *replica = &replicas[i][j];
 			replica->set = &sets[i];
 			snprintf (replica->data_centre, sizeof (replica->data_centre), "z%d", j);
 			replica->slots = 2;
+			replica->cold_gap_us = input_below (&input, 2) * 100 * MS;
 			replica->listed = input_below (&input, 8) != 0;
 			replica->cold_until_us = input_below (&input, 4) ? 0 : now_us + 500 * MS;
 			CDS_INIT_LIST_HEAD (&replica->running);
--- a/test/routes.c
+++ b/test/routes.c
@@ -375,9 +375,10 @@
 	struct bed bed;
 	struct replica_use use;
 	bed_init (&bed, 1, "idempotent", 2);
-	for (int i = 0; i < 3; i++)
+	for (int i = 0; i < 3; i++) {
 		bed.replicas[0][i].cold_until_us = now_us + 3000 * MS;
-	bed.sets[0].cold_gap_us = 500 * MS;
+		bed.replicas[0][i].cold_gap_us = 500 * MS;
+	}
 	int sent = 0;
 	for (int i = 0; i < 200; i++, now_us += 10 * MS) {
 		struct replica *replica = chosen (&bed);
@@ -392,6 +393,34 @@
 	routing_put (bed.routing);
 }
 
+/* However many nodes there are, no second holds more than the target bears. */
+static void
+test_cold_bound_holds_for_all_nodes (void)
+{
+	static const struct {
+		double per_s;
+		int nodes;
+	} cases[] = {{5, 8}, {5, 6}, {5, 84}, {5, 2}, {17.5, 8}, {0.9, 3}, {1, 1}};
+	for (size_t i = 0; i < sizeof (cases) / sizeof (cases[0]); i++) {
+		int64_t times[512];
+		int count = 0;
+		for (int rank = 0; rank < cases[i].nodes; rank++) {
+			int64_t gap_us = replica_cold_gap (cases[i].per_s, cases[i].nodes, rank);
+			/* The worst case: all begin at the same moment and use all they may. */
+			for (int64_t at = 0; gap_us > 0 && at < 3000 * MS; at += gap_us)
+				times[count++] = at;
+		}
+		for (int from = 0; from < count; from++) {
+			int inside = 0;
+			for (int j = 0; j < count; j++)
+				inside += times[j] >= times[from] &&
+					  times[j] < times[from] + 1000 * MS;
+			CU_ASSERT_TRUE (inside <= cases[i].per_s);
+		}
+		CU_ASSERT_EQUAL (count > 0, cases[i].per_s >= 1);
+	}
+}
+
 static void
 test_part_of_the_connections (void)
 {
@@ -579,6 +608,7 @@
 		TEST (stalled_and_troubled_replicas_go_last),
 		TEST (cold_replica_gets_its_part),
 		TEST (end_of_a_cold_start),
+		TEST (cold_bound_holds_for_all_nodes),
 		TEST (part_of_the_connections),
 		TEST (routes_by_host_and_longest_prefix),
 		TEST (invalid_manifests_are_refused),
