query: the slack for extra work is shared out once the entries are known, and earned after a start

Cause: sets that a first list read created before the members were known kept a part of 28 of 56 instead of 6, in each of 6 to 8 entries: over the tier several times the slack could be saved up (BUDGET). A restart granted it anew. A sub-request that ends at its caller's deadline no longer drops the target's connections, and any number of data centres may leave.

smaller_part_of_the_slack covers the budget.

--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -312,7 +312,8 @@
 		quantile_observe (&forward->scatter.rule->latency, now_us - sub->use.sent_us);
 	if (end == SUB_END_NOT_RUN && fetch->status == 421)
 		replica->state = REPLICA_LEAVING;
-	if (how == FETCH_SILENT && forward) {
+	/* Sooner than that it was the caller's own deadline. */
+	if (how == FETCH_SILENT && forward && now_us >= sub->use.sent_us + SUB_SILENCE_LEAST_US) {
 		log_event (&front->log, EVENT_TARGET_SUSPECT, "%s at %s: no reply to %s in %lld ms",
 			replica->id, replica->address, sub->attempt_id,
 			(long long)((now_us - sub->use.sent_us) / US_PER_MS));
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -86,7 +86,9 @@
 		return;
 	struct routing_service *service = &routing->services[at];
 	int nodes = front->state->nodes > 0 ? front->state->nodes : 1;
+	int burst = (int)options->front_extra_slack / (nodes + 1);
 	service->set = set;
+	budget_set_burst (&set->extra, burst > 0 ? burst : 1);
 	set->connections = replica_connections (service->max_connections, nodes);
 	set->cold_us = service->cold_us;
 	set->cold_per_s = service->cold_per_s * options->front_cold_factor +
@@ -102,11 +104,10 @@
 		if (strcmp (set->name, service) == 0)
 			return set;
 	}
-	int nodes = front->state && front->state->nodes > 0 ? front->state->nodes : 1;
-	int burst = (int)front->node->options.front_extra_slack / (nodes + 1);
 	set = xcalloc (1, sizeof (*set));
 	replica_set_init (set, service);
-	budget_init_burst (&set->extra, burst > 0 ? burst : 1);
+	/* How many share the slack is not known yet, and a restart must not grant it anew. */
+	budget_init_burst (&set->extra, 1);
 	cds_list_add (&set->node, &front->sets);
 	front_bind_set (front, set);
 	return set;
@@ -160,6 +161,17 @@
 	}
 }
 
+static void
+free_state (struct front_state *state)
+{
+	for (int i = 0; i < state->leaving_count; i++)
+		free (state->leaving[i]);
+	free (state->leaving);
+	free (state->entries);
+	routing_put (state->routing);
+	free (state);
+}
+
 static void
 apply_state (struct front *front, struct front_state *state)
 {
@@ -184,11 +196,8 @@
 			(unsigned long long)state->routing->version,
 			(unsigned long long)state->revision, state->routing->rule_count,
 			state->routing->service_count);
-	if (old) {
-		routing_put (old->routing);
-		free (old->entries);
-		free (old);
-	}
+	if (old)
+		free_state (old);
 	forward_release_held (front);
 }
 
@@ -196,10 +205,8 @@
 add_leaving (struct front_state *state, const struct resource *item)
 {
 	json_t *spec = json_loads (item->spec, 0, NULL);
-	if (json_is_true (json_object_get (spec, "leaving")) &&
-		state->leaving_count < FRONT_MAX_LEAVING)
-		str_copy (
-			state->leaving[state->leaving_count++], RESOURCE_NAME_MAX + 1, item->name);
+	if (json_is_true (json_object_get (spec, "leaving")))
+		state->leaving[state->leaving_count++] = xstrdup (item->name);
 	json_decref (spec);
 }
 
@@ -229,6 +236,7 @@
 	}
 	state->revision = declared->applied;
 	state->routing = front->posted ? routing_ref (front->posted) : NULL;
+	state->leaving = xcalloc (declared->resources.count + 1, sizeof (*state->leaving));
 	for (size_t i = 0; i < declared->resources.count; i++) {
 		if (declared->resources.items[i]->kind == RESOURCE_DATA_CENTRE)
 			add_leaving (state, declared->resources.items[i]);
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -20,7 +20,6 @@
 #include <pthread.h>
 
 enum {
-	FRONT_MAX_LEAVING = 32,
 	FRONT_STOP_REFUSE_TIMES = 4,   /**< usual latencies that a request needs during a stop */
 	FRONT_START_HOLD_US = 1200000, /**< a start of all nodes hands views out within this */
 	FRONT_RETURN_LAG_US = 1000000, /**< the list says by then which targets returned cold */
@@ -35,7 +34,7 @@
 	struct mail mail;
 	uint64_t revision;
 	struct routing *routing; /**< NULL: none was accepted yet; a reference is held */
-	char leaving[FRONT_MAX_LEAVING][RESOURCE_NAME_MAX + 1]; /**< data centres */
+	char **leaving;          /**< names of data centres, owned */
 	int leaving_count;
 	uint64_t *entries;  /**< hashes of their names, owned */
 	uint64_t own_entry; /**< hash of this node's name */
--- a/query/budget.c
+++ b/query/budget.c
@@ -13,6 +13,16 @@
 	atomic_init (&budget->tokens, budget->most);
 }
 
+void
+budget_set_burst (struct budget *budget, int burst)
+{
+	budget->most = (int64_t)BUDGET_UNIT * burst;
+	int64_t tokens = atomic_load (&budget->tokens);
+	while (tokens > budget->most &&
+		!atomic_compare_exchange_weak (&budget->tokens, &tokens, budget->most))
+		;
+}
+
 void
 budget_earn (struct budget *budget, int percent)
 {
--- a/query/budget.h
+++ b/query/budget.h
@@ -24,6 +24,10 @@
 void
 budget_init (struct budget *budget);
 
+/** Changes how many extra sub-requests may be saved up; what is above is lost. */
+void
+budget_set_burst (struct budget *budget, int burst);
+
 /** A budget that starts full with @p burst extra sub-requests and saves up no more. */
 void
 budget_init_burst (struct budget *budget, int burst);
--- a/test/routes.c
+++ b/test/routes.c
@@ -240,6 +240,26 @@
 	bed_finish (&bed, &scatter);
 }
 
+static void
+test_smaller_part_of_the_slack (void)
+{
+	struct budget budget;
+	int spent = 0;
+	budget_init_burst (&budget, 28);
+	budget_set_burst (&budget, 6);
+	while (budget_spend (&budget))
+		spent++;
+	CU_ASSERT_EQUAL (spent, 6);
+	/* A larger part has to be earned. */
+	budget_set_burst (&budget, 10);
+	CU_ASSERT_FALSE (budget_spend (&budget));
+	for (int i = 0; i < 1000; i++)
+		budget_earn (&budget, 20);
+	for (spent = 0; budget_spend (&budget); spent++)
+		;
+	CU_ASSERT_EQUAL (spent, 10);
+}
+
 static void
 test_refusal_leaves_the_attempts (void)
 {
@@ -600,6 +620,7 @@
 		TEST (too_few_shards_fail_at_once),
 		TEST (slow_sub_request_is_hedged_once),
 		TEST (hedges_leave_budget_for_retries),
+		TEST (smaller_part_of_the_slack),
 		TEST (refusal_leaves_the_attempts),
 		TEST (request_that_runs_once),
 		TEST (failure_of_the_target_is_passed_on),
