daemon: a list that an entry read itself is replaced only by a newer one; hooks of a pool may be missing

Cause: after a read of its own an entry kept that list while the leader's went on under a stamp that had been seen before (found by reading).

--- a/daemon/discovery.c
+++ b/daemon/discovery.c
@@ -114,6 +114,11 @@
 {
 	struct listed_targets list;
 	listed_targets_init (&list);
+	if (data && read_us < discovery->read_us) {
+		/* This node has read a newer one itself; the leader's next one is wanted whole. */
+		atomic_store (&discovery->front->posted_roster, 0);
+		data = NULL;
+	}
 	if (data && listed_targets_decode (&list, data, len)) {
 		apply_list (discovery, &list, read_us);
 		log_event (&discovery->front->log, EVENT_LIST_TAKEN, "%d targets, read %lld ms ago",
@@ -135,6 +140,8 @@
 	size_t len = 0;
 	if (front->node->options.front_address[0]) {
 		apply_list (discovery, &discovery->list, front_now_us (front));
+		/* What the leader hands out next is applied even if its stamp was seen before. */
+		atomic_store (&front->posted_roster, 0);
 		front_readmit (front, front_now_us (front));
 		return;
 	}
@@ -188,25 +195,12 @@
 		end_read (discovery, ok);
 }
 
-static void
-on_lost (void *user)
-{
-	(void)user;
-}
-
-static bool
-may_open (void *user)
-{
-	(void)user;
-	return true;
-}
-
 static void
 read_page (struct discovery *discovery)
 {
 	struct front *front = discovery->front;
 	static const char *const headers[] = {NULL};
-	struct fetch_hooks pool_hooks = {on_lost, may_open, discovery};
+	struct fetch_hooks pool_hooks = {0};
 	struct fetch_request request = {
 		.path = discovery->path,
 		.headers = headers,
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -38,23 +38,10 @@
 
 static const struct scatter_hooks hooks = {send_sub, finish_forward};
 
-static void
-on_lost (void *user)
-{
-	(void)user;
-}
-
-static bool
-may_open (void *user)
-{
-	(void)user;
-	return true;
-}
-
 static struct fetch_pool *
 pool_of (struct front *front, struct replica *replica)
 {
-	struct fetch_hooks pool_hooks = {on_lost, may_open, replica};
+	struct fetch_hooks pool_hooks = {0};
 	if (!replica->pool)
 		replica->pool = fetch_pool_new (
 			&front->fetches, replica->address, replica->set->connections, &pool_hooks);
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -254,10 +254,10 @@
 void
 front_post_roster (struct front *front, const struct roster *roster)
 {
-	bool news = roster->stamp != front->posted_roster;
+	bool news = roster->stamp != atomic_load (&front->posted_roster);
 	size_t len = news ? roster->len : 0;
 	struct front_roster *mail = xmalloc (sizeof (*mail) + len);
-	front->posted_roster = roster->stamp;
+	atomic_store (&front->posted_roster, roster->stamp);
 	mail->mail.kind = FRONT_ROSTER;
 	mail->read_us = roster->read_us;
 	mail->len = len;
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -58,9 +58,9 @@
 	struct timers timers;
 	struct fetch_loop fetches;
 	struct ingress callers;
-	struct ingress balancer; /**< asks for readiness */
-	_Atomic bool leads;      /**< this control node reads the target list for all */
-	uint64_t posted_roster;  /**< control thread: stamp of the list that was posted last */
+	struct ingress balancer;        /**< asks for readiness */
+	_Atomic bool leads;             /**< this control node reads the target list for all */
+	_Atomic uint64_t posted_roster; /**< stamp of the list that control posted last */
 	int64_t started_us;
 	struct front_state *state; /**< the newest; NULL before the first */
 	uint64_t posted_version;   /**< control thread: routing version that was posted last */
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -316,7 +316,8 @@
 		cds_list_add (&fetch->node, &pool->waiting);
 		return;
 	}
-	if (fetch->may_wait && !pool->dead && !pool->hooks.may_open (pool->hooks.user)) {
+	if (fetch->may_wait && !pool->dead && pool->hooks.may_open &&
+		!pool->hooks.may_open (pool->hooks.user)) {
 		fetch->held_back = true;
 		end_unsent (fetch);
 		return;
@@ -563,7 +564,7 @@
 	struct fetch_pool *pool = conn->pool;
 	bool expected = conn->keep_until_us <= now (pool->loop);
 	close_conn (conn);
-	if (!pool->dead && !expected)
+	if (!pool->dead && !expected && pool->hooks.lost)
 		pool->hooks.lost (pool->hooks.user);
 }
 
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -71,7 +71,7 @@
 	bool fresh; /**< on a connection of its own, which no earlier reply can disturb */
 };
 
-/** What the pool tells its owner. */
+/** What the pool tells its owner; a hook may be NULL. */
 struct fetch_hooks {
 	/** An idle connection was found closed: a sign that the target restarted. */
 	void (*lost) (void *user);
