query: a sub-request that never arrived costs no budget

Cause: after a refused connection the next target was charged as extra work, although nothing had arrived; with the budget spent a request failed that another target could have served.

what_never_arrived_costs_no_budget fails before and passes.

--- a/query/scatter.c
+++ b/query/scatter.c
@@ -229,7 +229,7 @@
 	}
 	switch (choose (scatter, shard, false, now_us, &replica)) {
 	case REPLICA_FOUND:
-		if (!first && !budget_spend (&shard->set->extra)) {
+		if (shard->arrived && !budget_spend (&shard->set->extra)) {
 			close_shard (scatter, shard);
 			return;
 		}
@@ -284,6 +284,7 @@
 {
 	struct scatter_shard *shard = &scatter->shards[at];
 	shard->running--;
+	shard->arrived = shard->arrived || end != SUB_END_NOT_SENT;
 	if (scatter->phase == SCATTER_DONE)
 		return;
 	switch (end) {
--- a/query/scatter.h
+++ b/query/scatter.h
@@ -74,6 +74,7 @@
 	bool closed; /**< answered, or given up */
 	bool answered;
 	bool may_have_run;
+	bool arrived;     /**< a sub-request reached a target, so that the next one is extra */
 	int64_t hedge_us; /**< INT64_MAX: no hedge planned */
 	int http_status;
 	char *stamp; /**< owned */
--- a/test/routes.c
+++ b/test/routes.c
@@ -240,6 +240,23 @@
 	bed_finish (&bed, &scatter);
 }
 
+static void
+test_what_never_arrived_costs_no_budget (void)
+{
+	struct bed bed;
+	struct scatter scatter;
+	bed_init (&bed, 1, "idempotent", 2);
+	while (budget_spend (&bed.sets[0].extra))
+		;
+	bed_start (&bed, &scatter, "one");
+	end_sub (&scatter, 0, SUB_END_NOT_SENT, NULL);
+	CU_ASSERT_EQUAL (send_count, 2);
+	end_sub (&scatter, 1, SUB_END_NOT_RUN, NULL);
+	CU_ASSERT_EQUAL (send_count, 2);
+	CU_ASSERT_EQUAL (scatter.result, SCATTER_REFUSED);
+	bed_finish (&bed, &scatter);
+}
+
 static void
 test_smaller_part_of_the_slack (void)
 {
@@ -620,6 +637,7 @@
 		TEST (too_few_shards_fail_at_once),
 		TEST (slow_sub_request_is_hedged_once),
 		TEST (hedges_leave_budget_for_retries),
+		TEST (what_never_arrived_costs_no_budget),
 		TEST (smaller_part_of_the_slack),
 		TEST (refusal_leaves_the_attempts),
 		TEST (request_that_runs_once),
