--- a/net/peer.h
+++ b/net/peer.h
@@ -19,7 +19,7 @@
 #include <stdint.h>
 
 enum {
-	PEER_VERSION = 1,
+	PEER_VERSION = 2, /**< 2: members, polls and relays of declared routes */
 	PEER_HEARTBEAT_MS = 300,
 	PEER_SILENT_MS = 1000,   /**< a link without heartbeats for this long is reopened */
 	PEER_IDLE_US = 60000000, /**< an unused link is closed after this */
