daemon: a route that may have been added since the last confirmation is not denied

Cause: an entry that had lost control answered 404 for routes that were added meanwhile, and callers do not come back after a 404. It answers 503 while its routing was not confirmed for 2 s.

test/platform.sh covers it (404 before).

--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -500,6 +500,13 @@
 		set_timer (forward);
 }
 
+/* Without control a route may have been added since; a caller does not come back after a 404. */
+static bool
+is_in_doubt (const struct front *front)
+{
+	return atomic_load (&front->confirmed_us) + FRONT_DOUBT_US < front_now_us (front);
+}
+
 /* Finds the route and starts the request, or refuses it. */
 static void
 begin (struct forward *forward, struct ingress_request *request)
@@ -511,7 +518,7 @@
 	if ((int64_t)forward->header_bytes > routing->limits.header_bytes)
 		status = 431;
 	else if (!rule)
-		status = 404;
+		status = is_in_doubt (front) ? 503 : 404;
 	else if (comes_too_late (front, rule))
 		status = 503;
 	if (status == 0) {
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -20,7 +20,9 @@
 #include <pthread.h>
 
 enum {
-	FRONT_STOP_REFUSE_TIMES = 4,   /**< usual latencies that a request needs during a stop */
+	FRONT_STOP_REFUSE_TIMES = 4, /**< usual latencies that a request needs during a stop */
+	FRONT_DOUBT_US =
+		2000000, /**< a view that was not confirmed for this long may lack a route */
 	FRONT_START_HOLD_US = 1200000, /**< a start of all nodes hands views out within this */
 	FRONT_RETURN_LAG_US = 1000000, /**< the list says by then which targets returned cold */
 	FRONT_READY_LAG_US = 2500000,  /**< the balancer asks once a second and needs two misses */
@@ -71,8 +73,9 @@
 	struct rng rng;
 	struct cds_list_head forwards; /**< requests under way */
 	_Atomic int in_flight;
-	_Atomic int connections;     /**< of callers */
-	_Atomic int64_t stopping_us; /**< begin of a planned stop; 0: none */
+	_Atomic int connections;      /**< of callers */
+	_Atomic int64_t confirmed_us; /**< when control last confirmed the declared state */
+	_Atomic int64_t stopping_us;  /**< begin of a planned stop; 0: none */
 	_Atomic bool stop;
 };
 
--- a/test/platform.sh
+++ b/test/platform.sh
@@ -230,6 +230,7 @@
 for n in 1 2 3; do kill -STOP "${PIDS[n$n]}"; done
 sleep 4
 expect "entries go on with their last view" "$(ask 4 g1 /all/x)" '^HTTP/1.1 200'
+expect "a route that may have been added since is not denied" "$(ask 4 g2 /none/)" '^HTTP/1.1 503'
 for n in 1 2 3; do kill -CONT "${PIDS[n$n]}"; done
 wait_for 10 eval "[ \"\$(order 1 GET /config/get)\" = 200 ]" || fail "control did not come back"
 
