test: work for a caller that left ends within half a second

The stand-in notes how long each target worked on a request. Hedges in the same script are paid from what requests have earned, so that it sends some first.

--- a/test/platform.c
+++ b/test/platform.c
@@ -6,8 +6,9 @@
  * The list is at 127.0.0.1:PORT, target T of service S at PORT + 1 + S * COPIES + T.
  *   GET  /instances            the list, in pages, with an entry that cannot be read
  *   POST /set/NAME/TARGET/ON   NAME: draining, gone, shed, fail, slow, mute, extra, cold
- *   GET  /runs/ID              how often the request with this id ran, over all targets
- *   GET  /arrivals/TARGET      how many requests reached a target
+ *   GET  /cut/ID               milliseconds after which the request's connection was closed under
+ * it GET  /runs/ID              how often the request with this id ran, over all targets GET
+ * /arrivals/TARGET      how many requests reached a target
  */
 #include "core/buf.h"
 
@@ -16,9 +17,17 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <time.h>
 
-enum { MAX_TARGETS = 128, MAX_RUNS = 65536, PAGE = 5, SLOW_MS = 400, MUTE_MS = 3000 };
+enum {
+	MAX_TARGETS = 128,
+	MAX_RUNS = 65536,
+	PAGE = 5,
+	SLOW_MS = 400,
+	MUTE_MS = 3000,
+	WORK_STEP_MS = 20
+};
 
 enum fault {
 	FAULT_DRAINING,
@@ -48,6 +57,7 @@
 static int copies;
 static int work_ms;
 static char runs[MAX_RUNS][40];
+static int worked_ms[MAX_RUNS]; /* until it ended or its connection was closed */
 static int run_count;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 
@@ -108,6 +118,17 @@
 	return count;
 }
 
+static int
+longest_work (const char *id)
+{
+	int longest = 0;
+	for (int i = 0; i < run_count; i++) {
+		if (strcmp (runs[i], id) == 0 && worked_ms[i] > longest)
+			longest = worked_ms[i];
+	}
+	return longest;
+}
+
 static void
 set_fault (const char *text)
 {
@@ -137,6 +158,8 @@
 		set_fault (url + 5);
 	} else if (strncmp (url, "/runs/", 6) == 0) {
 		buf_addf (&out, "%d", count_runs (url + 6));
+	} else if (strncmp (url, "/worked/", 8) == 0) {
+		buf_addf (&out, "%d", longest_work (url + 8));
 	} else if (strncmp (url, "/arrivals/", 10) == 0) {
 		buf_addf (&out, "%d", targets[atoi (url + 10) % MAX_TARGETS].arrivals);
 	}
@@ -160,11 +183,34 @@
 	return value ? value : "";
 }
 
-static void
+static int
 note_run (const char *id)
 {
-	if (run_count < MAX_RUNS)
-		str_copy (runs[run_count++], sizeof (runs[0]), id);
+	if (run_count == MAX_RUNS)
+		return -1;
+	str_copy (runs[run_count], sizeof (runs[0]), id);
+	return run_count++;
+}
+
+/* Works for a time, or until the other side closes the connection. */
+static void
+work (struct MHD_Connection *connection, int run, int for_ms)
+{
+	int fd =
+		MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+	int at_ms = 0;
+	char byte;
+	while (at_ms < for_ms) {
+		int step_ms = for_ms - at_ms < WORK_STEP_MS ? for_ms - at_ms : WORK_STEP_MS;
+		sleep_ms (step_ms);
+		at_ms += step_ms;
+		if (recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0)
+			break;
+	}
+	pthread_mutex_lock (&lock);
+	if (run >= 0)
+		worked_ms[run] = at_ms;
+	pthread_mutex_unlock (&lock);
 }
 
 /* Four records a shard, told apart by the shard and greatest for the last one. */
@@ -190,6 +236,7 @@
 	snprintf (own, sizeof (own), "i-%d", target->number);
 	buf_addf (&lines, "Oleanderstile-Server-Load: 1,0,4\nOleanderstile-Instance-Id: %s\n", own);
 	unsigned status = 200;
+	int run = -1;
 	pthread_mutex_lock (&lock);
 	target->arrivals++;
 	bool fail = target->faults[FAULT_FAIL];
@@ -204,10 +251,10 @@
 	else if (target->faults[FAULT_SHED])
 		status = 503;
 	else
-		note_run (id);
+		run = note_run (id);
 	pthread_mutex_unlock (&lock);
 	if (status == 200) {
-		sleep_ms (wait_ms);
+		work (connection, run, wait_ms);
 		buf_addf (&lines,
 			"Oleanderstile-Attempt-Id: %s\nOleanderstile-Server-Stamp: s%d.%s\n",
 			extra ? "another" : id, target->service, id);
--- a/test/platform.sh
+++ b/test/platform.sh
@@ -155,7 +155,16 @@
 echo "a caller that leaves:"
 for t in 9 10 11; do fault mute $t 1; done
 call -m 0.2 -H 'Host: site.example' -H 'Oleanderstile-Attempt-Id: l1' -H 'Oleanderstile-Deadline-Ms: 2000' -d x "http://127.0.0.1:$((BASE + 4))/file/x"
-for t in 9 10 11; do fault mute $t 0; done
+for t in 0 1 2; do fault mute $t 1; done
+call -m 0.2 -H 'Host: site.example' -H 'Oleanderstile-Attempt-Id: l3' -H 'Oleanderstile-Deadline-Ms: 2000' "http://127.0.0.1:$((BASE + 4))/all/x"
+for t in 0 1 2 9 10 11; do fault mute $t 0; done
+sleep 1
+# The caller left after 200 ms, and work for nobody ends within half a second.
+for id in l1 l3; do
+	worked=$(call "http://127.0.0.1:$PLATFORM/worked/$id")
+	[ "$worked" -gt 0 ] && [ "$worked" -le 700 ] || fail "$id was worked on for $worked ms"
+	checks=$((checks + 1))
+done
 expect "the others are served" "$(ask 4 l2 /all/x)" '^HTTP/1.1 200'
 
 echo "a target that fails every request:"
@@ -198,6 +207,8 @@
 expect "targets that leave" "$(grep -h TARGET_STATE "$RUN"/n4.log)" 'i-0 of s0 at [0-9.:]*: leaving'
 
 echo "slow targets:"
+# Hedges are paid from what ordinary requests have earned.
+for i in $(seq 1 20); do ask 4 "q$i" /all/x > "$RUN/x"; done
 for t in 0 3 6; do fault slow $t 1; done
 for i in 1 2 3 4 5 6; do
 	answer=$(ask 4 "c$i" /all/x)
