tidy: one way to wait for another thread, a named cost of a stall, fields that nobody read

Read as a newcomer: the same mutex, condition and flag stood in five places; half of an unrelated constant stood for the cost of a stalled target; the length of a cold start was decoded and never used, since the list says when it ends. Behaviour, bounds and checks stay.

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -49,9 +49,7 @@
 	struct mail mail;
 	void (*run) (struct control *control, void *arg);
 	void *arg;
-	bool done;
-	pthread_mutex_t lock;
-	pthread_cond_t cond;
+	struct completion completion;
 };
 
 static void
@@ -203,10 +201,7 @@
 handle_call (struct control *control, struct call_mail *call)
 {
 	call->run (control, call->arg);
-	pthread_mutex_lock (&call->lock);
-	call->done = true;
-	pthread_cond_signal (&call->cond);
-	pthread_mutex_unlock (&call->lock);
+	completion_signal (&call->completion);
 }
 
 static void
@@ -376,15 +371,9 @@
 {
 	struct control_change change = {.command = command, .wait_us = wait_us};
 	change.mail.kind = CONTROL_CHANGE;
-	pthread_mutex_init (&change.lock, NULL);
-	pthread_cond_init (&change.cond, NULL);
+	completion_init (&change.completion);
 	mailbox_post (&control->mailbox, &change.mail);
-	pthread_mutex_lock (&change.lock);
-	while (!change.done)
-		pthread_cond_wait (&change.cond, &change.lock);
-	pthread_mutex_unlock (&change.lock);
-	pthread_cond_destroy (&change.cond);
-	pthread_mutex_destroy (&change.lock);
+	completion_wait (&change.completion);
 	*reply = change.reply;
 	return change.answered && reply->status == PROPOSE_APPLIED;
 }
@@ -418,15 +407,9 @@
 {
 	struct control_read read = {0};
 	read.mail.kind = CONTROL_READ;
-	pthread_mutex_init (&read.lock, NULL);
-	pthread_cond_init (&read.cond, NULL);
+	completion_init (&read.completion);
 	mailbox_post (&control->mailbox, &read.mail);
-	pthread_mutex_lock (&read.lock);
-	while (!read.done)
-		pthread_cond_wait (&read.cond, &read.lock);
-	pthread_mutex_unlock (&read.lock);
-	pthread_cond_destroy (&read.cond);
-	pthread_mutex_destroy (&read.lock);
+	completion_wait (&read.completion);
 	*routing = read.routing;
 	if (read.confirmed)
 		return true;
@@ -439,15 +422,9 @@
 {
 	struct call_mail call = {.run = run_call, .arg = arg};
 	call.mail.kind = CONTROL_CALL;
-	pthread_mutex_init (&call.lock, NULL);
-	pthread_cond_init (&call.cond, NULL);
+	completion_init (&call.completion);
 	mailbox_post (&control->mailbox, &call.mail);
-	pthread_mutex_lock (&call.lock);
-	while (!call.done)
-		pthread_cond_wait (&call.cond, &call.lock);
-	pthread_mutex_unlock (&call.lock);
-	pthread_cond_destroy (&call.cond);
-	pthread_mutex_destroy (&call.lock);
+	completion_wait (&call.completion);
 }
 
 static void
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -7,6 +7,7 @@
 #include "control/follower.h"
 #include "control/voter.h"
 #include "daemon/node.h"
+#include "net/completion.h"
 #include "net/mailbox.h"
 #include "store/store.h"
 
@@ -40,9 +41,7 @@
 	struct command *command;
 	struct propose_reply reply;
 	bool answered; /**< false: nobody confirmed it in time */
-	bool done;
-	pthread_mutex_t lock;
-	pthread_cond_t cond;
+	struct completion completion;
 };
 
 /** A read of the newest routing that an HTTP thread waits for. */
@@ -53,9 +52,7 @@
 	int64_t until_us;
 	bool confirmed; /**< false: it is not sure which routing is the newest */
 	struct state_routing routing;
-	bool done;
-	pthread_mutex_t lock;
-	pthread_cond_t cond;
+	struct completion completion;
 };
 
 struct control {
@@ -136,7 +133,7 @@
 
 /** Takes the seeds of settings that were read again over. */
 void
-control_set_peers (struct control *control, const struct options *options);
+control_set_peers (struct control *control, struct options *options);
 
 /** Announces that this node leaves (it owns nothing from then on), or that it is gone. */
 void
--- a/daemon/control_start.c
+++ b/daemon/control_start.c
@@ -122,23 +122,18 @@
 	follower_init (&control->follower, &settings, control_now_us (control));
 }
 
-struct peers_call {
-	const struct options *options;
-};
-
 static void
 change_peers (struct control *control, void *arg)
 {
-	const struct peers_call *call = arg;
-	set_seeds (control, call->options);
+	const struct options *options = arg;
+	set_seeds (control, options);
 	follower_seeds_changed (&control->follower);
 }
 
 void
-control_set_peers (struct control *control, const struct options *options)
+control_set_peers (struct control *control, struct options *options)
 {
-	struct peers_call call = {options};
-	control_call (control, change_peers, &call);
+	control_call (control, change_peers, options);
 }
 
 bool
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -29,10 +29,7 @@
 static void
 wake_caller (struct request *request)
 {
-	pthread_mutex_lock (&request->lock);
-	request->done = true;
-	pthread_cond_signal (&request->cond);
-	pthread_mutex_unlock (&request->lock);
+	completion_signal (&request->completion);
 }
 
 /* Refuses a request of which nothing has run. */
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -90,7 +90,6 @@
 	service->set = set;
 	budget_set_burst (&set->extra, burst > 0 ? burst : 1);
 	set->connections = replica_connections (service->max_connections, nodes);
-	set->cold_us = service->cold_us;
 	set->cold_per_s = service->cold_per_s * options->front_cold_factor +
 			  (double)options->front_cold_slack;
 	share_cold (front, set);
--- a/daemon/operators.c
+++ b/daemon/operators.c
@@ -392,15 +392,9 @@
 	for (int i = 0; i < node->worker_count; i++) {
 		struct dump_mail mail = {.out = &targets};
 		mail.mail.kind = WORKER_DUMP;
-		pthread_mutex_init (&mail.lock, NULL);
-		pthread_cond_init (&mail.cond, NULL);
+		completion_init (&mail.completion);
 		mailbox_post (&node->workers[i].mailbox, &mail.mail);
-		pthread_mutex_lock (&mail.lock);
-		while (!mail.done)
-			pthread_cond_wait (&mail.cond, &mail.lock);
-		pthread_mutex_unlock (&mail.lock);
-		pthread_cond_destroy (&mail.cond);
-		pthread_mutex_destroy (&mail.lock);
+		completion_wait (&mail.completion);
 	}
 	buf_add (out, targets.data, targets.len);
 	buf_finish (&targets);
--- a/daemon/proposals.c
+++ b/daemon/proposals.c
@@ -41,15 +41,12 @@
 static void
 finish_change (struct control_change *change, bool answered, struct propose_reply *reply)
 {
-	pthread_mutex_lock (&change->lock);
 	change->answered = answered;
 	if (reply) {
 		change->reply = *reply;
 		reply->body = NULL;
 	}
-	change->done = true;
-	pthread_cond_signal (&change->cond);
-	pthread_mutex_unlock (&change->lock);
+	completion_signal (&change->completion);
 }
 
 static void
@@ -146,16 +143,13 @@
 finish_read (struct control_read *read, const struct state_routing *routing)
 {
 	cds_list_del (&read->node);
-	pthread_mutex_lock (&read->lock);
 	if (routing) {
 		read->confirmed = true;
 		read->routing = *routing;
 		if (routing->document)
 			read->routing.document = xstrdup (routing->document);
 	}
-	read->done = true;
-	pthread_cond_signal (&read->cond);
-	pthread_mutex_unlock (&read->lock);
+	completion_signal (&read->completion);
 }
 
 /* A reply to a poll that began after the question carries all that was accepted before it. */
--- a/daemon/worker.c
+++ b/daemon/worker.c
@@ -87,27 +87,17 @@
 {
 	static _Atomic unsigned turn;
 	unsigned worker = atomic_fetch_add (&turn, 1) % (unsigned)node->worker_count;
-	pthread_mutex_init (&request->lock, NULL);
-	pthread_cond_init (&request->cond, NULL);
-	request->done = false;
+	completion_init (&request->completion);
 	request->mail.kind = WORKER_REQUEST;
 	mailbox_post (&node->workers[worker].mailbox, &request->mail);
-	pthread_mutex_lock (&request->lock);
-	while (!request->done)
-		pthread_cond_wait (&request->cond, &request->lock);
-	pthread_mutex_unlock (&request->lock);
-	pthread_cond_destroy (&request->cond);
-	pthread_mutex_destroy (&request->lock);
+	completion_wait (&request->completion);
 }
 
 static void
 dump (struct worker *worker, struct dump_mail *mail)
 {
-	pthread_mutex_lock (&mail->lock);
 	owned_dump (worker, mail->out);
-	mail->done = true;
-	pthread_cond_signal (&mail->cond);
-	pthread_mutex_unlock (&mail->lock);
+	completion_signal (&mail->completion);
 }
 
 static void
--- a/daemon/worker.h
+++ b/daemon/worker.h
@@ -6,6 +6,7 @@
 
 #include "core/timers.h"
 #include "daemon/node.h"
+#include "net/completion.h"
 #include "net/fetch.h"
 #include "net/mailbox.h"
 #include "query/once.h"
@@ -47,9 +48,7 @@
 	struct buf answer;
 	struct error error;
 	enum admission_sign sign; /**< what it said about the load */
-	pthread_mutex_t lock;
-	pthread_cond_t cond;
-	bool done;
+	struct completion completion;
 };
 
 /** Where a sub-request came from. */
@@ -117,9 +116,7 @@
 struct dump_mail {
 	struct mail mail;
 	struct buf *out;
-	pthread_mutex_t lock;
-	pthread_cond_t cond;
-	bool done;
+	struct completion completion;
 };
 
 struct worker {
--- /dev/null
+++ b/net/completion.h
@@ -0,0 +1,44 @@
+/**
+ * @file completion.h
+ * Lets one thread wait until another has finished what it was handed.
+ */
+#pragma once
+
+#include <pthread.h>
+#include <stdbool.h>
+
+struct completion {
+	pthread_mutex_t lock;
+	pthread_cond_t cond;
+	bool done;
+};
+
+static inline void
+completion_init (struct completion *completion)
+{
+	pthread_mutex_init (&completion->lock, NULL);
+	pthread_cond_init (&completion->cond, NULL);
+	completion->done = false;
+}
+
+/** Wakes the waiter, which may free the memory at once: call it last. */
+static inline void
+completion_signal (struct completion *completion)
+{
+	pthread_mutex_lock (&completion->lock);
+	completion->done = true;
+	pthread_cond_signal (&completion->cond);
+	pthread_mutex_unlock (&completion->lock);
+}
+
+/** Waits for the signal and frees what completion_init took. */
+static inline void
+completion_wait (struct completion *completion)
+{
+	pthread_mutex_lock (&completion->lock);
+	while (!completion->done)
+		pthread_cond_wait (&completion->cond, &completion->lock);
+	pthread_mutex_unlock (&completion->lock);
+	pthread_cond_destroy (&completion->cond);
+	pthread_mutex_destroy (&completion->lock);
+}
--- a/query/replica.c
+++ b/query/replica.c
@@ -81,7 +81,7 @@
 	if (strcmp (replica->data_centre, wish->data_centre) != 0)
 		wait_us += REPLICA_REMOTE_US;
 	if (is_stalled (replica, wish->usual_us, now_us))
-		wait_us += REPLICA_FAILURE_AVOID_US / 2;
+		wait_us += REPLICA_STALL_COST_US;
 	if (replica->avoid_until_us > now_us)
 		wait_us += REPLICA_FAILURE_AVOID_US;
 	return wait_us;
@@ -108,7 +108,7 @@
 			continue;
 		}
 		int64_t wait_us = expected_us (replica, wish, now_us);
-		if (wish->hedge && wait_us >= REPLICA_FAILURE_AVOID_US / 2)
+		if (wish->hedge && wait_us >= REPLICA_STALL_COST_US)
 			continue;
 		if (wait_us < best_us) {
 			best = replica;
--- a/query/replica.h
+++ b/query/replica.h
@@ -21,6 +21,7 @@
 	REPLICA_LOAD_FRESH_US = 200000,    /**< a told load counts for this long */
 	REPLICA_FAILURE_AVOID_US = 500000, /**< first avoidance after a failure; doubles */
 	REPLICA_AVOID_MAX_US = 4000000,
+	REPLICA_STALL_COST_US = 250000,   /**< more than any wait at a target that answers */
 	REPLICA_REFUSED_AVOID_US = 50000, /**< after a refusal for want of room */
 	REPLICA_COLD_SECOND_US = 1050000, /**< a second, with room for the way to the target */
 	REPLICA_LIST_LAG_US = 1000000,    /**< the list may be this much behind, with its reading */
@@ -77,7 +78,6 @@
 	int waiting_count;
 	struct budget extra; /**< sub-requests beyond the first of each request */
 	int connections;     /**< this node's part of each target's connections */
-	int64_t cold_us;     /**< length of a cold start */
 	double cold_per_s;   /**< requests a second that a cold target bears, from all nodes */
 };
 
--- a/query/routing.h
+++ b/query/routing.h
@@ -30,7 +30,6 @@
 	char *name;
 	char *health_path;
 	int max_connections; /**< connections that each target accepts from all nodes together */
-	int64_t cold_us;     /**< how long a target is cold after its start */
 	double cold_per_s;   /**< requests a second that a cold target bears */
 	struct replica_set *set; /**< bound by the thread that routes requests */
 };
