targets: work cut off at its deadline keeps its slot while the cancel is on its way

Cause: hold_us counted silent work until its deadline at most, so that work given up right at its deadline was counted for no time, while its target still worked for as long as the cancel took.

--- a/targets/gate.c
+++ b/targets/gate.c
@@ -296,14 +296,17 @@
 /*
  * How long a silent sub-request may still occupy the target. Its connection is closed, which the
  * target takes as a cancel. Where the path is dead and the cancel is lost, the request either
- * never arrived or ends within its usual time.
+ * never arrived or ends within its usual time, at its deadline at the latest. Even at its deadline
+ * the cancel needs its time.
  */
 static int64_t
 hold_us (const struct gate *gate, const struct gate_item *item, int64_t now_us)
 {
 	int64_t hold = GATE_CANCEL_HOLD_US + gate->reference_us * GATE_HOLD_REFERENCES;
 	int64_t left = item->deadline_us - now_us;
-	return hold < left ? hold : left;
+	if (hold > left)
+		hold = left;
+	return hold > GATE_CANCEL_HOLD_US ? hold : GATE_CANCEL_HOLD_US;
 }
 
 static void
--- a/test/units.c
+++ b/test/units.c
@@ -214,6 +214,23 @@
 	CU_ASSERT_EQUAL (asked.gate.limit, 1);
 }
 
+/* Overload: work runs until its deadline, and its target still works when the cancel is sent. */
+static void
+test_work_cut_off_at_its_deadline_keeps_its_slot_for_the_cancel (void)
+{
+	struct asked asked;
+	ask_init (&asked, 8);
+	warm (&asked);
+	for (int i = 0; i < SLOTS; i++)
+		CU_ASSERT_EQUAL (ask (&asked, i), GATE_START);
+	CU_ASSERT_EQUAL (gate_occupied (&asked.gate, asked.now_us), SLOTS);
+	for (int i = 0; i < SLOTS; i++)
+		end_after (&asked, i, i == 0 ? 1000 * MS : 0, GATE_SILENT);
+	CU_ASSERT_EQUAL (gate_occupied (&asked.gate, asked.now_us), SLOTS);
+	asked.now_us += GATE_CANCEL_HOLD_US;
+	CU_ASSERT_EQUAL (gate_occupied (&asked.gate, asked.now_us), 0);
+}
+
 static void
 test_closed_gate_hands_all_queued_work_back (void)
 {
@@ -742,6 +759,7 @@
 		TEST (cold_target_gets_its_limit_only),
 		TEST (each_sign_of_a_cold_start_drops_the_limit),
 		TEST (silence_is_doubted_until_the_same_boot_answers),
+		TEST (work_cut_off_at_its_deadline_keeps_its_slot_for_the_cancel),
 		TEST (closed_gate_hands_all_queued_work_back),
 		TEST (one_node_cannot_fill_a_queue),
 		TEST (failing_target_rests_and_is_probed_by_one_request),
