--- a/daemon/control.c
+++ b/daemon/control.c
@@ -145,7 +145,7 @@
 	case WIRE_RELAY:
 	case WIRE_RELAY_REPLY:
 	case WIRE_PROPOSE:
-		if (control->has_voter)
+		if (control->has_voter && control->save_again_us == 0)
 			voter_receive (&control->voter, &mail->from, &mail->wire,
 				control_now_us (control));
 		break;
@@ -229,16 +229,43 @@
 	}
 }
 
-/* What a failed sync left on the disk is not known, so the process ends rather than go on. */
-static void
-save_or_die (struct control *control)
+/*
+ * A full disk makes the voter silent, as if it were cut off, until it can save. What a failed
+ * sync left on the disk is not known, so the process ends rather than go on.
+ */
+static bool
+save (struct control *control)
 {
 	struct error error = {0};
+	int64_t now_us = control_now_us (control);
 	metric_add (METRIC_CONTROL_SYNCS, 1);
-	if (store_save (&control->store, &control->voter.raft, &error))
-		return;
-	log_event (&control->log, EVENT_STORE_FAILED, "%s", error.message);
-	_exit (STORE_EXIT);
+	if (store_save (&control->store, &control->voter.raft, &error)) {
+		if (control->save_again_us != 0)
+			log_event (&control->log, EVENT_STORE_REGAINED, "%s", control->store.dir);
+		control->save_again_us = 0;
+		voter_saved (&control->voter, now_us);
+		return true;
+	}
+	if (error.kind != ERROR_DISK_FULL) {
+		log_event (&control->log, EVENT_STORE_FAILED, "%s", error.message);
+		_exit (STORE_EXIT);
+	}
+	if (control->save_again_us == 0)
+		log_event (&control->log, EVENT_STORE_FULL, "%s", error.message);
+	control->save_again_us = now_us + CONTROL_SAVE_AGAIN_US;
+	if (control->node->front)
+		atomic_store (&control->node->front->leads, false);
+	return false;
+}
+
+static bool
+save_all (struct control *control)
+{
+	while (raft_unsaved (&control->voter.raft)) {
+		if (!save (control))
+			return false;
+	}
+	return true;
 }
 
 static void
@@ -280,15 +307,15 @@
 {
 	struct voter *voter = &control->voter;
 	int64_t now_us = control_now_us (control);
+	if (control->save_again_us > now_us || !save_all (control))
+		return;
 	voter_tick (voter, now_us, clock_wall_ms (&control->node->clock));
 	voter_step (voter, now_us);
-	while (raft_unsaved (&voter->raft)) {
-		save_or_die (control);
-		voter_saved (voter, now_us);
-	}
+	if (!save_all (control))
+		return;
 	if (voter_compact (voter)) {
-		save_or_die (control);
-		voter_saved (voter, now_us);
+		if (!save (control))
+			return;
 		log_event (&control->log, EVENT_SNAPSHOT_SAVED, "index %llu",
 			(unsigned long long)voter->raft.base);
 	}
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -19,6 +19,7 @@
 	CONTROL_PROPOSE_KEEP_US =
 		5000000,           /**< a proposal without an answer is given up after this */
 	CONTROL_ORDER_US = 850000, /**< an operator asks another node after a second */
+	CONTROL_SAVE_AGAIN_US = 200000, /**< how soon a full disk is tried again */
 };
 
 /** A proposal on its way to the leader. */
@@ -63,6 +64,7 @@
 	bool has_voter;
 	struct voter voter;
 	struct store store;
+	int64_t save_again_us; /**< the data folder is full until then at least; 0: it is not */
 	struct follower follower;
 	struct cds_list_head proposals;
 	struct cds_list_head reads; /**< struct control_read */
--- a/store/store.c
+++ b/store/store.c
@@ -41,8 +41,7 @@
 {
 	if (errno == ENOSPC || errno == EDQUOT)
 		return error_set (error, ERROR_DISK_FULL,
-			"%.180s/%s: cannot %s: the disk is full; free space, then restart",
-			store->dir, file, what);
+			"%.180s/%s: cannot %s: the disk is full; free space", store->dir, file, what);
 	return error_set (error, ERROR_IO,
 		"%.180s/%s: cannot %s (%s); check the disk, then restart", store->dir, file, what,
 		strerror (errno));
@@ -135,6 +134,8 @@
 	bool ok = write_all (fd, content->data, content->len) && fsync (fd) == 0;
 	int saved = errno;
 	close (fd);
+	if (!ok)
+		unlinkat (store->dir_fd, aside, 0); /* its space is needed elsewhere */
 	errno = saved;
 	if (!ok)
 		return fail (error, store, aside, "write it");
@@ -392,16 +393,37 @@
 	add_hard (&content, raft);
 	add_entries (&content, raft, raft->base + 1);
 	ok = ok && replace_file (store, "log", &content, error);
-	store->log_size = content.len;
+	if (ok)
+		store->log_size = content.len;
 	buf_finish (&body);
 	buf_finish (&content);
 	if (!ok)
 		return false;
 	close (store->log_fd);
+	store->cut_tail = false;
 	store->log_fd = openat (store->dir_fd, "log", O_RDWR | O_APPEND | O_CLOEXEC);
 	return store->log_fd >= 0 || fail (error, store, "log", "open it");
 }
 
+/* Only a write that found no room may be repeated; after a failed sync the file is not known. */
+static bool
+append (struct store *store, const struct buf *content)
+{
+	if (content->len == 0)
+		return true;
+	if (store->cut_tail && ftruncate (store->log_fd, (off_t)store->log_size) != 0)
+		return false;
+	store->cut_tail = !write_all (store->log_fd, content->data, content->len);
+	if (store->cut_tail)
+		return false;
+	if (fdatasync (store->log_fd) != 0) {
+		errno = EIO;
+		return false;
+	}
+	store->log_size += content->len;
+	return true;
+}
+
 bool
 store_save (struct store *store, const struct raft *raft, struct error *error)
 {
@@ -417,9 +439,9 @@
 	if (raft->hard_changed)
 		add_hard (&content, raft);
 	add_entries (&content, raft, raft->saved + 1);
-	bool ok = content.len == 0 || (write_all (store->log_fd, content.data, content.len) &&
-					      fdatasync (store->log_fd) == 0);
-	store->log_size += content.len;
+	bool ok = append (store, &content);
+	int saved = errno;
 	buf_finish (&content);
+	errno = saved;
 	return ok || fail (error, store, "log", "write it");
 }
--- a/store/store.h
+++ b/store/store.h
@@ -16,7 +16,8 @@
 	int log_fd;
 	uint64_t log_size; /**< bytes of whole records */
 	uint64_t disk_id;
-	bool torn; /**< a torn tail was cut on opening */
+	bool torn;     /**< a torn tail was cut on opening */
+	bool cut_tail; /**< a write that found no room may have left a part behind */
 };
 
 /** Opens or creates the folder, locks it and reads its identity. */
@@ -28,8 +29,9 @@
 store_load (struct store *store, struct raft *raft, struct error *error);
 
 /**
- * Writes and syncs all that the raft has not saved yet. A failure is final: the process must
- * end, because what a failed sync left behind is not known.
+ * Writes and syncs all that the raft has not saved yet. After ERROR_DISK_FULL nothing counts as
+ * saved and the call may be repeated. Any other failure is final: the process must end, because
+ * what a failed sync left behind is not known.
  */
 bool
 store_save (struct store *store, const struct raft *raft, struct error *error);
--- a/test/units.c
+++ b/test/units.c
@@ -710,6 +710,42 @@
 	store_close (&store);
 }
 
+/* A write that stopped halfway for want of room is made whole once there is space again. */
+static void
+test_full_disk_is_survived (void)
+{
+	char dir[] = "/tmp/oleanderstile-full-XXXXXX";
+	struct store store;
+	struct raft raft;
+	struct error error = {0};
+	struct raft_times times = {300000, 75000};
+	CU_ASSERT_PTR_NOT_NULL_FATAL (mkdtemp (dir));
+	CU_ASSERT_TRUE_FATAL (store_open (&store, dir, &error));
+	raft_init (&raft, store.disk_id, &times, 1, 0);
+	CU_ASSERT_TRUE (store_load (&store, &raft, &error));
+	raft_bootstrap (&raft, "v", "v");
+	int log_fd = store.log_fd;
+	store.log_fd = open ("/dev/full", O_WRONLY | O_CLOEXEC);
+	CU_ASSERT_FALSE (store_save (&store, &raft, &error));
+	CU_ASSERT_EQUAL (error.kind, ERROR_DISK_FULL);
+	close (store.log_fd);
+	store.log_fd = log_fd;
+	CU_ASSERT_EQUAL (write (log_fd, "half a record", 13), 13);
+	CU_ASSERT_TRUE (store_save (&store, &raft, &error));
+	raft_saved (&raft, 0);
+	uint64_t last = raft_last_index (&raft);
+	raft_finish (&raft);
+	store_close (&store);
+
+	CU_ASSERT_TRUE_FATAL (store_open (&store, dir, &error));
+	raft_init (&raft, store.disk_id, &times, 1, 0);
+	CU_ASSERT_TRUE (store_load (&store, &raft, &error));
+	CU_ASSERT_FALSE (store.torn);
+	CU_ASSERT_EQUAL (raft_last_index (&raft), last);
+	raft_finish (&raft);
+	store_close (&store);
+}
+
 /* The encoding */
 
 static void
@@ -777,6 +813,7 @@
 		TEST (once_waits_for_its_claim_and_stores_the_outcome),
 		TEST (torn_tail_is_cut_and_damage_is_named),
 		TEST (full_disk_is_named),
+		TEST (full_disk_is_survived),
 		TEST (hostile_lengths_are_refused),
 		TEST (timers_come_in_order),
 	};
