control: parts of a bound rest on settled epochs and the lease, so that they never add up to more

Cause: each entry divided a bound by the members of its own newest view, so that with a late view a newcomer's part came on top, and one that was cut off kept its part while the others took it over. An entry reports a view as acted on only once its front has applied it. Ruled out: dropping the slack for extra work with the lease as well (no hedge when it is needed most).

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -110,6 +110,11 @@
 		released = one < released ? one : released;
 		leaving_work += atomic_load (&node->workers[i].leaving_work);
 	}
+	if (node->options.front_address[0]) {
+		uint64_t one = atomic_load (&node->front->reconciled);
+		acting = one < acting ? one : acting;
+		released = one < released ? one : released;
+	}
 	int64_t now_us = control_now_us (control);
 	bool moved = follower->acting != acting || follower->released != released;
 	follower->acting = acting;
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -17,8 +17,8 @@
 	CONTROL_TICK_MS = 10,
 	CONTROL_PROPOSE_RETRY_US = 250000,
 	CONTROL_PROPOSE_KEEP_US =
-		5000000,           /**< a proposal without an answer is given up after this */
-	CONTROL_ORDER_US = 850000, /**< an operator asks another node after a second */
+		5000000,                /**< a proposal without an answer is given up after this */
+	CONTROL_ORDER_US = 850000,      /**< an operator asks another node after a second */
 	CONTROL_SAVE_AGAIN_US = 200000, /**< how soon a full disk is tried again */
 };
 
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -45,25 +45,17 @@
 	return false;
 }
 
-/* How many entries come before this one for a target; every entry counts alike. */
-static int
-rank_of (const struct front *front, const struct replica *replica)
+static uint64_t
+name_hash (const char *name)
 {
-	uint64_t seed = XXH64 (replica->id, strlen (replica->id), 0);
-	int rank = 0;
-	for (int i = 0; i < front->state->nodes; i++)
-		rank += XXH64 (&front->state->entries[i], sizeof (uint64_t), seed) <
-			XXH64 (&front->state->own_entry, sizeof (uint64_t), seed);
-	return rank;
+	return XXH64 (name, strlen (name), 0);
 }
 
 void
 front_share_cold (struct front *front, struct replica *replica)
 {
-	if (!front->state || front->state->nodes == 0)
-		return;
-	replica->cold_gap_us = replica_cold_gap (
-		replica->set->cold_per_s, front->state->nodes, rank_of (front, replica));
+	replica->cold_gap_us = replica_cold_gap (replica->set->cold_per_s,
+		parts_count (&front->parts), parts_rank (&front->parts, name_hash (replica->id)));
 }
 
 static void
@@ -85,16 +77,38 @@
 	if (at < 0)
 		return;
 	struct routing_service *service = &routing->services[at];
-	int nodes = front->state->nodes > 0 ? front->state->nodes : 1;
+	int nodes = parts_count (&front->parts);
 	int burst = (int)options->front_extra_slack / (nodes + 1);
 	service->set = set;
 	budget_set_burst (&set->extra, burst > 0 ? burst : 1);
 	set->connections = replica_connections (service->max_connections, nodes);
 	set->cold_per_s = service->cold_per_s * options->front_cold_factor +
 			  (double)options->front_cold_slack;
+	set->part_until_us = front->part_until_us;
 	share_cold (front, set);
 }
 
+/* Follows lease and settled epoch, on which the use of this node's parts rests. */
+static void
+follow_parts (struct front *front)
+{
+	struct node *node = front->node;
+	struct replica_set *set;
+	uint64_t settled = atomic_load (&node->settled);
+	/* The lease is read first: a new lease is stored after its generation. */
+	int64_t lease_us = atomic_load (&node->lease_until_us);
+	bool has_lease = front_now_us (front) < lease_us;
+	bool holds = parts_hold (
+		&front->parts, has_lease, atomic_load (&node->lease_generation), settled);
+	front->part_until_us = holds ? lease_us : 0;
+	bool changed = parts_settle (&front->parts, settled);
+	cds_list_for_each_entry (set, &front->sets, node) {
+		set->part_until_us = front->part_until_us;
+		if (changed)
+			front_bind_set (front, set);
+	}
+}
+
 struct replica_set *
 front_set (struct front *front, const char *service)
 {
@@ -178,6 +192,9 @@
 	const struct routing *old_routing = old ? old->routing : NULL;
 	struct replica_set *set;
 	front->state = state;
+	parts_follow (&front->parts, state->entries, state->entry_count, state->listed,
+		state->epoch, atomic_load (&front->node->lease_generation));
+	follow_parts (front);
 	if (state->routing && state->routing != old_routing)
 		inherit_rules (front, state->routing, old_routing);
 	for (int i = 0; state->routing && i < state->routing->service_count; i++)
@@ -197,6 +214,7 @@
 			state->routing->service_count);
 	if (old)
 		free_state (old);
+	atomic_store (&front->reconciled, state->revision);
 	forward_release_held (front);
 }
 
@@ -209,12 +227,6 @@
 	json_decref (spec);
 }
 
-static uint64_t
-name_hash (const char *name)
-{
-	return XXH64 (name, strlen (name), 0);
-}
-
 void
 front_post_state (struct front *front, const struct state *declared)
 {
@@ -241,11 +253,13 @@
 			add_leaving (state, declared->resources.items[i]);
 	}
 	state->entries = xcalloc (declared->members.count + 1, sizeof (*state->entries));
-	state->own_entry = name_hash (front->node->options.node_name);
+	state->epoch = declared->epoch;
 	for (size_t i = 0; i < declared->members.count; i++) {
-		if (declared->members.items[i].entry)
-			state->entries[state->nodes++] =
-				name_hash (declared->members.items[i].name);
+		const struct member *member = &declared->members.items[i];
+		if (!member->entry)
+			continue;
+		state->entries[state->entry_count++] = name_hash (member->name);
+		state->listed = state->listed || member->incarnation == front->node->incarnation;
 	}
 	mailbox_post (&front->mailbox, &state->mail);
 }
@@ -273,6 +287,7 @@
 		return;
 	}
 	struct front_roster *roster = caa_container_of (mail, struct front_roster, mail);
+	follow_parts (front);
 	discovery_take (
 		&front->discovery, roster->len ? roster->data : NULL, roster->len, roster->read_us);
 	free (roster);
@@ -402,6 +417,7 @@
 	CDS_INIT_LIST_HEAD (&front->sets);
 	CDS_INIT_LIST_HEAD (&front->forwards);
 	timers_init (&front->timers);
+	parts_init (&front->parts, name_hash (options->node_name));
 	set_policy (front);
 	front->epoll_fd = epoll_create1 (EPOLL_CLOEXEC);
 	if (front->epoll_fd < 0 || !mailbox_init (&front->mailbox))
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -7,6 +7,7 @@
  */
 #pragma once
 
+#include "control/parts.h"
 #include "control/roster.h"
 #include "control/state.h"
 #include "core/timers.h"
@@ -38,9 +39,10 @@
 	struct routing *routing; /**< NULL: none was accepted yet; a reference is held */
 	char **leaving;          /**< names of data centres, owned */
 	int leaving_count;
-	uint64_t *entries;  /**< hashes of their names, owned */
-	uint64_t own_entry; /**< hash of this node's name */
-	int nodes;          /**< entries that share what targets bear */
+	uint64_t epoch;
+	uint64_t *entries; /**< hashes of the names of all entries, owned */
+	size_t entry_count;
+	bool listed; /**< this process is one of them */
 };
 
 /** A target list from control. */
@@ -64,10 +66,13 @@
 	_Atomic bool leads;             /**< this control node reads the target list for all */
 	_Atomic uint64_t posted_roster; /**< stamp of the list that control posted last */
 	int64_t started_us;
-	struct front_state *state; /**< the newest; NULL before the first */
-	uint64_t posted_version;   /**< control thread: routing version that was posted last */
-	struct routing *posted;    /**< control thread: that routing */
-	struct cds_list_head sets; /**< struct replica_set */
+	struct front_state *state;   /**< the newest; NULL before the first */
+	struct parts parts;          /**< of what targets bear, among all entries */
+	int64_t part_until_us;       /**< this node's parts may be used until then; 0: not now */
+	_Atomic uint64_t reconciled; /**< revision that the parts follow */
+	uint64_t posted_version;     /**< control thread: routing version that was posted last */
+	struct routing *posted;      /**< control thread: that routing */
+	struct cds_list_head sets;   /**< struct replica_set */
 	struct discovery discovery;
 	struct scatter_policy policy;
 	struct rng rng;
--- a/query/replica.c
+++ b/query/replica.c
@@ -103,7 +103,8 @@
 		if (replica->in_flight >= set->connections)
 			continue;
 		if (replica->cold_until_us > now_us) {
-			if (replica->cold_gap_us > 0 && replica->cold_next_us <= now_us)
+			if (replica->cold_gap_us > 0 && replica->cold_next_us <= now_us &&
+				now_us < set->part_until_us)
 				cold = replica;
 			continue;
 		}
--- a/query/replica.h
+++ b/query/replica.h
@@ -76,9 +76,10 @@
 	struct cds_list_head replicas;
 	struct cds_list_head waiting; /**< struct scatter_shard, most urgent first */
 	int waiting_count;
-	struct budget extra; /**< sub-requests beyond the first of each request */
-	int connections;     /**< this node's part of each target's connections */
-	double cold_per_s;   /**< requests a second that a cold target bears, from all nodes */
+	struct budget extra;   /**< sub-requests beyond the first of each request */
+	int connections;       /**< this node's part of each target's connections */
+	double cold_per_s;     /**< requests a second that a cold target bears, from all nodes */
+	int64_t part_until_us; /**< this node may send to cold targets until then */
 };
 
 /** What a replica is chosen for. */
--- a/store/store.c
+++ b/store/store.c
@@ -41,7 +41,8 @@
 {
 	if (errno == ENOSPC || errno == EDQUOT)
 		return error_set (error, ERROR_DISK_FULL,
-			"%.180s/%s: cannot %s: the disk is full; free space", store->dir, file, what);
+			"%.180s/%s: cannot %s: the disk is full; free space", store->dir, file,
+			what);
 	return error_set (error, ERROR_IO,
 		"%.180s/%s: cannot %s (%s); check the disk, then restart", store->dir, file, what,
 		strerror (errno));
--- a/test/check.sh
+++ b/test/check.sh
@@ -7,25 +7,44 @@
 passed=0
 failed=0
 
-# run NAME COMMAND...: one check; its output is shown when it fails.
-run () {
-	local name=$1 log
-	shift
-	log=$(mktemp)
-	if "$@" > "$log" 2>&1; then
+# report NAME STATUS LOG: counts one check; its output is shown when it failed.
+report () {
+	if [ "$2" = 0 ]; then
 		passed=$((passed + 1))
-		echo "ok    $name"
-	elif grep -q "^$name:" KNOWN-RED.txt 2> /dev/null; then
-		echo "known red  $name (KNOWN-RED.txt)"
-		grep "^$name:" KNOWN-RED.txt
+		echo "ok    $1"
+	elif grep -q "^$1:" KNOWN-RED.txt 2> /dev/null; then
+		echo "known red  $1 (KNOWN-RED.txt)"
+		grep "^$1:" KNOWN-RED.txt
 	else
 		failed=$((failed + 1))
-		echo "FAIL  $name"
-		tail -n 40 "$log"
+		echo "FAIL  $1"
+		tail -n 40 "$3"
 	fi
+}
+
+# run NAME COMMAND...: one check, with the machine to itself.
+run () {
+	local name=$1 log status=0
+	shift
+	log=$(mktemp)
+	"$@" > "$log" 2>&1 || status=$?
+	report "$name" "$status" "$log"
 	rm -f "$log"
 }
 
+# run_all COMMAND PREFIX JOBS < NAMES: the check "COMMAND NAME" for each name, JOBS at a time; they
+# share nothing and their clocks are paused.
+run_all () {
+	local names log name
+	names=$(cat)
+	log=$(mktemp -d)
+	xargs -P "$3" -I{} bash -c "bash $1 {} > '$log/{}' 2>&1; echo \$? > '$log/{}.status'" <<< "$names"
+	for name in $names; do
+		report "$2-$name" "$(cat "$log/$name.status")" "$log/$name"
+	done
+	rm -rf "$log"
+}
+
 sources () {
 	git ls-files '*.c' '*.h'
 }
@@ -62,16 +81,9 @@
 for test in "$BUILD"/test/unit-*; do
 	[ -x "$test" ] && [ -f "$test" ] && run "$(basename "$test")" "$test"
 done
-if [ -f test/fuzz/run.sh ]; then
-	while read -r name; do
-		run "fuzz-$name" bash test/fuzz/run.sh "$name"
-	done < <(bash test/fuzz/run.sh --list)
-fi
-if [ -f test/model/run.sh ]; then
-	while read -r name; do
-		run "model-$name" bash test/model/run.sh "$name"
-	done < <(bash test/model/run.sh --list)
-fi
+run_all test/fuzz/run.sh fuzz "$(nproc)" < <(bash test/fuzz/run.sh --list)
+# A model may take four GB.
+run_all test/model/run.sh model 3 < <(bash test/model/run.sh --list)
 run platform env BUILD="$BUILD" bash test/platform.sh
 run demo env BUILD="$BUILD" bash test/demo.sh
 echo "$passed passed, $failed failed"
--- a/test/fuzz/run.sh
+++ b/test/fuzz/run.sh
@@ -18,14 +18,19 @@
 }
 
 if [ "$1" = --list ]; then
-	printf '%s\n' messages replies settings gate query control platform scatter
+	# The longest comes first, so that the others run beside it.
+	printf '%s\n' control messages replies settings gate query platform scatter
 	exit 0
 fi
 name=$1
 runs=${2:-$(runs_of "$name")}
 seed=${3:-1}
+# Several may start at once; one of them builds.
+exec 9> /tmp/oleanderstile-fuzz.lock
+flock 9
 [ -f build-fuzz/build.ninja ] || CC=clang meson setup build-fuzz -Dfuzz=true -Db_lundef=false > /dev/null
 ninja -C build-fuzz > /dev/null
+flock -u 9
 scratch=$(mktemp -d)
 trap 'rm -rf "$scratch"' EXIT
 mkdir -p "test/fuzz/corpus/$name"
--- a/test/routes.c
+++ b/test/routes.c
@@ -416,8 +416,9 @@
 		bed.replicas[0][i].cold_until_us = now_us + 3000 * MS;
 		bed.replicas[0][i].cold_gap_us = 500 * MS;
 	}
+	bed.sets[0].part_until_us = now_us + 2000 * MS;
 	int sent = 0;
-	for (int i = 0; i < 200; i++, now_us += 10 * MS) {
+	for (int i = 0; i < 250; i++, now_us += 10 * MS) {
 		struct replica *replica = chosen (&bed);
 		if (!replica)
 			continue;
@@ -425,7 +426,7 @@
 		replica_end (&use, REPLICA_ANSWERED, now_us);
 		sent++;
 	}
-	/* Two seconds, three replicas, one each half a second. */
+	/* Two seconds, three replicas, one each half a second; then the part has lapsed. */
 	CU_ASSERT_EQUAL (sent, 12);
 	routing_put (bed.routing);
 }
--- a/test/world.c
+++ b/test/world.c
@@ -133,6 +133,7 @@
 	node->lease_generation = 0;
 	node->lease_until_us = 0;
 	memset (node->tenures, 0, sizeof (node->tenures));
+	parts_init (&node->parts, (uint64_t)index + 1);
 	if (node->has_disk) {
 		if (node->disk.id == 0)
 			node->disk.id = rng_next (&world->rng) | 1;
@@ -192,6 +193,7 @@
 	if (node->has_disk)
 		voter_finish (&node->voter);
 	follower_finish (&node->follower);
+	parts_finish (&node->parts);
 	view_put (node->view);
 	node->view = NULL;
 }
@@ -359,6 +361,21 @@
 	}
 }
 
+/* What the nodes may use of a bound that they share never adds up to more than the bound. */
+static void
+check_parts (struct world *world)
+{
+	double used = 0;
+	for (int i = 0; i < world->node_count; i++) {
+		struct world_node *node = &world->nodes[i];
+		if (node->up && parts_hold (&node->parts, holds_lease (world, node),
+					node->lease_generation, node->follower.settled))
+			used += 1.0 / parts_count (&node->parts);
+	}
+	if (used > 1.0001)
+		BREAK (world, "the parts of a bound add up to more");
+}
+
 /* Nobody acts on a revision without a change that was accepted longer ago than the bound. */
 static void
 check_in_force (struct world *world)
@@ -418,6 +435,22 @@
 	}
 }
 
+/* The nodes of this world are told apart by the number in their names */
+static void
+follow_parts (struct world_node *node)
+{
+	uint64_t members[WORLD_NODES];
+	const struct state *state = &node->follower.state;
+	size_t count = 0;
+	bool listed = false;
+	for (size_t i = 0; i < state->members.count && count < WORLD_NODES; i++) {
+		members[count++] =
+			strtoull (state->members.items[i].name + strlen ("node"), NULL, 10) + 1;
+		listed = listed || state->members.items[i].incarnation == node->incarnation;
+	}
+	parts_follow (&node->parts, members, count, listed, state->epoch, node->lease_generation);
+}
+
 static void
 follow_view (struct world *world, struct world_node *node)
 {
@@ -435,6 +468,7 @@
 			owner >= 0 && node->view->members[owner].incarnation == node->incarnation;
 		tenure_follow (&node->tenures[i], mine, node->view->epoch, node->lease_generation);
 	}
+	follow_parts (node);
 	node->follower.acting = state->applied;
 	node->follower.released = state->applied;
 	follower_poll_soon (&node->follower, node_now (world, node));
@@ -455,6 +489,7 @@
 	}
 	for (int i = 0; node->view && i < WORLD_TARGETS; i++)
 		tenure_check_lease (&node->tenures[i], node->view->epoch, node->lease_generation);
+	parts_settle (&node->parts, node->follower.settled);
 }
 
 static void
@@ -560,6 +595,7 @@
 				step_node (world, i);
 		}
 		check_owners (world);
+		check_parts (world);
 		check_in_force (world);
 		if (world->now_us / WORLD_STEP_US % 20 == 0)
 			check_states (world);
--- a/test/world.h
+++ b/test/world.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "control/follower.h"
+#include "control/parts.h"
 #include "control/tenure.h"
 #include "control/view.h"
 #include "control/voter.h"
@@ -51,6 +52,7 @@
 	uint64_t lease_generation;
 	int64_t lease_until_us;
 	struct tenure tenures[WORLD_TARGETS];
+	struct parts parts; /**< of a bound that all nodes share */
 	struct hint_table hints;
 	struct view *view;
 };
