ctl: explain tells a request's story from the logs; metrics without a key, histograms, reasons of refusals

Cause: the logs had no line for hedges and retries, none for requests refused before a target was chosen, and no ages of the view; metrics needed the operators' key and had no times. Tests: test/platform.sh tells the three stories of OPERATIONS.md end to end from an injected cause (68 checks, 15 of them new).

--- a/core/metrics.c
+++ b/core/metrics.c
@@ -1,6 +1,8 @@
 #include "core/metrics.h"
 
 #include <stdatomic.h>
+#include <stdbool.h>
+#include <string.h>
 
 static _Atomic uint64_t counters[METRICS];
 
@@ -31,9 +33,18 @@
 void
 metrics_export (struct buf *out)
 {
+	const char *family = "";
+	size_t len = 0;
 	for (int i = 0; i < METRICS; i++) {
-		buf_addf (out, "# HELP oleanderstile_%s %s\n# TYPE oleanderstile_%s counter\n",
-			names[i], helps[i], names[i]);
+		/* Counters that differ in their labels only stand together and share one head. */
+		bool same = strncmp (names[i], family, len) == 0 && len > 0 && names[i][len] == '{';
+		family = names[i];
+		len = strcspn (family, "{");
+		if (!same)
+			buf_addf (out,
+				"# HELP oleanderstile_%.*s %s\n# TYPE oleanderstile_%.*s "
+				"counter\n",
+				(int)len, family, helps[i], (int)len, family);
 		buf_addf (out, "oleanderstile_%s %llu\n", names[i],
 			(unsigned long long)metric_get ((enum metric)i));
 	}
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -4,6 +4,7 @@
  */
 #include "control/resources.h"
 #include "ctl/client.h"
+#include "ctl/explain.h"
 #include "ctl/table.h"
 #include "options/options.h"
 
@@ -25,7 +26,7 @@
 	EXIT_REFUSED = 6,
 };
 
-enum { MAX_ARGUMENTS = 8, WATCH_WAIT_MS = 20000, LEAVE_TRIES = 5, KEY_COUNT = 256 };
+enum { MAX_ARGUMENTS = 256, WATCH_WAIT_MS = 20000, LEAVE_TRIES = 5, KEY_COUNT = 256 };
 
 struct arguments {
 	const char *nodes;
@@ -83,7 +84,8 @@
 
 static const struct argp argp = {options_table, parse_argument,
 	"apply -f FILE\nget KIND NAME\nlist KIND\ndelete KIND NAME\nwatch [REVISION]\n"
-	"leave KIND NAME [UNIX-TIME]\nreturn KIND NAME\nstatus\ndump\ncheck-config FILE\nversion",
+	"leave KIND NAME [UNIX-TIME]\nreturn KIND NAME\nstatus\ndump\nexplain ID LOGFILE...\n"
+	"check-config FILE\nversion",
 	"Declares resources and shows them change.\v"
 	"Exit codes: 0 done, 2 wrong usage, 3 conflict, 4 no node confirmed, 5 not found, 6 "
 	"refused.",
@@ -453,6 +455,9 @@
 	}
 	if (strcmp (arguments.words[0], "check-config") == 0 && arguments.word_count == 2)
 		return run_check (&arguments);
+	if (strcmp (arguments.words[0], "explain") == 0 && arguments.word_count > 2)
+		return explain_request (
+			arguments.words[1], &arguments.words[2], arguments.word_count - 2);
 	if (!client_init (&client, arguments.nodes ? arguments.nodes : "",
 		    arguments.key ? arguments.key : "", &error)) {
 		fprintf (stderr, "oleanderctl: %s\n", error.message);
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -1,5 +1,6 @@
 #include "daemon/control.h"
 
+#include "core/histogram.h"
 #include "core/metrics.h"
 #include "daemon/front.h"
 #include "daemon/platform.h"
@@ -79,6 +80,8 @@
 {
 	struct follower *follower = &control->follower;
 	int64_t now_us = control_now_us (control);
+	if (reply->seq == follower->seq && follower->sent_us != 0)
+		latency_observe (LATENCY_POLL, now_us - follower->sent_us);
 	bool changed = follower_receive (follower, reply, now_us);
 	if (changed) {
 		publish (control);
@@ -244,7 +247,9 @@
 	struct error error = {0};
 	int64_t now_us = control_now_us (control);
 	metric_add (METRIC_CONTROL_SYNCS, 1);
-	if (store_save (&control->store, &control->voter.raft, &error)) {
+	bool saved = store_save (&control->store, &control->voter.raft, &error);
+	latency_observe (LATENCY_LOG_SYNC, control_now_us (control) - now_us);
+	if (saved) {
 		if (control->save_again_us != 0)
 			log_event (&control->log, EVENT_STORE_REGAINED, "%s", control->store.dir);
 		control->save_again_us = 0;
@@ -297,6 +302,8 @@
 		log_event (&control->log,
 			control_leads (control) ? EVENT_LEADER_ELECTED : EVENT_LEADER_LOST,
 			"term %llu", (unsigned long long)raft->term);
+	if (control_leads (control) && !control->was_leader)
+		metric_add (METRIC_ELECTIONS, 1);
 	if (voters != control->last_voters)
 		log_event (&control->log,
 			voters > control->last_voters ? EVENT_VOTER_ADDED : EVENT_VOTER_REMOVED,
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -134,6 +134,7 @@
 		struct routing_rule *rule = &routing->rules[i];
 		const struct routing_rule *before =
 			old ? routing_find_rule (old, rule->name) : NULL;
+		rule->stats = before ? before->stats : route_table_get (&front->routes, rule->name);
 		if (before)
 			rule->latency = before->latency;
 		for (int j = 0; rule->shape == ROUTE_SPLIT && j < rule->part_count; j++)
@@ -376,6 +377,7 @@
 	rcu_register_thread ();
 	while (!atomic_load (&front->stop)) {
 		int count = epoll_wait (front->epoll_fd, events, EVENTS_PER_WAIT, wait_ms (front));
+		int64_t woken_us = front_now_us (front);
 		handle_events (front, events, count);
 		mailbox_clear (&front->mailbox);
 		while ((mail = mailbox_take (&front->mailbox)))
@@ -387,6 +389,9 @@
 		}
 		fetch_loop_clean (&front->fetches);
 		atomic_store (&front->connections, front->callers.connections);
+		atomic_store (&front->list_read_us, front->discovery.read_us);
+		atomic_store (&front->nodes_now, parts_count (&front->parts));
+		latency_observe (LATENCY_LOOP_TURN, front_now_us (front) - woken_us);
 	}
 	rcu_unregister_thread ();
 	return NULL;
@@ -415,6 +420,7 @@
 	front->log.module = "front";
 	front->rng.state = node->incarnation;
 	CDS_INIT_LIST_HEAD (&front->sets);
+	route_table_init (&front->routes);
 	CDS_INIT_LIST_HEAD (&front->forwards);
 	timers_init (&front->timers);
 	parts_init (&front->parts, name_hash (options->node_name));
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -13,6 +13,7 @@
 #include "core/timers.h"
 #include "daemon/discovery.h"
 #include "daemon/node.h"
+#include "daemon/route_stats.h"
 #include "net/fetch.h"
 #include "net/ingress.h"
 #include "net/mailbox.h"
@@ -74,6 +75,9 @@
 	struct routing *posted;      /**< control thread: that routing */
 	struct cds_list_head sets;   /**< struct replica_set */
 	struct discovery discovery;
+	struct route_table routes;    /**< counts of each declared route */
+	_Atomic int64_t list_read_us; /**< discovery.read_us for other threads */
+	_Atomic int nodes_now; /**< entries that share what targets bear, for other threads */
 	struct scatter_policy policy;
 	struct rng rng;
 	struct cds_list_head forwards; /**< requests under way */
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -7,6 +7,7 @@
 #include "daemon/callers.h"
 #include "daemon/control.h"
 #include "daemon/front.h"
+#include "daemon/monitoring.h"
 #include "daemon/operators.h"
 #include "daemon/orders.h"
 #include "daemon/worker.h"
@@ -43,6 +44,7 @@
 	struct mg_context *callers;
 	struct mg_context *operators;
 	struct mg_context *orders;
+	struct mg_context *metrics;
 };
 
 struct arguments {
@@ -422,6 +424,11 @@
 		if (!servers->callers)
 			return false;
 	}
+	if (options->node_metrics_address[0]) {
+		servers->metrics = monitoring_start (node, error);
+		if (!servers->metrics)
+			return false;
+	}
 	if (options->control_orders_address[0]) {
 		servers->orders = orders_start (node, error);
 		if (!servers->orders)
--- a/daemon/operators.c
+++ b/daemon/operators.c
@@ -2,6 +2,7 @@
 
 #include "core/metrics.h"
 #include "daemon/control.h"
+#include "daemon/monitoring.h"
 #include "daemon/worker.h"
 
 #include <inttypes.h>
@@ -402,6 +403,9 @@
 	struct buf text;
 	buf_init (&text);
 	metrics_export (&text);
+	/* Labels have quotes, which would end the JSON text early. */
+	for (char *at = text.data; *at; at++)
+		*at = *at == '"' ? '\'' : *at;
 	int count = 0;
 	char *save = NULL;
 	for (char *line = strtok_r (text.data, "\n", &save); line;
@@ -427,22 +431,6 @@
 	return 1;
 }
 
-static int
-handle_metrics (struct mg_connection *connection, void *user)
-{
-	struct buf out;
-	(void)user;
-	buf_init (&out);
-	metrics_export (&out);
-	mg_printf (connection,
-		"HTTP/1.1 200 OK\r\nContent-Type: text/plain; version=0.0.4\r\nContent-Length: "
-		"%zu\r\n\r\n",
-		out.len);
-	mg_write (connection, out.data, out.len);
-	buf_finish (&out);
-	return 1;
-}
-
 static int
 check_key (struct mg_connection *connection, void *user)
 {
@@ -468,7 +456,7 @@
 		{"/v1/watch", handle_watch},
 		{"/v1/status", handle_status},
 		{"/v1/dump", handle_dump},
-		{"/metrics", handle_metrics},
+		{"/metrics", monitoring_handle},
 	};
 	struct mg_context *context = http_start (
 		node, node->options.node_operator_address, OPERATOR_THREADS, true, error);
--- /dev/null
+++ b/daemon/route_stats.c
@@ -0,0 +1,93 @@
+#include "daemon/route_stats.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <urcu.h>
+#include <urcu/rculist.h>
+
+static const char *const outcome_names[ROUTE_OUTCOMES] = {
+	"whole", "late", "partial", "refused", "failed", "caller_left"};
+
+void
+route_table_init (struct route_table *table)
+{
+	CDS_INIT_LIST_HEAD (&table->routes);
+	table->count = 0;
+}
+
+struct route_stats *
+route_table_get (struct route_table *table, const char *name)
+{
+	struct route_stats *stats;
+	const char *wanted = table->count < ROUTE_STATS_MAX ? name : "other";
+	cds_list_for_each_entry (stats, &table->routes, node) {
+		if (strcmp (stats->name, name) == 0 || strcmp (stats->name, wanted) == 0)
+			return stats;
+	}
+	stats = xcalloc (1, sizeof (*stats));
+	str_copy (stats->name, sizeof (stats->name), wanted);
+	/* A name stands in quotes in the exposition format. */
+	for (char *at = stats->name; *at; at++) {
+		if (*at == '"' || *at == '\\' || *at == '\n')
+			*at = '_';
+	}
+	cds_list_add_tail_rcu (&stats->node, &table->routes);
+	table->count++;
+	return stats;
+}
+
+static enum route_outcome
+outcome_of (const struct scatter *scatter, int64_t took_us)
+{
+	switch (scatter->result) {
+	case SCATTER_MERGED:
+	case SCATTER_REPLY:
+		if (scatter->answered < scatter->shard_count)
+			return ROUTE_PARTIAL;
+		return took_us > scatter->rule->aim_us ? ROUTE_LATE : ROUTE_WHOLE;
+	case SCATTER_REFUSED:
+		return ROUTE_REFUSED;
+	case SCATTER_FAILED:
+	case SCATTER_TIMEOUT:
+		return ROUTE_FAILED;
+	}
+	return ROUTE_FAILED;
+}
+
+void
+route_stats_note (struct route_stats *stats, const struct scatter *scatter, int64_t took_us)
+{
+	bool left = scatter->phase != SCATTER_DONE;
+	enum route_outcome outcome = left ? ROUTE_CALLER_LEFT : outcome_of (scatter, took_us);
+	atomic_fetch_add_explicit (&stats->outcomes[outcome], 1, memory_order_relaxed);
+	if (outcome == ROUTE_WHOLE || outcome == ROUTE_LATE || outcome == ROUTE_PARTIAL)
+		histogram_observe (&stats->answers, took_us);
+}
+
+void
+route_table_export (struct route_table *table, struct buf *out)
+{
+	const struct route_stats *stats;
+	char labels[REPLICA_NAME_SIZE + 16];
+	buf_addf (out, "# HELP oleanderstile_route_requests_total Requests on declared routes by "
+		       "outcome\n# TYPE oleanderstile_route_requests_total counter\n");
+	rcu_read_lock ();
+	cds_list_for_each_entry_rcu (stats, &table->routes, node)
+	{
+		for (int i = 0; i < ROUTE_OUTCOMES; i++)
+			buf_addf (out,
+				"oleanderstile_route_requests_total{route=\"%s\",outcome=\"%s\"} "
+				"%llu\n",
+				stats->name, outcome_names[i],
+				(unsigned long long)atomic_load_explicit (
+					&stats->outcomes[i], memory_order_relaxed));
+	}
+	histogram_export_head (out, "route_answer_seconds", "Successful answers from arrival on");
+	cds_list_for_each_entry_rcu (stats, &table->routes, node)
+	{
+		snprintf (labels, sizeof (labels), "route=\"%s\"", stats->name);
+		histogram_export (&stats->answers, out, "route_answer_seconds", labels);
+	}
+	rcu_read_unlock ();
+}
--- a/options/options.c
+++ b/options/options.c
@@ -34,6 +34,8 @@
 		"127.0.0.1:8081", "IP:port that serves operators, metrics and dumps"},
 	{"node", "peer_address", OPTION_ADDRESS, FIELD (node_peer_address), 1, 0, "127.0.0.1:8082",
 		"IP:port that other nodes reach"},
+	{"node", "metrics_address", OPTION_ADDRESS, FIELD (node_metrics_address), 0, 0, "",
+		"IP:port that serves metrics without a key; empty: only operators get them"},
 	{"node", "workers", OPTION_INT, FIELD (node_workers), 1, 64, "2",
 		"Threads that run requests and reach targets"},
 	{"node", "http_threads", OPTION_INT, FIELD (node_http_threads), 4, 4096, "64",
--- a/options/options.h
+++ b/options/options.h
@@ -18,6 +18,7 @@
 	char node_caller_address[OPTION_TEXT_SIZE];
 	char node_operator_address[OPTION_TEXT_SIZE];
 	char node_peer_address[OPTION_TEXT_SIZE];
+	char node_metrics_address[OPTION_TEXT_SIZE];
 	int64_t node_workers;
 	int64_t node_http_threads;
 	int64_t node_stop_wait_ms;
--- a/query/routing.h
+++ b/query/routing.h
@@ -15,6 +15,7 @@
 #include <stdint.h>
 
 struct replica_set;
+struct route_stats;
 
 /** Whether a request on a route may run more than once. */
 enum repeat_kind { REPEAT_ALLOWED, REPEAT_NEVER };
@@ -53,9 +54,10 @@
 	int attempts;   /**< targets that one request, or each of its shards, may be sent to */
 	struct routing_part *parts;
 	int part_count;
-	int top;                 /**< ROUTE_FAN_OUT: records in the answer */
-	double least;            /**< ROUTE_FAN_OUT: least share of shards in an answer */
-	struct quantile latency; /**< of sub-requests on this route */
+	int top;                   /**< ROUTE_FAN_OUT: records in the answer */
+	double least;              /**< ROUTE_FAN_OUT: least share of shards in an answer */
+	struct quantile latency;   /**< of sub-requests on this route */
+	struct route_stats *stats; /**< the shell's counts of this route; not owned */
 };
 
 /** What a caller may send. */
--- a/query/scatter.c
+++ b/query/scatter.c
@@ -133,6 +133,24 @@
 		end_without_answer (scatter, late);
 }
 
+const char *
+scatter_give_up_name (enum give_up reason)
+{
+	static const char *const names[] = {"", "no target may get work", "too many wait",
+		"no budget is left", "tried as often as allowed", "waited until the deadline"};
+	return names[reason];
+}
+
+enum give_up
+scatter_refusal (const struct scatter *scatter)
+{
+	for (int i = 0; i < scatter->shard_count; i++) {
+		if (scatter->shards[i].give_up != GIVE_UP_NONE)
+			return scatter->shards[i].give_up;
+	}
+	return GIVE_UP_NO_TIME;
+}
+
 static void
 close_shard (struct scatter *scatter, struct scatter_shard *shard)
 {
@@ -144,6 +162,13 @@
 	scatter->closed++;
 }
 
+static void
+give_up (struct scatter *scatter, struct scatter_shard *shard, enum give_up reason)
+{
+	shard->give_up = reason;
+	close_shard (scatter, shard);
+}
+
 static int64_t
 hedge_delay_us (const struct scatter *scatter)
 {
@@ -203,7 +228,7 @@
 
 /* The more urgent come first; within a priority the order of arrival holds. */
 static void
-enter_queue (struct scatter *scatter, struct scatter_shard *shard)
+enter_queue (struct scatter *scatter, struct scatter_shard *shard, int64_t now_us)
 {
 	struct cds_list_head *at = shard->set->waiting.prev;
 	while (at != &shard->set->waiting) {
@@ -215,6 +240,7 @@
 	cds_list_add (&shard->node, at);
 	shard->set->waiting_count++;
 	shard->queued = true;
+	shard->queued_us = now_us;
 }
 
 /* Sends a shard's next sub-request, lets it wait for room, or gives the shard up. */
@@ -224,13 +250,13 @@
 	struct replica *replica = NULL;
 	bool first = shard->tried_count == 0;
 	if (!has_attempts (scatter, shard)) {
-		close_shard (scatter, shard);
+		give_up (scatter, shard, GIVE_UP_ATTEMPTS);
 		return;
 	}
 	switch (choose (scatter, shard, false, now_us, &replica)) {
 	case REPLICA_FOUND:
 		if (shard->arrived && !budget_spend (&shard->set->extra)) {
-			close_shard (scatter, shard);
+			give_up (scatter, shard, GIVE_UP_NO_BUDGET);
 			return;
 		}
 		if (first)
@@ -241,12 +267,12 @@
 		return;
 	case REPLICA_NO_ROOM:
 		if (shard->set->waiting_count < queue_limit (shard->set))
-			enter_queue (scatter, shard);
+			enter_queue (scatter, shard, now_us);
 		else
-			close_shard (scatter, shard);
+			give_up (scatter, shard, GIVE_UP_NO_ROOM);
 		return;
 	case REPLICA_NONE:
-		close_shard (scatter, shard);
+		give_up (scatter, shard, GIVE_UP_NO_TARGET);
 		return;
 	}
 }
@@ -368,6 +394,9 @@
 		struct replica *replica = NULL;
 		if (choose (shard->scatter, shard, false, now_us, &replica) == REPLICA_NO_ROOM)
 			return;
+		int64_t waited_us = now_us - shard->queued_us;
+		if (waited_us > shard->scatter->waited_us)
+			shard->scatter->waited_us = waited_us;
 		leave_queue (shard);
 		try_shard (shard->scatter, shard, now_us);
 		settle (shard->scatter, now_us);
--- a/query/scatter.h
+++ b/query/scatter.h
@@ -59,6 +59,16 @@
 	SCATTER_TIMEOUT, /**< no answer within the deadline; it may have run */
 };
 
+/** Why a shard was given up without an answer. */
+enum give_up {
+	GIVE_UP_NONE,
+	GIVE_UP_NO_TARGET, /**< none may get work */
+	GIVE_UP_NO_ROOM,   /**< too many wait already */
+	GIVE_UP_NO_BUDGET, /**< no extra sub-request is left */
+	GIVE_UP_ATTEMPTS,  /**< tried as often as it may be */
+	GIVE_UP_NO_TIME,   /**< it waited until the deadline */
+};
+
 struct scatter;
 
 /** The state of one shard; a request to a single service has one. */
@@ -71,6 +81,8 @@
 	int spent; /**< attempts on which it may have run, or runs */
 	int running;
 	bool queued;
+	int64_t queued_us; /**< since when it waits, while queued */
+	enum give_up give_up;
 	bool closed; /**< answered, or given up */
 	bool answered;
 	bool may_have_run;
@@ -116,6 +128,7 @@
 	int least;
 	int hedges;
 	int retries;
+	int64_t waited_us;      /**< longest wait of a shard for room */
 	int64_t retry_after_ms; /**< SCATTER_REFUSED */
 };
 
@@ -146,6 +159,14 @@
 int64_t
 scatter_wake_us (const struct scatter *scatter);
 
+/** The name of a reason as logs and metrics show it. */
+const char *
+scatter_give_up_name (enum give_up reason);
+
+/** Why a request was refused: the reason of the first shard that has one. */
+enum give_up
+scatter_refusal (const struct scatter *scatter);
+
 /** A target of the service may have room again: sends what waits for it. */
 void
 scatter_serve_waiting (struct replica_set *set, int64_t now_us);
--- a/test/platform.sh
+++ b/test/platform.sh
@@ -31,6 +31,7 @@
 		caller_address =
 		operator_address = 127.0.0.1:$((BASE + 100 + n))
 		peer_address = 127.0.0.1:$((BASE + 200 + n))
+		metrics_address = 127.0.0.1:$((BASE + 300 + n))
 		workers = 1
 		[control]
 		key = $KEY
@@ -205,6 +206,30 @@
 expect "without a shard" "$(because a4)" 'REQUEST_DEGRADED.*2 of 3 shards.*shard s0 tried 0'
 expect "unknown outcome" "$(because b4)" "SUB_REQUEST_FAILED.*may have run.*reply to 'another'"
 expect "targets that leave" "$(grep -h TARGET_STATE "$RUN"/n4.log)" 'i-0 of s0 at [0-9.:]*: leaving'
+explain () {
+	"$BUILD/oleanderctl" explain "$1" "$RUN"/n*.log
+}
+story=$(explain b3)
+expect "the story of a refusal" "$story" '\* SUB_REQUEST_FAILED .*n4.log: b3: i-(9|10|11) of s3.*refused, not run'
+expect "ends with its reason" "$story" '\* REQUEST_FAILED .*b3: status 503 .*shard s3 tried'
+story=$(explain a4)
+expect "the story of a missing shard" "$story" '\* REQUEST_DEGRADED .*shard s0 tried 0.*no target may get work'
+expect "tells what became of its targets" "$story" 'TARGET_STATE .*i-2 of s0 .*: leaving'
+story=$(explain b4)
+expect "the story of an unknown outcome" "$story" "\* SUB_REQUEST_FAILED .*may have run.*reply to 'another'"
+expect "tells the ages of what decided it" "$story" '\* REQUEST_FAILED .*routing 5, view [0-9]+ ms old, list [0-9]+ ms old'
+[ "$(explain b3 | grep -c 'b4:')" = 0 ] || fail "a story holds lines of another request"
+expect "an id without a line" "$(explain zz)" 'no line in these logs'
+
+echo "metrics, without a key:"
+metrics=$(call "http://127.0.0.1:$((BASE + 304))/metrics")
+expect "requests by route and outcome" "$metrics" '^oleanderstile_route_requests_total.route="all",outcome="partial". [1-9]'
+expect "refusals by reason" "$metrics" '^oleanderstile_route_refusals_total.reason="no_route". [1-9]'
+expect "failed sub-requests by end" "$metrics" '^oleanderstile_subrequest_failures_total.end="not_run". [1-9]'
+expect "latencies by route" "$metrics" '^oleanderstile_route_answer_seconds_bucket.route="all",le="0.25". [1-9]'
+expect "the age of the view" "$metrics" '^oleanderstile_view_age_seconds [0-9.]+$'
+expect "log syncs of a control node" "$(call "http://127.0.0.1:$((BASE + 301))/metrics")" '^oleanderstile_control_sync_seconds_count [1-9]'
+expect "and nothing else" "$(call -o "$RUN/x" -w '%{http_code}' "http://127.0.0.1:$((BASE + 304))/v1/status")" '^404'
 
 echo "slow targets:"
 # Hedges are paid from what ordinary requests have earned.
