daemon: a turn that brings only replies of targets looks at nothing else; logs say why a hedge was not sent

Cause: each wake-up of the front read the mailbox and polled both HTTP servers, four system calls beside the one reply that most turns bring.

--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -187,13 +187,14 @@
 	log_event (&forward->front->log,
 		status >= 400 ? EVENT_REQUEST_FAILED : EVENT_REQUEST_DEGRADED,
 		"%s: status %d on route %s after %lld ms; %d of %d shards, %d hedges, %d retries; "
-		"shard %s tried %d, runs at %d, waits %d of %d%s%s; routing %llu, view %lld ms "
+		"shard %s tried %d, runs at %d, waits %d of %d%s%s%s; routing %llu, view %lld ms "
 		"old, list %lld ms old",
 		forward->head.attempt_id, status, scatter->rule->name,
 		(long long)(took_us / US_PER_MS), scatter->answered, scatter->shard_count,
 		scatter->hedges, scatter->retries, shard->set->name, shard->tried_count,
 		shard->running, shard->queued, shard->set->waiting_count,
 		shard->give_up ? ", " : "", scatter_give_up_name (shard->give_up),
+		scatter_no_hedge_name (shard->no_hedge),
 		(unsigned long long)scatter->routing->version,
 		(long long)view_age_ms (forward->front), (long long)list_age_ms (forward->front));
 }
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -366,20 +366,37 @@
 	return least_wait (wait, ingress_wait_ms (&front->balancer));
 }
 
-/* Sockets of callers come first: the server may close one and reuse its number afterwards. */
-static void
+/* What a turn of the loop has to look at besides the sockets of targets. */
+struct due {
+	bool mail;
+	bool callers;
+	bool balancer;
+};
+
+/*
+ * Sockets of callers come first: the server may close one and reuse its number afterwards. Most
+ * turns bring replies of targets only; looking at mail and callers then costs more than the reply.
+ */
+static struct due
 handle_events (struct front *front, const struct epoll_event *events, int count)
 {
+	/* A turn without events may have been ended by a timer of the servers. */
+	struct due due = {count == 0, count == 0, count == 0};
 	for (int i = 0; i < count; i++) {
 		int fd = events[i].data.fd;
-		if (fd == front->mailbox.event_fd ||
-			(serves (front) && (fd == ingress_fd (&front->callers) ||
-						   fd == ingress_fd (&front->balancer))))
+		bool mail = fd == front->mailbox.event_fd;
+		bool callers = serves (front) && fd == ingress_fd (&front->callers);
+		bool balancer = serves (front) && fd == ingress_fd (&front->balancer);
+		due.mail = due.mail || mail;
+		due.callers = due.callers || callers;
+		due.balancer = due.balancer || balancer;
+		if (mail || callers || balancer)
 			continue;
 		if (!ingress_socket_event (&front->callers, fd, events[i].events) &&
 			!ingress_socket_event (&front->balancer, fd, events[i].events))
 			fetch_socket_event (&front->fetches, fd, events[i].events);
 	}
+	return due;
 }
 
 static void *
@@ -392,15 +409,16 @@
 	while (!atomic_load (&front->stop)) {
 		int count = epoll_wait (front->epoll_fd, events, EVENTS_PER_WAIT, wait_ms (front));
 		int64_t woken_us = front_now_us (front);
-		handle_events (front, events, count);
-		mailbox_clear (&front->mailbox);
-		while ((mail = mailbox_take (&front->mailbox)))
+		struct due due = handle_events (front, events, count);
+		if (due.mail)
+			mailbox_clear (&front->mailbox);
+		while (due.mail && (mail = mailbox_take (&front->mailbox)))
 			handle_mail (front, mail);
 		run_timers (front);
-		if (serves (front)) {
+		if (serves (front) && (due.callers || ingress_is_due (&front->callers)))
 			ingress_run (&front->callers);
+		if (serves (front) && (due.balancer || ingress_is_due (&front->balancer)))
 			ingress_run (&front->balancer);
-		}
 		fetch_loop_clean (&front->fetches);
 		atomic_store (&front->connections, front->callers.connections);
 		atomic_store (&front->list_read_us, front->discovery.read_us);
--- a/net/ingress.c
+++ b/net/ingress.c
@@ -115,6 +115,17 @@
 	return strlen (text);
 }
 
+/* The handler is called again in the next run of the server. */
+static void
+resume (struct ingress_request *request)
+{
+	if (!request->suspended)
+		return;
+	request->suspended = false;
+	request->ingress->resumed = true;
+	MHD_resume_connection (request->connection);
+}
+
 static enum MHD_Result
 queue_answer (struct ingress_request *request)
 {
@@ -258,18 +269,23 @@
 	request->left = true;
 	ingress->hooks.left (request, ingress->hooks.user);
 	/* The connection is closed when its handler is called again and gives no answer. */
-	if (request->suspended)
-		MHD_resume_connection (request->connection);
-	request->suspended = false;
+	resume (request);
 	return true;
 }
 
 void
 ingress_run (struct ingress *ingress)
 {
+	ingress->resumed = false;
 	MHD_run (ingress->daemon);
 }
 
+bool
+ingress_is_due (const struct ingress *ingress)
+{
+	return ingress->resumed || ingress_wait_ms (ingress) == 0;
+}
+
 int
 ingress_wait_ms (const struct ingress *ingress)
 {
@@ -290,9 +306,7 @@
 	request->close = close;
 	if (head && head->len)
 		buf_add (&request->head, head->data, head->len);
-	if (request->suspended)
-		MHD_resume_connection (request->connection);
-	request->suspended = false;
+	resume (request);
 }
 
 const char *
--- a/net/ingress.h
+++ b/net/ingress.h
@@ -60,6 +60,7 @@
 	struct ingress_limits limits;
 	int connections;
 	int requests;
+	bool resumed;                    /**< a request waits for ingress_run */
 	struct ingress_client **clients; /**< by socket */
 	int client_count;
 };
@@ -84,6 +85,10 @@
 void
 ingress_run (struct ingress *ingress);
 
+/** True when ingress_run has something to do although its descriptor is not readable. */
+bool
+ingress_is_due (const struct ingress *ingress);
+
 /** Milliseconds until ingress_run is wanted anyway; -1: no limit. */
 int
 ingress_wait_ms (const struct ingress *ingress);
--- a/query/scatter.c
+++ b/query/scatter.c
@@ -141,6 +141,14 @@
 	return names[reason];
 }
 
+const char *
+scatter_no_hedge_name (enum no_hedge reason)
+{
+	static const char *const names[] = {"",
+		", no hedge: no target that is expected to answer soon", ", no hedge: no budget"};
+	return names[reason];
+}
+
 enum give_up
 scatter_refusal (const struct scatter *scatter)
 {
@@ -364,9 +372,14 @@
 {
 	struct replica *replica = NULL;
 	shard->hedge_us = INT64_MAX;
-	if (choose (scatter, shard, true, now_us, &replica) != REPLICA_FOUND ||
-		!budget_spend_above (&shard->set->extra, retry_reserve (&shard->set->extra)))
+	if (choose (scatter, shard, true, now_us, &replica) != REPLICA_FOUND) {
+		shard->no_hedge = NO_HEDGE_TARGET;
+		return;
+	}
+	if (!budget_spend_above (&shard->set->extra, retry_reserve (&shard->set->extra))) {
+		shard->no_hedge = NO_HEDGE_BUDGET;
 		return;
+	}
 	scatter->hedges++;
 	send_to (scatter, shard, replica, now_us);
 }
--- a/query/scatter.h
+++ b/query/scatter.h
@@ -70,6 +70,9 @@
 	GIVE_UP_NO_TIME,   /**< it waited until the deadline */
 };
 
+/** Why a hedge that was due was not sent. */
+enum no_hedge { NO_HEDGE_NONE, NO_HEDGE_TARGET, NO_HEDGE_BUDGET };
+
 struct scatter;
 
 /** The state of one shard; a request to a single service has one. */
@@ -84,6 +87,7 @@
 	bool queued;
 	int64_t queued_us; /**< since when it waits, while queued */
 	enum give_up give_up;
+	enum no_hedge no_hedge;
 	bool closed; /**< answered, or given up */
 	bool answered;
 	bool may_have_run;
@@ -164,6 +168,9 @@
 const char *
 scatter_give_up_name (enum give_up reason);
 
+const char *
+scatter_no_hedge_name (enum no_hedge reason);
+
 /** Why a request was refused: the reason of the first shard that has one. */
 enum give_up
 scatter_refusal (const struct scatter *scatter);
