query: a node that asks seldom remembers a slow target for longer

Cause: what was learned of a target faded within four seconds. The memory now lasts for 16 requests to the service, between 4 and 12 s. Test: seldom_asked_slow_replica_is_remembered, fails without it.

--- a/query/replica.c
+++ b/query/replica.c
@@ -53,14 +53,37 @@
 	return oldest->sent_us + limit_us < now_us;
 }
 
+/*
+ * A node that asks seldom would have forgotten a slow target each time it asks again, and pay for
+ * the same lesson with nearly every request.
+ */
+static int64_t
+memory_us (const struct replica_set *set)
+{
+	int64_t us = set->gap_us * REPLICA_MEMORY_REQUESTS;
+	if (us < REPLICA_MEMORY_US)
+		return REPLICA_MEMORY_US;
+	return us < REPLICA_MEMORY_MAX_US ? us : REPLICA_MEMORY_MAX_US;
+}
+
 /* Fades with time, so that a target which has recovered is tried again. */
 static int64_t
 faded (int64_t value, const struct replica *replica, int64_t now_us)
 {
 	int64_t age_us = now_us - replica->seen_us;
-	return age_us >= REPLICA_MEMORY_US
-		       ? 0
-		       : value * (REPLICA_MEMORY_US - age_us) / REPLICA_MEMORY_US;
+	int64_t whole_us = memory_us (replica->set);
+	return age_us >= whole_us ? 0 : value * (whole_us - age_us) / whole_us;
+}
+
+static void
+note_asked (struct replica_set *set, int64_t now_us)
+{
+	int64_t gap_us = now_us - set->asked_us;
+	if (set->asked_us > 0)
+		set->gap_us += ((gap_us < REPLICA_GAP_MAX_US ? gap_us : REPLICA_GAP_MAX_US) -
+				       set->gap_us) /
+			       8;
+	set->asked_us = now_us;
 }
 
 static int64_t
@@ -96,6 +119,8 @@
 	struct replica *cold = NULL;
 	int64_t best_us = INT64_MAX;
 	bool any = false;
+	if (!wish->hedge && wish->tried_count == 0)
+		note_asked (set, now_us);
 	cds_list_for_each_entry (replica, &set->replicas, node) {
 		if (!replica_usable (replica) || was_tried (wish, replica))
 			continue;
--- a/query/replica.h
+++ b/query/replica.h
@@ -27,6 +27,9 @@
 	REPLICA_LIST_LAG_US = 1000000,    /**< the list may be this much behind, with its reading */
 	REPLICA_REMOTE_US = 3000,         /**< a round trip between data centres of one region */
 	REPLICA_MEMORY_US = 4000000,      /**< what was learned of a target fades over this time */
+	REPLICA_MEMORY_REQUESTS = 16,     /**< or over so many requests to its service, ... */
+	REPLICA_MEMORY_MAX_US = 12000000, /**< ... but in this time */
+	REPLICA_GAP_MAX_US = 1000000,     /**< a longer silence says nothing of how often it asks */
 	REPLICA_TROUBLE_UNIT = 1024,      /**< all of the recent sub-requests failed */
 	REPLICA_TROUBLE_COST = 4,         /**< usual latencies that a failed sub-request costs */
 	REPLICA_STALL_LEAST_US = 15000,   /**< shorter silences are ordinary variation */
@@ -76,6 +79,8 @@
 	struct cds_list_head replicas;
 	struct cds_list_head waiting; /**< struct scatter_shard, most urgent first */
 	int waiting_count;
+	int64_t asked_us;      /**< when a target was last chosen for a first sub-request */
+	int64_t gap_us;        /**< moving average of the time between two of these */
 	struct budget extra;   /**< sub-requests beyond the first of each request */
 	int connections;       /**< this node's part of each target's connections */
 	double cold_per_s;     /**< requests a second that a cold target bears, from all nodes */
--- a/test/routes.c
+++ b/test/routes.c
@@ -434,6 +434,30 @@
 	routing_put (bed.routing);
 }
 
+/* 84 nodes: each asks a service about once in 750 ms, and a third of that at one target. */
+static void
+test_seldom_asked_slow_replica_is_remembered (void)
+{
+	struct bed bed;
+	struct replica_use use;
+	bed_init (&bed, 1, "idempotent", 2);
+	struct replica *slow = &bed.replicas[0][0];
+	int asked_slow = 0;
+	for (int i = 0; i < 60; i++) {
+		struct replica *replica = chosen (&bed);
+		CU_ASSERT_PTR_NOT_NULL_FATAL (replica);
+		replica_begin (replica, &use, now_us);
+		now_us += replica == slow ? 90 * MS : 10 * MS;
+		replica_end (&use, REPLICA_ANSWERED, now_us);
+		now_us += 740 * MS;
+		asked_slow += replica == slow;
+	}
+	/* 45 s: it is looked at again now and then, not each time the node asks. */
+	CU_ASSERT_TRUE (asked_slow >= 2);
+	CU_ASSERT_TRUE (asked_slow <= 8);
+	routing_put (bed.routing);
+}
+
 static void
 test_cold_replica_gets_its_part (void)
 {
@@ -675,6 +699,7 @@
 		TEST (waiting_by_priority),
 		TEST (nothing_to_send_to_is_refused_at_once),
 		TEST (stalled_and_troubled_replicas_go_last),
+		TEST (seldom_asked_slow_replica_is_remembered),
 		TEST (cold_replica_gets_its_part),
 		TEST (end_of_a_cold_start),
 		TEST (cold_bound_holds_for_all_nodes),
