query: a target that refuses again and again is asked less and less

Cause: a refusal for want of room kept a target back for 50 ms however often it came. Test: repeated_refusals_are_asked_less_and_less, failed before.

--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -564,7 +564,7 @@
 	enum metric reason, bool close)
 {
 	static const char *const names[] = {
-		[METRIC_REFUSED_NO_VIEW - METRIC_REFUSED_NO_VIEW] = "no confirmed view yet",
+		[0] = "no confirmed view yet",
 		[METRIC_REFUSED_NO_ROUTE - METRIC_REFUSED_NO_VIEW] = "no such route",
 		[METRIC_REFUSED_HEADERS - METRIC_REFUSED_NO_VIEW] = "headers too large",
 		[METRIC_REFUSED_STOPPING - METRIC_REFUSED_NO_VIEW] = "this node is stopping",
--- a/options/options.c
+++ b/options/options.c
@@ -61,7 +61,8 @@
 	{"control", "voters", OPTION_INT, FIELD (control_voters), 1, 5, "3",
 		"Voters wanted; use an odd number"},
 	{"control", "losses", OPTION_INT, FIELD (control_losses), 0, 2, "0",
-		"Data folders that may be lost at once; sets the number of voters; 0: control.voters "
+		"Data folders that may be lost at once; sets the number of voters; 0: "
+		"control.voters "
 		"does"},
 	{"control", "lease_ms", OPTION_INT, FIELD (control_lease_ms), 500, 10000, "3000",
 		"Length of a lease; the same on all nodes"},
--- a/query/replica.c
+++ b/query/replica.c
@@ -181,14 +181,13 @@
 	cds_list_add_tail (&use->node, &replica->running);
 }
 
-static void
-note_failure (struct replica *replica, int64_t now_us)
+static int64_t
+doubled (int64_t first_us, int times)
 {
-	int64_t avoid_us = REPLICA_FAILURE_AVOID_US;
-	for (int i = 0; i < replica->failures && avoid_us < REPLICA_AVOID_MAX_US; i++)
-		avoid_us *= 2;
-	replica->failures++;
-	replica->avoid_until_us = now_us + avoid_us;
+	int64_t us = first_us;
+	for (int i = 0; i < times && us < REPLICA_AVOID_MAX_US; i++)
+		us *= 2;
+	return us < REPLICA_AVOID_MAX_US ? us : REPLICA_AVOID_MAX_US;
 }
 
 static void
@@ -210,17 +209,20 @@
 	switch (outcome) {
 	case REPLICA_ANSWERED:
 		replica->failures = 0;
+		replica->refusals = 0;
 		replica->avoid_until_us = 0;
 		replica->latency_us =
 			replica->latency_us ? (replica->latency_us * 7 + took_us) / 8 : took_us;
 		note_trouble (replica, false, now_us);
 		return;
 	case REPLICA_REFUSED:
-		replica->avoid_until_us = now_us + REPLICA_REFUSED_AVOID_US;
+		replica->avoid_until_us =
+			now_us + doubled (REPLICA_REFUSED_AVOID_US, replica->refusals++);
 		note_trouble (replica, true, now_us);
 		return;
 	case REPLICA_FAILED:
-		note_failure (replica, now_us);
+		replica->avoid_until_us =
+			now_us + doubled (REPLICA_FAILURE_AVOID_US, replica->failures++);
 		note_trouble (replica, true, now_us);
 		return;
 	case REPLICA_DROPPED:
--- a/query/replica.h
+++ b/query/replica.h
@@ -22,7 +22,7 @@
 	REPLICA_FAILURE_AVOID_US = 500000, /**< first avoidance after a failure; doubles */
 	REPLICA_AVOID_MAX_US = 4000000,
 	REPLICA_STALL_COST_US = 250000,   /**< more than any wait at a target that answers */
-	REPLICA_REFUSED_AVOID_US = 50000, /**< after a refusal for want of room */
+	REPLICA_REFUSED_AVOID_US = 50000, /**< after a refusal for want of room; doubles */
 	REPLICA_COLD_SECOND_US = 1050000, /**< a second, with room for the way to the target */
 	REPLICA_LIST_LAG_US = 1000000,    /**< the list may be this much behind, with its reading */
 	REPLICA_REMOTE_US = 3000,         /**< a round trip between data centres of one region */
@@ -55,6 +55,7 @@
 	int64_t cold_gap_us;   /**< this node's least time between two of them; 0: none at all */
 	int64_t avoid_until_us;
 	int failures; /**< in a row */
+	int refusals; /**< for want of room, in a row */
 	int in_flight;
 	struct cds_list_head running; /**< struct replica_use, oldest first */
 	int64_t latency_us;           /**< moving average; 0: none yet */
--- a/test/routes.c
+++ b/test/routes.c
@@ -434,6 +434,31 @@
 	routing_put (bed.routing);
 }
 
+/* A target that has no room for this node's connection until old ones time out. */
+static void
+test_repeated_refusals_are_asked_less_and_less (void)
+{
+	struct bed bed;
+	struct replica_use use;
+	bed_init (&bed, 1, "idempotent", 2);
+	struct replica *full = &bed.replicas[0][0];
+	for (int i = 0; i < 10; i++) {
+		replica_begin (full, &use, now_us);
+		replica_end (&use, REPLICA_REFUSED, now_us);
+		int64_t wanted_us = (int64_t)REPLICA_REFUSED_AVOID_US << i;
+		if (wanted_us > REPLICA_AVOID_MAX_US)
+			wanted_us = REPLICA_AVOID_MAX_US;
+		CU_ASSERT_EQUAL (full->avoid_until_us - now_us, wanted_us);
+	}
+	/* One answer shows that there is room again. */
+	replica_begin (full, &use, now_us);
+	replica_end (&use, REPLICA_ANSWERED, now_us);
+	replica_begin (full, &use, now_us);
+	replica_end (&use, REPLICA_REFUSED, now_us);
+	CU_ASSERT_EQUAL (full->avoid_until_us, now_us + REPLICA_REFUSED_AVOID_US);
+	routing_put (bed.routing);
+}
+
 /* 84 nodes: each asks a service about once in 750 ms, and a third of that at one target. */
 static void
 test_seldom_asked_slow_replica_is_remembered (void)
@@ -699,6 +724,7 @@
 		TEST (waiting_by_priority),
 		TEST (nothing_to_send_to_is_refused_at_once),
 		TEST (stalled_and_troubled_replicas_go_last),
+		TEST (repeated_refusals_are_asked_less_and_less),
 		TEST (seldom_asked_slow_replica_is_remembered),
 		TEST (cold_replica_gets_its_part),
 		TEST (end_of_a_cold_start),
