--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -2,13 +2,13 @@
 
 #include "core/histogram.h"
 #include "core/metrics.h"
+#include "daemon/forward_log.h"
 #include "daemon/route_stats.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
-#include <xxhash.h>
 
 enum {
 	SUB_MAX_BODY = 64 * 1024 * 1024,
@@ -18,7 +18,6 @@
 	SUB_CONNECT_US = 200000,        /* several times a dear handshake between data centres */
 	SUB_SILENCE_TIMES = 8,          /* of the usual latency */
 	ORPHAN_US = 400000,             /* work that nobody waits for ends within half a second */
-	LOG_ONE_IN = 64,                /* answers in time that are logged, a power of two */
 	UNREADY_RETRY_MS = 500,         /* a node without a view gets one within a poll or two */
 };
 
@@ -131,117 +130,6 @@
 	return front_now_us (front) + usual_us * FRONT_STOP_REFUSE_TIMES > end_us;
 }
 
-static int64_t
-age_ms (const struct front *front, int64_t since_us)
-{
-	return since_us ? (front_now_us (front) - since_us) / US_PER_MS : -1;
-}
-
-/* What control confirmed last, and the list of targets, each in milliseconds; -1: none yet. */
-static int64_t
-view_age_ms (const struct front *front)
-{
-	return age_ms (front, atomic_load (&front->confirmed_us));
-}
-
-static int64_t
-list_age_ms (const struct front *front)
-{
-	return age_ms (front, front->discovery.read_us);
-}
-
-/* The ids that are drawn are the same on every node, so that whole stories are kept. */
-static bool
-is_drawn (const char *id)
-{
-	return (XXH64 (id, strlen (id), 0) & (LOG_ONE_IN - 1)) == 0;
-}
-
-static void
-log_outcome (const struct forward *forward, int status)
-{
-	const struct scatter *scatter = &forward->scatter;
-	int64_t took_us = front_now_us (forward->front) - scatter->start_us;
-	int worst = 0;
-	if (status < 400 && took_us <= scatter->rule->aim_us &&
-		scatter->answered == scatter->shard_count) {
-		if (is_drawn (forward->head.attempt_id))
-			log_event (&forward->front->log, EVENT_REQUEST_ANSWERED,
-				"%s: status %d on route %s after %lld ms; %d shards, %d hedges, %d "
-				"retries, waited %lld ms; routing %llu, view %lld ms old, list "
-				"%lld ms old",
-				forward->head.attempt_id, status, scatter->rule->name,
-				(long long)(took_us / US_PER_MS), scatter->shard_count,
-				scatter->hedges, scatter->retries,
-				(long long)(scatter->waited_us / US_PER_MS),
-				(unsigned long long)scatter->routing->version,
-				(long long)view_age_ms (forward->front),
-				(long long)list_age_ms (forward->front));
-		return;
-	}
-	for (int i = 0; i < scatter->shard_count; i++) {
-		if (!scatter->shards[i].answered)
-			worst = i;
-	}
-	const struct scatter_shard *shard = &scatter->shards[worst];
-	log_event (&forward->front->log,
-		status >= 400 ? EVENT_REQUEST_FAILED : EVENT_REQUEST_DEGRADED,
-		"%s: status %d on route %s after %lld ms; %d of %d shards, %d hedges, %d retries; "
-		"shard %s tried %d, runs at %d, waits %d of %d%s%s%s; routing %llu, view %lld ms "
-		"old, list %lld ms old",
-		forward->head.attempt_id, status, scatter->rule->name,
-		(long long)(took_us / US_PER_MS), scatter->answered, scatter->shard_count,
-		scatter->hedges, scatter->retries, shard->set->name, shard->tried_count,
-		shard->running, shard->queued, shard->set->waiting_count,
-		shard->give_up ? ", " : "", scatter_give_up_name (shard->give_up),
-		scatter_no_hedge_name (shard->no_hedge),
-		(unsigned long long)scatter->routing->version,
-		(long long)view_age_ms (forward->front), (long long)list_age_ms (forward->front));
-}
-
-static enum metric
-refusal_metric (enum give_up reason)
-{
-	switch (reason) {
-	case GIVE_UP_NO_TARGET:
-		return METRIC_REFUSED_NO_TARGET;
-	case GIVE_UP_NO_ROOM:
-		return METRIC_REFUSED_NO_ROOM;
-	case GIVE_UP_NO_BUDGET:
-		return METRIC_REFUSED_NO_BUDGET;
-	case GIVE_UP_ATTEMPTS:
-		return METRIC_REFUSED_BY_TARGETS;
-	case GIVE_UP_NONE:
-	case GIVE_UP_NO_TIME:
-		return METRIC_REFUSED_NO_TIME;
-	}
-	return METRIC_REFUSED_NO_TIME;
-}
-
-static void
-count_outcome (const struct scatter *scatter, int64_t took_us)
-{
-	if (scatter->rule->stats)
-		route_stats_note (scatter->rule->stats, scatter, took_us);
-	if (scatter->waited_us > 0)
-		latency_observe (LATENCY_QUEUE_WAIT, scatter->waited_us);
-	switch (scatter->result) {
-	case SCATTER_MERGED:
-	case SCATTER_REPLY:
-		if (took_us > scatter->rule->aim_us)
-			metric_add (METRIC_ROUTE_LATE, 1);
-		return;
-	case SCATTER_REFUSED:
-		metric_add (METRIC_ROUTE_REFUSED, 1);
-		metric_add (refusal_metric (scatter_refusal (scatter)), 1);
-		return;
-	case SCATTER_FAILED:
-	case SCATTER_TIMEOUT:
-		metric_add (METRIC_ROUTE_FAILED, 1);
-		return;
-	}
-}
-
 static void
 finish_forward (struct scatter *scatter)
 {
@@ -261,8 +149,8 @@
 			len = shard->body_len;
 		}
 	}
-	log_outcome (forward, status);
-	count_outcome (scatter, front_now_us (forward->front) - scatter->start_us);
+	forward_log_end (forward, status);
+	forward_count_end (scatter, front_now_us (forward->front) - scatter->start_us);
 	metric_add (METRIC_SUBS_HEDGE, (uint64_t)scatter->hedges);
 	metric_add (METRIC_SUBS_RETRY, (uint64_t)scatter->retries);
 	if (scatter->answered < scatter->shard_count)
@@ -419,27 +307,6 @@
 	return silent_us > SUB_SILENCE_LEAST_US ? silent_us : SUB_SILENCE_LEAST_US;
 }
 
-/* Hedges and retries are decisions of their own; first sub-requests follow from the request. */
-static void
-log_extra (const struct forward *forward, int shard, const struct replica *replica)
-{
-	const struct scatter *scatter = &forward->scatter;
-	const struct scatter_shard *one = &scatter->shards[shard];
-	const struct front *front = forward->front;
-	if (one->tried_count < 2)
-		return;
-	log_event (&front->log, EVENT_SUB_REQUEST_EXTRA,
-		"%s: %s %d of %s to %s at %s after %lld ms; %d in flight, told load %d, latency "
-		"%lld ms, %lld extra left, list %lld ms old",
-		forward->head.attempt_id, one->running > 1 ? "hedge" : "retry",
-		one->tried_count - 1, one->set->name, replica->id, replica->address,
-		(long long)((front_now_us (front) - scatter->start_us) / US_PER_MS),
-		replica->in_flight, replica->told_load,
-		(long long)(replica->latency_us / US_PER_MS),
-		(long long)(atomic_load (&one->set->extra.tokens) / BUDGET_UNIT),
-		(long long)list_age_ms (front));
-}
-
 static void
 send_sub (struct scatter *scatter, int shard, struct replica *replica)
 {
@@ -475,7 +342,7 @@
 		.fresh = !repeat,
 	};
 	sub->fetch.body_max = SUB_MAX_BODY;
-	log_extra (forward, shard, replica);
+	forward_log_extra (forward, shard, replica);
 	replica_begin (replica, &sub->use, now_us);
 	cds_list_add (&sub->node, &forward->subs);
 	fetch_start (&sub->fetch, pool_of (front, replica), &request, on_sub_done);
@@ -558,27 +425,31 @@
 	free (forward);
 }
 
-/* Refuses a request for which no target was chosen yet. */
+/* Why a request is refused before a target is chosen. */
+enum early_refusal { EARLY_NO_VIEW, EARLY_NO_ROUTE, EARLY_HEADERS, EARLY_STOPPING };
+
 static void
 refuse_early (struct forward *forward, struct ingress_request *request, int status,
-	enum metric reason, bool close)
-{
-	static const char *const names[] = {
-		[0] = "no confirmed view yet",
-		[METRIC_REFUSED_NO_ROUTE - METRIC_REFUSED_NO_VIEW] = "no such route",
-		[METRIC_REFUSED_HEADERS - METRIC_REFUSED_NO_VIEW] = "headers too large",
-		[METRIC_REFUSED_STOPPING - METRIC_REFUSED_NO_VIEW] = "this node is stopping",
+	enum early_refusal reason, bool close)
+{
+	static const struct {
+		enum metric metric;
+		const char *text;
+	} reasons[] = {
+		[EARLY_NO_VIEW] = {METRIC_REFUSED_NO_VIEW, "no confirmed view yet"},
+		[EARLY_NO_ROUTE] = {METRIC_REFUSED_NO_ROUTE, "no such route"},
+		[EARLY_HEADERS] = {METRIC_REFUSED_HEADERS, "headers too large"},
+		[EARLY_STOPPING] = {METRIC_REFUSED_STOPPING, "this node is stopping"},
 	};
 	const struct front *front = forward->front;
 	const struct routing *routing = front->state ? front->state->routing : NULL;
-	metric_add (reason, 1);
+	metric_add (reasons[reason].metric, 1);
 	log_event (&front->log, EVENT_REQUEST_REFUSED,
 		"%s: status %d, %s; host %.64s, path %.80s; routing %llu, view %lld ms old, list "
 		"%lld ms old",
-		forward->head.attempt_id, status, names[reason - METRIC_REFUSED_NO_VIEW],
-		forward->host, request->target,
-		(unsigned long long)(routing ? routing->version : 0),
-		(long long)view_age_ms (front), (long long)list_age_ms (front));
+		forward->head.attempt_id, status, reasons[reason].text, forward->host,
+		request->target, (unsigned long long)(routing ? routing->version : 0),
+		(long long)forward_view_age_ms (front), (long long)forward_list_age_ms (front));
 	drop (forward);
 	refuse (request, status, close);
 }
@@ -643,13 +514,13 @@
 	struct routing_rule *rule = routing_match (routing, forward->host, request->target);
 	bool close = closes_after (front);
 	if ((int64_t)forward->header_bytes > routing->limits.header_bytes)
-		refuse_early (forward, request, 431, METRIC_REFUSED_HEADERS, true);
+		refuse_early (forward, request, 431, EARLY_HEADERS, true);
 	else if (!rule && is_in_doubt (front))
-		refuse_early (forward, request, 503, METRIC_REFUSED_NO_VIEW, close);
+		refuse_early (forward, request, 503, EARLY_NO_VIEW, close);
 	else if (!rule)
-		refuse_early (forward, request, 404, METRIC_REFUSED_NO_ROUTE, close);
+		refuse_early (forward, request, 404, EARLY_NO_ROUTE, close);
 	else if (comes_too_late (front, rule))
-		refuse_early (forward, request, 503, METRIC_REFUSED_STOPPING, close);
+		refuse_early (forward, request, 503, EARLY_STOPPING, close);
 	else
 		run (forward, request, rule);
 }
@@ -666,7 +537,7 @@
 	bool too_long = forward->head.left_us != INT64_MAX &&
 			forward->arrived_us + forward->head.left_us <= end_us;
 	if (too_long || front_now_us (front) >= end_us || atomic_load (&front->stopping_us) != 0) {
-		refuse_early (forward, request, 503, METRIC_REFUSED_NO_VIEW, closes_after (front));
+		refuse_early (forward, request, 503, EARLY_NO_VIEW, closes_after (front));
 		return;
 	}
 	forward->held = true;
@@ -749,7 +620,7 @@
 	struct ingress_request *request = forward->request;
 	if (forward->held) {
 		unhold (forward);
-		refuse_early (forward, request, 503, METRIC_REFUSED_NO_VIEW, false);
+		refuse_early (forward, request, 503, EARLY_NO_VIEW, false);
 		return;
 	}
 	scatter_tick (&forward->scatter, front_now_us (forward->front));
--- /dev/null
+++ b/daemon/forward_log.c
@@ -0,0 +1,140 @@
+#include "daemon/forward_log.h"
+
+#include "core/histogram.h"
+#include "core/metrics.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+enum { LOG_ONE_IN = 64 }; /* answers in time that are logged, a power of two */
+
+static int64_t
+age_ms (const struct front *front, int64_t since_us)
+{
+	return since_us ? (front_now_us (front) - since_us) / US_PER_MS : -1;
+}
+
+int64_t
+forward_view_age_ms (const struct front *front)
+{
+	return age_ms (front, atomic_load (&front->confirmed_us));
+}
+
+int64_t
+forward_list_age_ms (const struct front *front)
+{
+	return age_ms (front, front->discovery.read_us);
+}
+
+/* The ids that are drawn are the same on every node, so that whole stories are kept. */
+static bool
+is_drawn (const char *id)
+{
+	return (XXH64 (id, strlen (id), 0) & (LOG_ONE_IN - 1)) == 0;
+}
+
+void
+forward_log_end (const struct forward *forward, int status)
+{
+	const struct scatter *scatter = &forward->scatter;
+	int64_t took_us = front_now_us (forward->front) - scatter->start_us;
+	int worst = 0;
+	if (status < 400 && took_us <= scatter->rule->aim_us &&
+		scatter->answered == scatter->shard_count) {
+		if (is_drawn (forward->head.attempt_id))
+			log_event (&forward->front->log, EVENT_REQUEST_ANSWERED,
+				"%s: status %d on route %s after %lld ms; %d shards, %d hedges, %d "
+				"retries, waited %lld ms; routing %llu, view %lld ms old, list "
+				"%lld ms old",
+				forward->head.attempt_id, status, scatter->rule->name,
+				(long long)(took_us / US_PER_MS), scatter->shard_count,
+				scatter->hedges, scatter->retries,
+				(long long)(scatter->waited_us / US_PER_MS),
+				(unsigned long long)scatter->routing->version,
+				(long long)forward_view_age_ms (forward->front),
+				(long long)forward_list_age_ms (forward->front));
+		return;
+	}
+	for (int i = 0; i < scatter->shard_count; i++) {
+		if (!scatter->shards[i].answered)
+			worst = i;
+	}
+	const struct scatter_shard *shard = &scatter->shards[worst];
+	log_event (&forward->front->log,
+		status >= 400 ? EVENT_REQUEST_FAILED : EVENT_REQUEST_DEGRADED,
+		"%s: status %d on route %s after %lld ms; %d of %d shards, %d hedges, %d retries; "
+		"shard %s tried %d, runs at %d, waits %d of %d%s%s%s; routing %llu, view %lld ms "
+		"old, list %lld ms old",
+		forward->head.attempt_id, status, scatter->rule->name,
+		(long long)(took_us / US_PER_MS), scatter->answered, scatter->shard_count,
+		scatter->hedges, scatter->retries, shard->set->name, shard->tried_count,
+		shard->running, shard->queued, shard->set->waiting_count,
+		shard->give_up ? ", " : "", scatter_give_up_name (shard->give_up),
+		scatter_no_hedge_name (shard->no_hedge),
+		(unsigned long long)scatter->routing->version,
+		(long long)forward_view_age_ms (forward->front),
+		(long long)forward_list_age_ms (forward->front));
+}
+
+static enum metric
+refusal_metric (enum give_up reason)
+{
+	switch (reason) {
+	case GIVE_UP_NO_TARGET:
+		return METRIC_REFUSED_NO_TARGET;
+	case GIVE_UP_NO_ROOM:
+		return METRIC_REFUSED_NO_ROOM;
+	case GIVE_UP_NO_BUDGET:
+		return METRIC_REFUSED_NO_BUDGET;
+	case GIVE_UP_ATTEMPTS:
+		return METRIC_REFUSED_BY_TARGETS;
+	case GIVE_UP_NONE:
+	case GIVE_UP_NO_TIME:
+		return METRIC_REFUSED_NO_TIME;
+	}
+	return METRIC_REFUSED_NO_TIME;
+}
+
+void
+forward_count_end (const struct scatter *scatter, int64_t took_us)
+{
+	if (scatter->rule->stats)
+		route_stats_note (scatter->rule->stats, scatter, took_us);
+	if (scatter->waited_us > 0)
+		latency_observe (LATENCY_QUEUE_WAIT, scatter->waited_us);
+	switch (scatter->result) {
+	case SCATTER_MERGED:
+	case SCATTER_REPLY:
+		if (took_us > scatter->rule->aim_us)
+			metric_add (METRIC_ROUTE_LATE, 1);
+		return;
+	case SCATTER_REFUSED:
+		metric_add (METRIC_ROUTE_REFUSED, 1);
+		metric_add (refusal_metric (scatter_refusal (scatter)), 1);
+		return;
+	case SCATTER_FAILED:
+	case SCATTER_TIMEOUT:
+		metric_add (METRIC_ROUTE_FAILED, 1);
+		return;
+	}
+}
+
+void
+forward_log_extra (const struct forward *forward, int shard, const struct replica *replica)
+{
+	const struct scatter *scatter = &forward->scatter;
+	const struct scatter_shard *one = &scatter->shards[shard];
+	const struct front *front = forward->front;
+	if (one->tried_count < 2)
+		return;
+	log_event (&front->log, EVENT_SUB_REQUEST_EXTRA,
+		"%s: %s %d of %s to %s at %s after %lld ms; %d in flight, told load %d, latency "
+		"%lld ms, %lld extra left, list %lld ms old",
+		forward->head.attempt_id, one->running > 1 ? "hedge" : "retry",
+		one->tried_count - 1, one->set->name, replica->id, replica->address,
+		(long long)((front_now_us (front) - scatter->start_us) / US_PER_MS),
+		replica->in_flight, replica->told_load,
+		(long long)(replica->latency_us / US_PER_MS),
+		(long long)(atomic_load (&one->set->extra.tokens) / BUDGET_UNIT),
+		(long long)forward_list_age_ms (front));
+}
