--- a/query/scatter.c
+++ b/query/scatter.c
@@ -68,8 +68,12 @@
 {
 	scatter->phase = SCATTER_DONE;
 	scatter->result = result;
-	for (int i = 0; i < scatter->shard_count; i++)
-		leave_queue (&scatter->shards[i]);
+	for (int i = 0; i < scatter->shard_count; i++) {
+		struct scatter_shard *shard = &scatter->shards[i];
+		if (shard->queued)
+			shard->give_up = GIVE_UP_NO_TIME;
+		leave_queue (shard);
+	}
 	scatter->hooks->finish (scatter);
 }
 
@@ -137,7 +141,7 @@
 scatter_give_up_name (enum give_up reason)
 {
 	static const char *const names[] = {"", "no target may get work", "too many wait",
-		"no budget is left", "tried as often as allowed", "waited until the deadline"};
+		"no budget is left", "tried as often as allowed", "waited for room until the end"};
 	return names[reason];
 }
 
--- a/query/scatter.h
+++ b/query/scatter.h
@@ -67,7 +67,7 @@
 	GIVE_UP_NO_ROOM,   /**< too many wait already */
 	GIVE_UP_NO_BUDGET, /**< no extra sub-request is left */
 	GIVE_UP_ATTEMPTS,  /**< tried as often as it may be */
-	GIVE_UP_NO_TIME,   /**< it waited until the deadline */
+	GIVE_UP_NO_TIME,   /**< it waited for room until the request ended */
 };
 
 /** Why a hedge that was due was not sent. */
