daemon: dump and metrics tell what the front knows of services and targets

Targets by standing, sub-requests that wait and the budget that is left, by service, in metrics; each target in the dump's section front. The front's own thread answers, so that the request path takes no lock.

--- a/daemon/front.c
+++ b/daemon/front.c
@@ -2,6 +2,7 @@
 
 #include "core/packed.h"
 #include "daemon/forward.h"
+#include "daemon/front_dump.h"
 #include "platform/manifest.h"
 
 #include <jansson.h>
@@ -12,8 +13,6 @@
 #include <urcu.h>
 #include <xxhash.h>
 
-enum front_mail { FRONT_STATE, FRONT_ROSTER };
-
 enum {
 	EVENTS_PER_WAIT = 128,
 	IDLE_WAIT_MS = 200,
@@ -295,19 +294,30 @@
 }
 
 static void
-handle_mail (struct front *front, struct mail *mail)
+take_roster (struct front *front, struct front_roster *roster)
 {
-	if (mail->kind == FRONT_STATE) {
-		apply_state (front, caa_container_of (mail, struct front_state, mail));
-		return;
-	}
-	struct front_roster *roster = caa_container_of (mail, struct front_roster, mail);
 	follow_parts (front);
 	discovery_take (
 		&front->discovery, roster->len ? roster->data : NULL, roster->len, roster->read_us);
 	free (roster);
 }
 
+static void
+handle_mail (struct front *front, struct mail *mail)
+{
+	switch ((enum front_mail)mail->kind) {
+	case FRONT_STATE:
+		apply_state (front, caa_container_of (mail, struct front_state, mail));
+		return;
+	case FRONT_ROSTER:
+		take_roster (front, caa_container_of (mail, struct front_roster, mail));
+		return;
+	case FRONT_DUMP:
+		front_answer (front, caa_container_of (mail, struct front_dump, mail));
+		return;
+	}
+}
+
 static void
 answer_readiness (struct ingress_request *request, void *user)
 {
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -33,6 +33,9 @@
 /** Kinds of timer of the front's loop, beyond those of net/fetch.h. */
 enum { FORWARD_TIMER = FETCH_TIMER_KINDS, DISCOVERY_TIMER };
 
+/** Messages to the front's thread. */
+enum front_mail { FRONT_STATE, FRONT_ROSTER, FRONT_DUMP };
+
 /** What control declares, as the front needs it. */
 struct front_state {
 	struct mail mail;
--- /dev/null
+++ b/daemon/front_dump.c
@@ -0,0 +1,135 @@
+#include "daemon/front_dump.h"
+
+#include <inttypes.h>
+
+enum replica_standing { STANDING_READY, STANDING_AVOIDED, STANDING_COLD, STANDING_GONE, STANDINGS };
+
+static const char *const standing_names[STANDINGS] = {"ready", "avoided", "cold", "leaving"};
+
+static enum replica_standing
+standing_of (const struct replica *replica, int64_t now_us)
+{
+	if (!replica_usable (replica))
+		return STANDING_GONE;
+	if (replica->cold_until_us > now_us)
+		return STANDING_COLD;
+	return replica->avoid_until_us > now_us ? STANDING_AVOIDED : STANDING_READY;
+}
+
+static int64_t
+left_ms (int64_t until_us, int64_t now_us)
+{
+	return until_us > now_us ? (until_us - now_us) / US_PER_MS : 0;
+}
+
+static void
+write_replica (const struct replica *replica, int64_t now_us, struct buf *out)
+{
+	buf_addf (out,
+		"{\"target\":\"%s\",\"address\":\"%s\",\"data_centre\":\"%s\",\"standing\":\"%s\","
+		"\"slots\":%d,\"in_flight\":%d,\"told_load\":%d,\"usual_us\":%" PRId64
+		",\"failures\":%d,\"refusals\":%d,\"avoided_ms\":%" PRId64 ",\"cold_ms\":%" PRId64
+		"}",
+		replica->id, replica->address, replica->data_centre,
+		standing_names[standing_of (replica, now_us)], replica->slots, replica->in_flight,
+		replica->told_load, replica->latency_us, replica->failures, replica->refusals,
+		left_ms (replica->avoid_until_us, now_us),
+		left_ms (replica->cold_until_us, now_us));
+}
+
+static void
+write_set (const struct replica_set *set, int64_t now_us, struct buf *out)
+{
+	const struct replica *replica;
+	int count = 0;
+	buf_addf (out,
+		"{\"service\":\"%s\",\"connections\":%d,\"waiting\":%d,\"extra_left\":%.2f,"
+		"\"targets\":[",
+		set->name, set->connections, set->waiting_count,
+		(double)atomic_load (&set->extra.tokens) / BUDGET_UNIT);
+	cds_list_for_each_entry (replica, &set->replicas, node) {
+		if (count++)
+			buf_add (out, ",", 1);
+		write_replica (replica, now_us, out);
+	}
+	buf_addf (out, "]}");
+}
+
+static void
+write_json (struct front *front, struct buf *out)
+{
+	const struct replica_set *set;
+	int64_t now_us = front_now_us (front);
+	int count = 0;
+	buf_addf (out,
+		"{\"routing\":%" PRIu64 ",\"list_ms\":%" PRId64 ",\"sharers\":%d,"
+		"\"parts_ms\":%" PRId64 ",\"services\":[",
+		front->state && front->state->routing ? front->state->routing->version : 0,
+		front->discovery.read_us ? (now_us - front->discovery.read_us) / US_PER_MS : -1,
+		parts_count (&front->parts), left_ms (front->part_until_us, now_us));
+	cds_list_for_each_entry (set, &front->sets, node) {
+		if (count++)
+			buf_add (out, ",", 1);
+		write_set (set, now_us, out);
+	}
+	buf_addf (out, "]}");
+}
+
+static void
+write_family (struct buf *out, const char *name, const char *help)
+{
+	buf_addf (out, "# HELP oleanderstile_%s %s\n# TYPE oleanderstile_%s gauge\n", name, help,
+		name);
+}
+
+static void
+write_metrics (struct front *front, struct buf *out)
+{
+	const struct replica_set *set;
+	int64_t now_us = front_now_us (front);
+	write_family (out, "service_targets", "Targets of a service by standing");
+	cds_list_for_each_entry (set, &front->sets, node) {
+		const struct replica *replica;
+		int counts[STANDINGS] = {0};
+		cds_list_for_each_entry (replica, &set->replicas, node)
+			counts[standing_of (replica, now_us)]++;
+		for (int i = 0; i < STANDINGS; i++)
+			buf_addf (out,
+				"oleanderstile_service_targets{service=\"%s\",standing=\"%s\"} "
+				"%d\n",
+				set->name, standing_names[i], counts[i]);
+	}
+	write_family (out, "service_waiting", "Sub-requests that wait for room at a service");
+	cds_list_for_each_entry (set, &front->sets, node)
+		buf_addf (out, "oleanderstile_service_waiting{service=\"%s\"} %d\n", set->name,
+			set->waiting_count);
+	write_family (out, "service_extra_left",
+		"Hedges and retries that this node may send to a service at once");
+	cds_list_for_each_entry (set, &front->sets, node)
+		buf_addf (out, "oleanderstile_service_extra_left{service=\"%s\"} %.2f\n", set->name,
+			(double)atomic_load (&set->extra.tokens) / BUDGET_UNIT);
+}
+
+void
+front_ask (struct front *front, enum front_question question, struct buf *out)
+{
+	struct front_dump dump = {.question = question, .out = out};
+	dump.mail.kind = FRONT_DUMP;
+	completion_init (&dump.completion);
+	mailbox_post (&front->mailbox, &dump.mail);
+	completion_wait (&dump.completion);
+}
+
+void
+front_answer (struct front *front, struct front_dump *dump)
+{
+	switch (dump->question) {
+	case FRONT_AS_JSON:
+		write_json (front, dump->out);
+		break;
+	case FRONT_AS_METRICS:
+		write_metrics (front, dump->out);
+		break;
+	}
+	completion_signal (&dump->completion);
+}
--- a/daemon/monitoring.c
+++ b/daemon/monitoring.c
@@ -2,7 +2,7 @@
 
 #include "core/histogram.h"
 #include "core/metrics.h"
-#include "daemon/front.h"
+#include "daemon/front_dump.h"
 #include "daemon/http.h"
 
 #include <sys/resource.h>
@@ -38,6 +38,7 @@
 		atomic_load (&front->in_flight));
 	gauge (out, "caller_connections", "Connections of callers",
 		atomic_load (&front->connections));
+	front_ask (front, FRONT_AS_METRICS, out);
 	route_table_export (&front->routes, out);
 }
 
--- a/daemon/operators.c
+++ b/daemon/operators.c
@@ -2,6 +2,7 @@
 
 #include "core/metrics.h"
 #include "daemon/control.h"
+#include "daemon/front_dump.h"
 #include "daemon/monitoring.h"
 #include "daemon/worker.h"
 
@@ -399,7 +400,12 @@
 	}
 	buf_add (out, targets.data, targets.len);
 	buf_finish (&targets);
-	buf_addf (out, "],\"counters\":{");
+	buf_addf (out, "],\"front\":");
+	if (node->front && node->options.front_address[0])
+		front_ask (node->front, FRONT_AS_JSON, out);
+	else
+		buf_addf (out, "null");
+	buf_addf (out, ",\"counters\":{");
 	struct buf text;
 	buf_init (&text);
 	metrics_export (&text);
--- a/test/platform.sh
+++ b/test/platform.sh
@@ -227,10 +227,16 @@
 expect "refusals by reason" "$metrics" '^oleanderstile_route_refusals_total.reason="no_route". [1-9]'
 expect "failed sub-requests by end" "$metrics" '^oleanderstile_subrequest_failures_total.end="not_run". [1-9]'
 expect "latencies by route" "$metrics" '^oleanderstile_route_answer_seconds_bucket.route="all",le="0.25". [1-9]'
+expect "targets by standing" "$metrics" '^oleanderstile_service_targets.service="s0",standing="ready". [0-9]'
+expect "what is left of the budget" "$metrics" '^oleanderstile_service_extra_left.service="s1". [0-9.]+'
 expect "the age of the view" "$metrics" '^oleanderstile_view_age_seconds [0-9.]+$'
 expect "log syncs of a control node" "$(call "http://127.0.0.1:$((BASE + 301))/metrics")" '^oleanderstile_control_sync_seconds_count [1-9]'
 expect "and nothing else" "$(call -o "$RUN/x" -w '%{http_code}' "http://127.0.0.1:$((BASE + 304))/v1/status")" '^404'
 
+# oleanderctl reads the dump as JSON, and fails where it is none.
+dump=$("$BUILD/oleanderctl" -n "127.0.0.1:$((BASE + 104))" -k "$KEY" dump | tr -d ' \n')
+expect "the dump tells what the front knows of a target" "$dump" '"standing":"[a-z]+","target":"i-0"'
+
 echo "slow targets:"
 # Hedges are paid from what ordinary requests have earned.
 for i in $(seq 1 20); do ask 4 "q$i" /all/x > "$RUN/x"; done
