options, platform: numbers of the platform may have a fraction or be empty

Cause: front.extra_slack and front.cold_slack took whole numbers only.

Bounds are read as numbers and rounded down where a part of them is used, losses are rounded up, and a bound that is not in force (an empty value) takes the default. Parts of the slack were rounded up to one for each node, so that more nodes than slack exceeded it; budget_share() gives one to the first nodes by rank instead.

--- a/daemon/front.c
+++ b/daemon/front.c
@@ -79,12 +79,12 @@
 		return;
 	struct routing_service *service = &routing->services[at];
 	int nodes = shares_count (&front->shares);
-	int burst = (int)options->front_extra_slack / (nodes + 1);
+	int rank = shares_rank (&front->shares, name_hash (set->name));
 	service->set = set;
-	budget_set_burst (&set->extra, burst > 0 ? burst : 1);
+	budget_set_burst (&set->extra, budget_share (options->front_extra_slack, nodes, rank));
 	set->connections = replica_connections (service->max_connections, nodes);
-	set->cold_rate_per_s = service->cold_rate_per_s * options->front_cold_factor +
-			       (double)options->front_cold_slack;
+	set->cold_rate_per_s =
+		service->cold_rate_per_s * options->front_cold_factor + options->front_cold_slack;
 	set->share_until_us = front->share_until_us;
 	update_cold_intervals (front, set);
 }
--- a/options/options.c
+++ b/options/options.c
@@ -2,12 +2,23 @@
 
 #include <errno.h>
 #include <ini.h>
+#include <math.h>
 #include <stddef.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-enum option_type { OPTION_INT, OPTION_REAL, OPTION_FLAG, OPTION_TEXT, OPTION_ADDRESS };
+enum option_type {
+	OPTION_INT,
+	OPTION_INT_ROUNDED_UP,
+	OPTION_REAL,
+	OPTION_FLAG,
+	OPTION_TEXT,
+	OPTION_ADDRESS
+};
+
+/* What a number or flag without a value means. */
+enum empty_value { EMPTY_REFUSED, EMPTY_IS_DEFAULT };
 
 struct option {
 	const char *section;
@@ -15,13 +26,17 @@
 	enum option_type type;
 	size_t offset;
 	size_t size;
+	enum empty_value empty;
 	int64_t min; /* of text: minimum length; of an address: 0 when it may be empty */
 	int64_t max; /* of text: maximum length */
 	const char *default_value;
 	const char *help;
 };
 
-#define FIELD(member) offsetof (struct options, member), sizeof (((struct options *)0)->member)
+#define PLACE(member) offsetof (struct options, member), sizeof (((struct options *)0)->member)
+#define FIELD(member) PLACE (member), EMPTY_REFUSED
+/* A field that a deployment's template fills in; it may leave the value empty. */
+#define TEMPLATE_FIELD(member) PLACE (member), EMPTY_IS_DEFAULT
 
 static const struct option table[] = {
 	{"node", "name", OPTION_TEXT, FIELD (node_name), 1, 63, "",
@@ -47,7 +62,7 @@
 		"Initial peer addresses (IP:port, comma separated)"},
 	{"control", "peer_port", OPTION_INT, FIELD (control_peer_port), 0, 65535, "0",
 		"Port of all peers, overrides the ports in control.peers; 0: no override"},
-	{"control", "bootstrap", OPTION_FLAG, FIELD (control_bootstrap), 0, 1, "0",
+	{"control", "bootstrap", OPTION_FLAG, TEMPLATE_FIELD (control_bootstrap), 0, 1, "0",
 		"true on the first start of the whole system: the first of control.peers creates "
 		"the log"},
 	{"control", "orders_address", OPTION_ADDRESS, FIELD (control_orders_address), 0, 0, "",
@@ -61,9 +76,9 @@
 		"Data folder; a node that has one is a voter or learner of the control log"},
 	{"control", "voters", OPTION_INT, FIELD (control_voters), 1, 5, "3",
 		"Desired number of voters; use an odd number"},
-	{"control", "losses", OPTION_INT, FIELD (control_losses), 0, 2, "0",
+	{"control", "losses", OPTION_INT_ROUNDED_UP, TEMPLATE_FIELD (control_losses), 0, 2, "0",
 		"Data folders that may be lost at the same time; determines the number of "
-		"voters; 0: use control.voters"},
+		"voters; a fraction is rounded up; 0: use control.voters"},
 	{"control", "lease_ms", OPTION_INT, FIELD (control_lease_ms), 500, 10000, "3000",
 		"Duration of a lease; must be the same on all nodes"},
 	{"control", "poll_ms", OPTION_INT, FIELD (control_poll_ms), 50, 5000, "500",
@@ -101,21 +116,22 @@
 		"latency objective"},
 	{"front", "stop_ms", OPTION_INT, FIELD (front_stop_ms), 100, 600000, "5000",
 		"Maximum duration of a planned stop; set it below the platform's grace period"},
-	{"front", "extra_ratio", OPTION_REAL, FIELD (front_extra_ratio), 0, 10, "0.1",
+	{"front", "extra_ratio", OPTION_REAL, TEMPLATE_FIELD (front_extra_ratio), 0, 10, "0.1",
 		"Hedges and retries allowed per request to a service, over all nodes"},
-	{"front", "extra_slack", OPTION_INT, FIELD (front_extra_slack), 0, 1000000, "10",
-		"Hedges and retries allowed beyond front.extra_ratio, divided among all nodes"},
-	{"front", "cold_factor", OPTION_REAL, FIELD (front_cold_factor), 0, 100, "1",
+	{"front", "extra_slack", OPTION_REAL, TEMPLATE_FIELD (front_extra_slack), 0, 1000000, "10",
+		"Hedges and retries allowed beyond front.extra_ratio, divided among all nodes, "
+		"rounded down"},
+	{"front", "cold_factor", OPTION_REAL, TEMPLATE_FIELD (front_cold_factor), 0, 100, "1",
 		"Multiple of a service's cold rate that a cold target can handle"},
-	{"front", "cold_slack", OPTION_INT, FIELD (front_cold_slack), 0, 1000000, "1",
+	{"front", "cold_slack", OPTION_REAL, TEMPLATE_FIELD (front_cold_slack), 0, 1000000, "1",
 		"Requests per second that a cold target can handle beyond the rate that "
-		"front.cold_factor allows"},
+		"front.cold_factor allows; the sum is rounded down"},
 	{"front", "connections", OPTION_INT, FIELD (front_connections), 16, 1000000, "3000",
 		"Maximum number of caller connections on this node"},
 	{"front", "list_address", OPTION_ADDRESS, FIELD (front_list_address), 0, 0, "",
 		"IP:port of the platform's list of targets"},
-	{"front", "list_rate", OPTION_REAL, FIELD (front_list_rate), 0, 1000000, "10",
-		"Requests per second that the list accepts from all nodes together"},
+	{"front", "list_rate", OPTION_REAL, TEMPLATE_FIELD (front_list_rate), 0, 1000000, "10",
+		"Requests per second that the list accepts from all nodes together; 0: no limit"},
 	{"log", "level", OPTION_TEXT, FIELD (log_level), 4, 7, "info",
 		"error, warning, info or debug"},
 	{"platform", "list", OPTION_TEXT, FIELD (platform_list), 0, 255, "",
@@ -158,17 +174,30 @@
 }
 
 static bool
-set_real (void *field, const struct option *option, const char *value)
+parse_real (const struct option *option, const char *value, double *number)
 {
 	char *end = NULL;
-	double number = strtod (value, &end);
-	if (end == value || *end != '\0' || !(number >= (double)option->min) ||
-		number > (double)option->max)
+	*number = strtod (value, &end);
+	return end != value && *end == '\0' && *number >= (double)option->min &&
+	       *number <= (double)option->max;
+}
+
+static bool
+set_int_rounded_up (void *field, const struct option *option, const char *value)
+{
+	double number = 0;
+	if (!parse_real (option, value, &number))
 		return false;
-	*(double *)field = number;
+	*(int64_t *)field = (int64_t)ceil (number);
 	return true;
 }
 
+static bool
+set_real (void *field, const struct option *option, const char *value)
+{
+	return parse_real (option, value, field);
+}
+
 static bool
 set_flag (void *field, const struct option *option, const char *value)
 {
@@ -183,9 +212,14 @@
 {
 	void *field = (char *)options + option->offset;
 	size_t len = strlen (value);
+	/* The field holds its default from options_init. */
+	if (len == 0 && option->empty == EMPTY_IS_DEFAULT)
+		return true;
 	switch (option->type) {
 	case OPTION_INT:
 		return set_int (field, option, value);
+	case OPTION_INT_ROUNDED_UP:
+		return set_int_rounded_up (field, option, value);
 	case OPTION_REAL:
 		return set_real (field, option, value);
 	case OPTION_FLAG:
@@ -213,6 +247,7 @@
 		snprintf (out, size, "give a whole number from %lld to %lld",
 			(long long)option->min, (long long)option->max);
 		return;
+	case OPTION_INT_ROUNDED_UP:
 	case OPTION_REAL:
 		snprintf (out, size, "give a number from %lld to %lld", (long long)option->min,
 			(long long)option->max);
--- a/options/options.h
+++ b/options/options.h
@@ -51,9 +51,9 @@
 	int64_t front_margin_ms;
 	int64_t front_stop_ms;
 	double front_extra_ratio;
-	int64_t front_extra_slack;
+	double front_extra_slack;
 	double front_cold_factor;
-	int64_t front_cold_slack;
+	double front_cold_slack;
 	int64_t front_connections;
 	char front_list_address[OPTION_TEXT_SIZE];
 	double front_list_rate;
--- a/query/budget.c
+++ b/query/budget.c
@@ -1,5 +1,14 @@
 #include "query/budget.h"
 
+int
+budget_share (double slack, int nodes, int rank)
+{
+	int share = (int)(slack / (nodes + 1));
+	if (share > 0)
+		return share;
+	return rank < (int)slack - 1 ? 1 : 0;
+}
+
 void
 budget_init (struct budget *budget)
 {
--- a/query/budget.h
+++ b/query/budget.h
@@ -21,6 +21,15 @@
 	int64_t max_tokens;
 };
 
+/**
+ * One node's part of a number of extra sub-requests that all nodes share, rounded down. One part is
+ * left over for a node that joins. Where there is less than one for each node, the first nodes by
+ * rank get one and the others none.
+ * @param rank of this node among all @p nodes
+ */
+int
+budget_share (double slack, int nodes, int rank);
+
 /** Starts full, with BUDGET_DEFAULT_BURST extra sub-requests. */
 void
 budget_init (struct budget *budget);
--- a/test/platform.sh
+++ b/test/platform.sh
@@ -47,9 +47,9 @@
 			list_address = 127.0.0.1:$PLATFORM
 			list_rate = 50
 			extra_ratio = 0.2
-			extra_slack = 60
+			extra_slack = 60.5
 			cold_factor = 1
-			cold_slack = 4
+			cold_slack = 4.25
 		END
 	else
 		cat >> "$RUN/n$n.ini" <<-END
@@ -270,6 +270,11 @@
 kill -HUP "${PIDS[n5]}"
 wait_for 5 grep -q SETTINGS_READ "$RUN/n5.log" || fail "the settings were not read again on SIGHUP"
 expect "the node continues to serve" "$(send_request 5 m1 /all/x)" '^HTTP/1.1 200'
+sed -i 's/^extra_slack = .*/extra_slack = much/' "$RUN/n5.ini"
+kill -HUP "${PIDS[n5]}"
+wait_for 5 grep -q 'SETTINGS_BAD.*front.extra_slack' "$RUN/n5.log" || fail "bad settings were not reported"
+expect "a node with bad new settings keeps the old ones" "$(send_request 5 m2 /all/x)" '^HTTP/1.1 200'
+sed -i 's/^extra_slack = .*/extra_slack = 32.737/' "$RUN/n5.ini"
 
 echo "control is lost:"
 for n in 1 2 3; do kill -STOP "${PIDS[n$n]}"; done
--- a/test/routes.c
+++ b/test/routes.c
@@ -308,6 +308,28 @@
 	CU_ASSERT_EQUAL (spent, 10);
 }
 
+/* Guards against parts that are rounded up, which with many nodes add up to more than the slack. */
+static void
+test_shares_of_the_slack_never_exceed_it (void)
+{
+	static const double slacks[] = {0, 0.5, 1, 2.7, 32.7, 56, 208, 622, 1200.9};
+	for (size_t i = 0; i < sizeof (slacks) / sizeof (slacks[0]); i++) {
+		for (int nodes = 1; nodes <= 1100; nodes += 7) {
+			int sum = 0;
+			for (int rank = 0; rank < nodes; rank++)
+				sum += budget_share (slacks[i], nodes, rank);
+			CU_ASSERT_TRUE (sum <= slacks[i]);
+			/* A node that has joined counts one more than the others do. */
+			int joined = budget_share (slacks[i], nodes + 1, 0);
+			CU_ASSERT_TRUE (sum + joined <= slacks[i] || sum == 0);
+		}
+	}
+	CU_ASSERT_EQUAL (budget_share (622, 291, 290), 2);
+	CU_ASSERT_EQUAL (budget_share (32.7, 16, 15), 1);
+	CU_ASSERT_EQUAL (budget_share (32.7, 40, 30), 1);
+	CU_ASSERT_EQUAL (budget_share (32.7, 40, 31), 0);
+}
+
 static void
 test_refusal_uses_up_no_attempt (void)
 {
@@ -662,6 +684,106 @@
 	listed_targets_finish (&list);
 }
 
+/* Guards against targets that drop out because a number in the list is encoded as a fraction. */
+static void
+test_list_with_fractional_and_huge_numbers (void)
+{
+	static const char page[] =
+		"{\"instances\":[{\"id\":\"i-1\",\"service\":\"a\",\"address\":\"10.0.0.1:80\","
+		"\"zone\":\"z\",\"slots\":2.9,\"state\":\"ready\",\"warmup_left_ms\":0.5,"
+		"\"version\":\"v1\"},"
+		"{\"id\":\"i-2\",\"service\":\"a\",\"address\":\"10.0.0.2:80\",\"zone\":\"z\","
+		"\"slots\":1e300,\"state\":\"ready\",\"warmup_left_ms\":1e300,\"version\":2},"
+		"{\"id\":\"i-3\",\"service\":\"a\",\"address\":\"10.0.0.3:80\",\"zone\":\"z\","
+		"\"slots\":0,\"state\":\"ready\"},"
+		"{\"id\":\"i-4\",\"service\":\"a\",\"address\":\"10.0.0.4:80\",\"zone\":\"z\","
+		"\"slots\":2,\"state\":\"ready\",\"warmup_left_ms\":-1e300,\"born\":-1},"
+		"{\"id\":\"i-5\",\"service\":\"a\",\"address\":\"10.0.0.5:80\",\"zone\":\"z\","
+		"\"slots\":\"\",\"state\":\"ready\"}],\"next_page_token\":null}";
+	struct listed_targets list;
+	char next[128];
+	listed_targets_init (&list);
+	CU_ASSERT_TRUE_FATAL (
+		target_list_decode_page (&list, page, sizeof (page) - 1, next, sizeof (next)));
+	CU_ASSERT_EQUAL_FATAL (list.count, 3);
+	CU_ASSERT_EQUAL (list.malformed, 2);
+	CU_ASSERT_EQUAL (list.items[0].slots, 2);
+	CU_ASSERT_EQUAL (list.items[0].cold_remaining_us, 500);
+	CU_ASSERT_TRUE (list.items[1].slots > 0);
+	CU_ASSERT_TRUE (list.items[1].cold_remaining_us > 0);
+	CU_ASSERT_TRUE (list.items[1].cold_remaining_us <= INT64_MAX / 4);
+	CU_ASSERT_TRUE (list.items[2].cold_remaining_us <= 0);
+	CU_ASSERT_EQUAL (list.items[2].start_unix_ms, 0);
+	listed_targets_finish (&list);
+}
+
+static void
+test_manifest_with_fractional_and_huge_numbers (void)
+{
+	static const char text[] =
+		"{\"version\":1,\"services\":[{\"name\":\"a\",\"max_connections\":10.2,"
+		"\"warmup_per_s\":0.5},{\"name\":\"b\",\"max_connections\":1e300},"
+		"{\"name\":\"c\",\"max_connections\":\"\"},{\"name\":\"d\",\"max_connections\":0}],"
+		"\"routes\":[{\"host\":\"h\",\"path_prefix\":\"/\",\"timeout_ms\":0.5,"
+		"\"target_latency_ms\":1e300,\"priority\":1.0,\"max_attempts\":2.9,\"top_k\":1e300,"
+		"\"min_shard_ratio\":0.5,\"fanout\":[\"a\",\"b\",\"c\"]}],"
+		"\"limits\":{\"max_header_bytes\":1e300,\"idle_timeout_ms\":1500.5}}";
+	struct error error = {0};
+	struct routing *routing = manifest_decode (text, sizeof (text) - 1, &error);
+	CU_ASSERT_PTR_NOT_NULL_FATAL (routing);
+	if (!routing)
+		return;
+	CU_ASSERT_EQUAL (routing->services[0].max_connections, 10);
+	CU_ASSERT_EQUAL (routing->services[0].cold_rate_per_s, 0.5);
+	CU_ASSERT_TRUE (routing->services[1].max_connections > 0);
+	CU_ASSERT_TRUE (routing->services[2].max_connections > 0);
+	CU_ASSERT_EQUAL (routing->services[3].max_connections, 0);
+	CU_ASSERT_EQUAL (routing->rules[0].timeout_us, 500);
+	CU_ASSERT_TRUE (routing->rules[0].objective_us > 0);
+	CU_ASSERT_EQUAL (routing->rules[0].priority, 1);
+	CU_ASSERT_EQUAL (routing->rules[0].max_attempts, 2);
+	CU_ASSERT_TRUE (routing->rules[0].top_k > 0);
+	CU_ASSERT_TRUE (routing->limits.header_bytes > 0);
+	CU_ASSERT_EQUAL (routing->limits.idle_timeout_us, 1500500);
+	routing_unref (routing);
+}
+
+static void
+test_headers_with_fractional_and_huge_numbers (void)
+{
+	struct caller_head head;
+	caller_head_init (&head);
+	CU_ASSERT_TRUE (caller_head_add (&head, "Oleanderstile-Deadline-Ms", "99.5"));
+	CU_ASSERT_EQUAL (head.remaining_us, 99500);
+	caller_head_init (&head);
+	caller_head_add (&head, "Oleanderstile-Deadline-Ms", "");
+	CU_ASSERT_EQUAL (head.remaining_us, INT64_MAX);
+	caller_head_add (&head, "Oleanderstile-Deadline-Ms", "1e300");
+	CU_ASSERT_EQUAL (head.remaining_us, INT64_MAX);
+	caller_head_add (&head, "Oleanderstile-Deadline-Ms", "nan");
+	CU_ASSERT_EQUAL (head.remaining_us, INT64_MAX);
+	caller_head_add (&head, "Oleanderstile-Deadline-Ms", "0");
+	CU_ASSERT_EQUAL (head.remaining_us, 0);
+	static const struct {
+		const char *line;
+		int load;
+	} loads[] = {
+		{"Oleanderstile-Server-Load: 3,1,8\r\n", 4},
+		{"Oleanderstile-Server-Load: 2.5, 0.5, 7\r\n", 4},
+		{"Oleanderstile-Server-Load: 0,0,8\r\n", 0},
+		{"Oleanderstile-Server-Load: \r\n", -1},
+		{"Oleanderstile-Server-Load: 3\r\n", -1},
+		{"Oleanderstile-Server-Load: -1,2,8\r\n", -1},
+		{"Oleanderstile-Server-Load: 99999999999,99999999999,8\r\n", -1},
+	};
+	for (size_t i = 0; i < sizeof (loads) / sizeof (loads[0]); i++) {
+		struct reply_head reply;
+		reply_head_init (&reply);
+		reply_head_add_line (&reply, loads[i].line, strlen (loads[i].line));
+		CU_ASSERT_EQUAL (reply.reported_load, loads[i].load);
+	}
+}
+
 static void
 read_lines (struct reply_head *head, const char *const *lines)
 {
@@ -728,6 +850,7 @@
 		TEST (hedges_continue_with_many_nodes),
 		TEST (sub_request_that_was_not_sent_costs_no_budget),
 		TEST (budget_with_a_changed_burst),
+		TEST (shares_of_the_slack_never_exceed_it),
 		TEST (refusal_uses_up_no_attempt),
 		TEST (non_idempotent_request_runs_at_most_once),
 		TEST (error_reply_of_the_target_is_forwarded),
@@ -743,6 +866,9 @@
 		TEST (routes_by_host_and_longest_prefix),
 		TEST (invalid_manifests_are_rejected),
 		TEST (list_with_unreadable_entries),
+		TEST (list_with_fractional_and_huge_numbers),
+		TEST (manifest_with_fractional_and_huge_numbers),
+		TEST (headers_with_fractional_and_huge_numbers),
 		TEST (replies_are_classified),
 		TEST (orders_are_decoded),
 	};
--- a/test/units.c
+++ b/test/units.c
@@ -21,6 +21,7 @@
 #include "test/suite.h"
 
 #include <fcntl.h>
+#include <stddef.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -95,6 +96,86 @@
 	CU_ASSERT_PTR_NOT_NULL (strstr (error.message, "IP address"));
 }
 
+static bool
+parse_entry (struct options *options, const char *section, const char *field, const char *value,
+	struct error *error)
+{
+	char text[512];
+	snprintf (text, sizeof (text),
+		"[node]\nname=n\ndata_center=a\n[control]\nkey=0123456789abcdef\n[%s]\n%s = %s\n",
+		section, field, value);
+	memset (error, 0, sizeof (*error));
+	return options_parse (options, text, "test.ini", error);
+}
+
+/* Guards against a deployment whose declared bound has a fraction: no entry node would start. */
+static void
+test_bounds_filled_in_by_the_platform (void)
+{
+	static const struct {
+		const char *name;
+		size_t offset;
+		double empty; /* value when the platform declares none */
+		const char *too_large;
+	} fields[] = {
+		{"extra_ratio", offsetof (struct options, front_extra_ratio), 0.1, "10.5"},
+		{"extra_slack", offsetof (struct options, front_extra_slack), 10, "1000000.5"},
+		{"cold_factor", offsetof (struct options, front_cold_factor), 1, "101"},
+		{"cold_slack", offsetof (struct options, front_cold_slack), 1, "1e9"},
+		{"list_rate", offsetof (struct options, front_list_rate), 10, "2000000"},
+	};
+	struct options options;
+	struct error error;
+	for (size_t i = 0; i < sizeof (fields) / sizeof (fields[0]); i++) {
+		const double *value = (const double *)((char *)&options + fields[i].offset);
+		CU_ASSERT_TRUE (parse_entry (&options, "front", fields[i].name, "2.736", &error));
+		CU_ASSERT_DOUBLE_EQUAL (*value, 2.736, 1e-9);
+		CU_ASSERT_TRUE (parse_entry (&options, "front", fields[i].name, "0", &error));
+		CU_ASSERT_EQUAL (*value, 0);
+		CU_ASSERT_TRUE (parse_entry (&options, "front", fields[i].name, "", &error));
+		CU_ASSERT_DOUBLE_EQUAL (*value, fields[i].empty, 1e-9);
+		CU_ASSERT_FALSE (parse_entry (
+			&options, "front", fields[i].name, fields[i].too_large, &error));
+		CU_ASSERT_PTR_NOT_NULL (strstr (error.message, "test.ini:7: front."));
+		CU_ASSERT_PTR_NOT_NULL (strstr (error.message, "give a number from 0 to"));
+		CU_ASSERT_FALSE (parse_entry (&options, "front", fields[i].name, "-0.5", &error));
+		CU_ASSERT_FALSE (parse_entry (&options, "front", fields[i].name, "nan", &error));
+		CU_ASSERT_FALSE (parse_entry (&options, "front", fields[i].name, "true", &error));
+	}
+}
+
+static void
+test_control_fields_filled_in_by_the_platform (void)
+{
+	struct options options;
+	struct error error;
+	CU_ASSERT_TRUE (parse_entry (&options, "control", "losses", "1.2", &error));
+	/* More voters than the declared losses need still bear them. */
+	CU_ASSERT_EQUAL (options.control_losses, 2);
+	CU_ASSERT_TRUE (parse_entry (&options, "control", "losses", "2.0", &error));
+	CU_ASSERT_EQUAL (options.control_losses, 2);
+	CU_ASSERT_TRUE (parse_entry (&options, "control", "losses", "0", &error));
+	CU_ASSERT_EQUAL (options.control_losses, 0);
+	CU_ASSERT_TRUE (parse_entry (&options, "control", "losses", "", &error));
+	CU_ASSERT_EQUAL (options.control_losses, 0);
+	CU_ASSERT_FALSE (parse_entry (&options, "control", "losses", "2.1", &error));
+	CU_ASSERT_PTR_NOT_NULL (
+		strstr (error.message, "test.ini:7: control.losses: bad value; give"));
+	CU_ASSERT_TRUE (parse_entry (&options, "control", "bootstrap", "", &error));
+	CU_ASSERT_EQUAL (options.control_bootstrap, 0);
+	CU_ASSERT_TRUE (parse_entry (&options, "control", "bootstrap", "true", &error));
+	CU_ASSERT_EQUAL (options.control_bootstrap, 1);
+	CU_ASSERT_FALSE (parse_entry (&options, "control", "bootstrap", "0.5", &error));
+	CU_ASSERT_FALSE (parse_entry (&options, "control", "bootstrap", "2", &error));
+	CU_ASSERT_TRUE (parse_entry (&options, "control", "peers", "", &error));
+	CU_ASSERT_TRUE (parse_entry (&options, "control", "data_dir", "", &error));
+	CU_ASSERT_TRUE (parse_entry (&options, "front", "list_address", "", &error));
+	CU_ASSERT_FALSE (parse_entry (&options, "front", "list_address", "0.5", &error));
+	/* Fields that an operator writes by hand stay strict. */
+	CU_ASSERT_FALSE (parse_entry (&options, "query", "max_in_flight", "", &error));
+	CU_ASSERT_FALSE (parse_entry (&options, "query", "max_in_flight", "10.5", &error));
+}
+
 static void
 test_resources_with_bad_fields_are_rejected (void)
 {
@@ -817,6 +898,8 @@
 	static const struct suite_test tests[] = {
 		TEST (log_does_not_block_on_a_full_pipe),
 		TEST (settings_errors_name_line_field_and_remedy),
+		TEST (bounds_filled_in_by_the_platform),
+		TEST (control_fields_filled_in_by_the_platform),
 		TEST (resources_with_bad_fields_are_rejected),
 		TEST (cold_target_runs_no_more_than_its_limit),
 		TEST (unannounced_cold_starts_lower_the_limit),
