--- /dev/null
+++ b/daemon/batch_serve.c
@@ -0,0 +1,264 @@
+#include "daemon/batch_serve.h"
+
+#include "core/metrics.h"
+#include "query/batch.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	/* A sender that does not ask for the rest within this time has ended the request. */
+	REST_WAIT_US = 300000,
+};
+
+/** The state of a batch of another node, beside its forward. */
+struct served_batch {
+	struct cds_list_head node; /**< in front.served */
+	struct forward *forward;
+	struct batch_id id;
+	bool has_result;       /**< a first result was sent */
+	int64_t rest_until_us; /**< while no request for the rest is held */
+	int reported_hedges;
+	int reported_retries;
+};
+
+static void
+answer_status (struct ingress_request *request, int status)
+{
+	ingress_answer (request, status, NULL, NULL, 0, false);
+}
+
+static int
+count_unreported (const struct scatter *scatter)
+{
+	int count = 0;
+	for (int i = 0; i < scatter->shard_count; i++)
+		count += scatter->shards[i].closed && !scatter->shards[i].reported;
+	return count;
+}
+
+/* Shards that were given up are reported at the end, since an answer may still come. */
+static bool
+is_reported_now (const struct scatter_shard *shard, bool done)
+{
+	return !shard->reported && (shard->answered || done);
+}
+
+static void
+send_result (struct forward *forward, bool done)
+{
+	struct served_batch *served = forward->served;
+	struct scatter *scatter = &forward->scatter;
+	struct ingress_request *request = forward->request;
+	struct batch_result result = {.done = done,
+		.hedges = scatter->hedges - served->reported_hedges,
+		.retries = scatter->retries - served->reported_retries};
+	size_t len = 0;
+	result.parts = xcalloc ((size_t)scatter->shard_count, sizeof (*result.parts));
+	result.records = scatter_merge_unreported (scatter, &result.records_len);
+	for (int i = 0; i < scatter->shard_count; i++) {
+		struct scatter_shard *shard = &scatter->shards[i];
+		if (!is_reported_now (shard, done))
+			continue;
+		result.parts[result.part_count++] = (struct batch_part){.shard = shard->part,
+			.answered = shard->answered,
+			.may_have_run = shard->may_have_run || shard->running > 0,
+			.give_up = shard->give_up,
+			.stamp = shard->answered ? xstrdup (shard->stamp) : NULL};
+		shard->reported = true;
+	}
+	served->has_result = true;
+	served->reported_hedges = scatter->hedges;
+	served->reported_retries = scatter->retries;
+	served->rest_until_us = front_now_us (forward->front) + REST_WAIT_US;
+	forward->request = NULL;
+	request->user = NULL;
+	void *body = batch_encode_result (&result, &len);
+	batch_result_finish (&result);
+	ingress_answer (request, 200, NULL, body, len, false);
+}
+
+static int
+count_answered_unreported (const struct scatter *scatter)
+{
+	int count = 0;
+	for (int i = 0; i < scatter->shard_count; i++)
+		count += scatter->shards[i].answered && !scatter->shards[i].reported;
+	return count;
+}
+
+void
+batch_serve_progress (struct scatter *scatter)
+{
+	struct forward *forward = caa_container_of (scatter, struct forward, scatter);
+	if (forward->served->has_result && forward->request &&
+		count_answered_unreported (scatter) > 0) {
+		send_result (forward, false);
+		forward_set_timer (forward);
+	}
+}
+
+void
+batch_serve_finish (struct forward *forward)
+{
+	if (forward->request) {
+		send_result (forward, true);
+		forward_free (forward);
+		return;
+	}
+	/* The sender is about to ask for the rest. */
+	forward_set_timer (forward);
+}
+
+int64_t
+batch_serve_wake_us (const struct forward *forward, int64_t scatter_wake_us)
+{
+	const struct served_batch *served = forward->served;
+	int64_t wake_us = forward->scatter.phase == SCATTER_DONE ? INT64_MAX : scatter_wake_us;
+	if (!forward->request && served->rest_until_us < wake_us)
+		wake_us = served->rest_until_us;
+	return wake_us;
+}
+
+void
+batch_serve_timer_due (struct forward *forward)
+{
+	struct served_batch *served = forward->served;
+	struct scatter *scatter = &forward->scatter;
+	int64_t now_us = front_now_us (forward->front);
+	if (!forward->request && served->rest_until_us <= now_us) {
+		forward_free (forward);
+		return;
+	}
+	if (!served->has_result && scatter_hedge_is_due (scatter, now_us))
+		send_result (forward, false);
+	/* Set first, since the tick may end the section and free the forward. */
+	timers_set (&forward->front->timers, &forward->timer, now_us + REST_WAIT_US);
+	bool is_last = scatter->deadline_us <= now_us && forward->request;
+	scatter_tick (scatter, now_us);
+	if (!is_last)
+		forward_set_timer (forward);
+}
+
+void
+batch_serve_free (struct forward *forward)
+{
+	if (!forward->served)
+		return;
+	cds_list_del (&forward->served->node);
+	free (forward->served);
+}
+
+static struct forward *
+find_served (const struct front *front, const struct batch_id *id)
+{
+	const struct served_batch *served;
+	cds_list_for_each_entry (served, &front->served, node) {
+		if (served->id.sender == id->sender && served->id.number == id->number)
+			return served->forward;
+	}
+	return NULL;
+}
+
+static void
+serve_rest (struct front *front, struct ingress_request *request)
+{
+	struct batch_id id;
+	const char *key = front->node->options.control_key;
+	if (!batch_decode_rest (&id, key, request->body.data, request->body.len)) {
+		metric_add (METRIC_PEER_DROPPED, 1);
+		answer_status (request, 400);
+		return;
+	}
+	struct forward *forward = find_served (front, &id);
+	if (!forward || forward->request) {
+		answer_status (request, 404);
+		return;
+	}
+	forward->request = request;
+	request->user = forward;
+	if (forward->scatter.phase == SCATTER_DONE) {
+		batch_serve_finish (forward);
+		return;
+	}
+	forward_set_timer (forward);
+	if (count_unreported (&forward->scatter) > 0)
+		batch_serve_progress (&forward->scatter);
+}
+
+/* Finds the route of a batch; NULL when this node's view of its shards differs. */
+static struct routing_rule *
+find_rule (const struct front *front, const struct batch_request *batch)
+{
+	struct routing_rule *rule = routing_find_rule (front->state->routing, batch->route);
+	if (!rule || rule->shape != ROUTE_FAN_OUT || rule->digest != batch->digest ||
+		batch->shards[batch->shard_count - 1] >= rule->part_count)
+		return NULL;
+	return rule;
+}
+
+static bool
+is_closing (const struct front *front)
+{
+	int64_t stop_began_us = atomic_load (&front->stop_began_us);
+	return stop_began_us != 0 && front_now_us (front) >= stop_began_us + FRONT_BALANCER_LAG_US;
+}
+
+static void
+start_section (struct front *front, struct ingress_request *request, struct batch_request *batch,
+	struct routing_rule *rule)
+{
+	struct forward *forward = xmalloc (sizeof (*forward));
+	forward_init (forward, front);
+	forward->served = xcalloc (1, sizeof (*forward->served));
+	forward->served->forward = forward;
+	forward->served->id = batch->id;
+	cds_list_add (&forward->served->node, &front->served);
+	str_copy (forward->head.attempt_id, sizeof (forward->head.attempt_id), batch->attempt_id);
+	str_copy (forward->method, sizeof (forward->method), batch->method);
+	forward->uri = batch->uri;
+	forward->lines = batch->lines;
+	forward->line_count = batch->line_count;
+	batch->uri = NULL;
+	batch->lines = NULL;
+	batch->line_count = 0;
+	int64_t remaining_us =
+		batch->remaining_us < rule->timeout_us ? batch->remaining_us : rule->timeout_us;
+	scatter_init_section (&forward->scatter, front->state->routing, rule, &front->policy,
+		&forward_hooks, forward->arrived_us, forward->arrived_us + remaining_us,
+		batch->shards, batch->shard_count, batch->attempts_used);
+	metric_add (METRIC_BATCHES_SERVED, 1);
+	forward_begin (forward, request);
+}
+
+static void
+serve_batch (struct front *front, struct ingress_request *request)
+{
+	struct batch_request batch;
+	const char *key = front->node->options.control_key;
+	if (!batch_decode_request (&batch, key, request->body.data, request->body.len)) {
+		metric_add (METRIC_PEER_DROPPED, 1);
+		answer_status (request, 400);
+	} else if (!front_has_view (front) || is_closing (front)) {
+		answer_status (request, 503);
+	} else {
+		struct routing_rule *rule = find_rule (front, &batch);
+		if (rule)
+			start_section (front, request, &batch, rule);
+		else
+			answer_status (request, 409);
+	}
+	batch_request_finish (&batch);
+}
+
+void
+batch_serve_request (struct ingress_request *request, void *user)
+{
+	struct front *front = user;
+	if (strcmp (request->method, "POST") == 0 && strcmp (request->uri, "/batch") == 0)
+		serve_batch (front, request);
+	else if (strcmp (request->method, "POST") == 0 && strcmp (request->uri, "/batch/rest") == 0)
+		serve_rest (front, request);
+	else
+		answer_status (request, 404);
+}
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -2,6 +2,8 @@
 
 #include "core/histogram.h"
 #include "core/metrics.h"
+#include "daemon/batch_send.h"
+#include "daemon/batch_serve.h"
 #include "daemon/forward_log.h"
 #include "daemon/route_stats.h"
 
@@ -39,7 +41,7 @@
 static void
 finish_forward (struct scatter *scatter);
 
-static const struct scatter_hooks hooks = {send_sub, finish_forward};
+const struct scatter_hooks forward_hooks = {send_sub, finish_forward, batch_serve_progress};
 
 static struct fetch_pool *
 get_pool (struct front *front, struct replica *replica)
@@ -59,12 +61,13 @@
 	replica->pool = NULL;
 }
 
-static void
-free_forward (struct forward *forward)
+void
+forward_free (struct forward *forward)
 {
 	struct sub *sub;
 	struct sub *next;
 	timers_clear (&forward->front->timers, &forward->timer);
+	batch_abandon (forward, ABANDONED_TIMEOUT_US);
 	cds_list_for_each_entry_safe (sub, next, &forward->subs, node) {
 		cds_list_del (&sub->node);
 		sub->forward = NULL;
@@ -78,13 +81,17 @@
 	cds_list_del (&forward->node);
 	atomic_fetch_sub (&forward->front->in_flight, 1);
 	scatter_finish (&forward->scatter);
+	batch_serve_free (forward);
 	free (forward);
 }
 
-static void
-set_timer (struct forward *forward)
+void
+forward_set_timer (struct forward *forward)
 {
-	timers_set (&forward->front->timers, &forward->timer, scatter_wake_us (&forward->scatter));
+	int64_t wake_us = scatter_wake_us (&forward->scatter);
+	if (forward->served)
+		wake_us = batch_serve_wake_us (forward, wake_us);
+	timers_set (&forward->front->timers, &forward->timer, wake_us);
 }
 
 static int
@@ -136,6 +143,10 @@
 {
 	struct forward *forward = caa_container_of (scatter, struct forward, scatter);
 	const struct scatter_shard *shard = &scatter->shards[0];
+	if (forward->served) {
+		batch_serve_finish (forward);
+		return;
+	}
 	struct buf lines;
 	size_t len = 0;
 	char *body = NULL;
@@ -164,7 +175,7 @@
 		free (body);
 	}
 	buf_finish (&lines);
-	free_forward (forward);
+	forward_free (forward);
 }
 
 /* What the end of a sub-request says about the target, as opposed to the request. */
@@ -482,25 +493,34 @@
 	forward->body[forward->body_len] = '\0';
 }
 
-static void
-start_request (struct forward *forward, struct ingress_request *request, struct routing_rule *rule)
+void
+forward_begin (struct forward *forward, struct ingress_request *request)
 {
 	struct front *front = forward->front;
-	copy_body (forward, request);
-	str_copy (forward->method, sizeof (forward->method), request->method);
-	forward->uri = xstrdup (request->uri);
 	forward->request = request;
 	request->user = forward;
 	cds_list_add (&forward->node, &front->forwards);
 	atomic_fetch_add (&front->in_flight, 1);
-	metric_add (METRIC_QUERIES, 1);
-	scatter_init (&forward->scatter, front->state->routing, rule, &front->policy, &hooks,
-		forward->arrived_us, deadline_us (forward, rule));
+	if (!forward->served)
+		batch_send_all (forward);
 	/* Set before scatter_start, which may queue the request or end it. */
-	set_timer (forward);
+	forward_set_timer (forward);
 	scatter_start (&forward->scatter, front_now_us (front));
 	if (request->user == forward)
-		set_timer (forward);
+		forward_set_timer (forward);
+}
+
+static void
+start_request (struct forward *forward, struct ingress_request *request, struct routing_rule *rule)
+{
+	struct front *front = forward->front;
+	copy_body (forward, request);
+	str_copy (forward->method, sizeof (forward->method), request->method);
+	forward->uri = xstrdup (request->uri);
+	metric_add (METRIC_QUERIES, 1);
+	scatter_init (&forward->scatter, front->state->routing, rule, &front->policy,
+		&forward_hooks, forward->arrived_us, deadline_us (forward, rule));
+	forward_begin (forward, request);
 }
 
 /* A stale view may lack a route added since, and after a 404 the caller would not retry. */
@@ -568,16 +588,24 @@
 }
 
 void
-forward_request (struct ingress_request *request, void *user)
+forward_init (struct forward *forward, struct front *front)
 {
-	struct front *front = user;
-	struct forward *forward = xcalloc (1, sizeof (*forward));
-	struct header_scan scan = {.forward = forward};
+	memset (forward, 0, sizeof (*forward));
 	forward->front = front;
 	forward->arrived_us = front_now_us (front);
 	CDS_INIT_LIST_HEAD (&forward->subs);
+	CDS_INIT_LIST_HEAD (&forward->batches);
 	timer_init (&forward->timer, FORWARD_TIMER);
 	caller_head_init (&forward->head);
+}
+
+void
+forward_request (struct ingress_request *request, void *user)
+{
+	struct front *front = user;
+	struct forward *forward = xcalloc (1, sizeof (*forward));
+	struct header_scan scan = {.forward = forward};
+	forward_init (forward, front);
 	str_copy (
 		scan.connection, sizeof (scan.connection), ingress_header (request, "Connection"));
 	ingress_headers (request, collect_header, &scan);
@@ -614,10 +642,11 @@
 	}
 	request->user = NULL;
 	forward->request = NULL;
-	if (forward->scatter.rule->stats)
+	batch_cancel (forward);
+	if (forward->scatter.rule->stats && !forward->served)
 		route_stats_record (forward->scatter.rule->stats, &forward->scatter, 0);
 	/* Sub-requests are abandoned: they end on their own or soon lose their connection. */
-	free_forward (forward);
+	forward_free (forward);
 }
 
 void
@@ -630,7 +659,11 @@
 		refuse_early (forward, request, 503, EARLY_NO_VIEW, false);
 		return;
 	}
+	if (forward->served) {
+		batch_serve_timer_due (forward);
+		return;
+	}
 	scatter_tick (&forward->scatter, front_now_us (forward->front));
 	if (request->user == forward)
-		set_timer (forward);
+		forward_set_timer (forward);
 }
--- a/daemon/forward.h
+++ b/daemon/forward.h
@@ -21,8 +21,10 @@
 	struct scatter scatter;
 	struct caller_head head;
 	struct timer timer;
-	struct cds_list_head subs; /**< struct sub */
-	char **lines;              /**< the caller's headers that are forwarded to targets */
+	struct cds_list_head subs;    /**< struct sub */
+	struct cds_list_head batches; /**< struct sent_batch */
+	struct served_batch *served;  /**< owned; NULL for a request of a caller */
+	char **lines;                 /**< the caller's headers that are forwarded to targets */
 	int line_count;
 	char *body; /**< the caller's body; NULL: none */
 	size_t body_len;
@@ -34,6 +36,25 @@
 void
 forward_request (struct ingress_request *request, void *user);
 
+/** Prepares an empty forward. */
+void
+forward_init (struct forward *forward, struct front *front);
+
+/** Counts a forward as in flight and sets its timer. */
+void
+forward_begin (struct forward *forward, struct ingress_request *request);
+
+/** Sets the timer of a forward for its next hedge, decision or timeout. */
+void
+forward_set_timer (struct forward *forward);
+
+/** Ends a forward; its sub-requests continue for a short time without it. */
+void
+forward_free (struct forward *forward);
+
+/** What a forward does for its scatter. */
+extern const struct scatter_hooks forward_hooks;
+
 /** Starts the held requests if the node has a view. */
 void
 forward_release_held (struct front *front);
--- a/daemon/forward_log.c
+++ b/daemon/forward_log.c
@@ -89,6 +89,8 @@
 	case GIVE_UP_ATTEMPTS:
 		return METRIC_REFUSED_BY_TARGETS;
 	case GIVE_UP_NONE:
+	case GIVE_UP_AGGREGATOR:
+	case GIVE_UP_COUNT:
 	case GIVE_UP_NO_TIME:
 		return METRIC_REFUSED_NO_TIME;
 	}
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -1,6 +1,8 @@
 #include "daemon/front.h"
 
 #include "core/packed.h"
+#include "daemon/batch_send.h"
+#include "daemon/batch_serve.h"
 #include "daemon/forward.h"
 #include "daemon/front_dump.h"
 #include "platform/manifest.h"
@@ -17,6 +19,9 @@
 	EVENTS_PER_WAIT = 128,
 	IDLE_WAIT_MS = 200,
 	READINESS_MAX_CONNECTIONS = 16,
+	BATCH_MAX_CONNECTIONS = 1000,
+	BATCH_MAX_BYTES = 1048576,
+	BATCH_IDLE_TIMEOUT_US = 60000000,
 	HEADER_MAX_BYTES = 32768,   /* larger headers get 431; a routing may set a lower limit */
 	BODY_MAX_BYTES = 262144,    /* until a routing sets the limit */
 	IDLE_MARGIN_US = 2000000,   /* lets callers reuse a connection until its idle time ends */
@@ -192,6 +197,61 @@
 	free (state);
 }
 
+/* Adds the data centres in which at least half of a fan-out's shards have a usable target. */
+static void
+update_homes (const struct routing *routing, struct routing_rule *rule)
+{
+	struct aggregator_homes seen = {0};
+	int counts[AGGREGATOR_HOMES_MAX] = {0};
+	for (int i = 0; i < rule->part_count; i++) {
+		const struct replica_set *set = routing->services[rule->parts[i].service].set;
+		const struct replica *replica;
+		cds_list_for_each_entry (replica, &set->replicas, node) {
+			if (!replica_usable (replica))
+				continue;
+			aggregator_homes_add (&seen, replica->data_centre);
+			for (int j = 0; j < seen.count; j++)
+				counts[j] += strcmp (seen.names[j], replica->data_centre) == 0;
+		}
+	}
+	rule->homes.count = 0;
+	for (int i = 0; i < seen.count; i++) {
+		if (counts[i] * 2 >= rule->part_count)
+			aggregator_homes_add (&rule->homes, seen.names[i]);
+	}
+}
+
+void
+front_update_homes (struct front *front)
+{
+	struct routing *routing = front->state ? front->state->routing : NULL;
+	for (int i = 0; routing && i < routing->rule_count; i++) {
+		if (routing->rules[i].shape == ROUTE_FAN_OUT)
+			update_homes (routing, &routing->rules[i]);
+	}
+}
+
+static void
+update_entry_nodes (struct front *front, const struct front_state *state)
+{
+	const struct options *options = &front->node->options;
+	struct aggregator *aggregator;
+	size_t count = state->entry_node_count;
+	uint64_t *hashes = xcalloc (count + 1, sizeof (*hashes));
+	for (size_t i = 0; i < count; i++)
+		hashes[i] = state->entry_nodes[i].hash;
+	shares_update (&front->shares, hashes, count, state->is_member, state->epoch,
+		atomic_load (&front->node->lease_generation));
+	free (hashes);
+	aggregators_update (&front->aggregators, state->entry_nodes, count,
+		options->front_batch_port_step > 0 ? (int)options->front_group_nodes : 0);
+	while ((aggregator = aggregators_remove_unused (&front->aggregators))) {
+		if (aggregator->pool)
+			fetch_pool_retire (aggregator->pool);
+		free (aggregator);
+	}
+}
+
 static void
 apply_state (struct front *front, struct front_state *state)
 {
@@ -199,8 +259,7 @@
 	const struct routing *old_routing = old ? old->routing : NULL;
 	struct replica_set *set;
 	front->state = state;
-	shares_update (&front->shares, state->entry_nodes, state->entry_node_count,
-		state->is_member, state->epoch, atomic_load (&front->node->lease_generation));
+	update_entry_nodes (front, state);
 	update_share (front);
 	if (state->routing && state->routing != old_routing)
 		inherit_route_state (front, state->routing, old_routing);
@@ -209,6 +268,7 @@
 	cds_list_for_each_entry (set, &front->sets, node)
 		front_configure_set (front, set);
 	update_evacuation (front);
+	front_update_homes (front);
 	if (state->routing) {
 		front->callers.limits.body_bytes = state->routing->limits.body_bytes;
 		front->callers.limits.idle_timeout_us =
@@ -280,7 +340,12 @@
 		const struct member *member = &declared->members.items[i];
 		if (!member->is_entry_node)
 			continue;
-		state->entry_nodes[state->entry_node_count++] = name_hash (member->name);
+		struct entry_node *entry = &state->entry_nodes[state->entry_node_count++];
+		entry->hash = name_hash (member->name);
+		entry->leaving = member->leaving;
+		batch_address (member->address, front->node->options.front_batch_port_step,
+			entry->address, sizeof (entry->address));
+		str_copy (entry->data_centre, sizeof (entry->data_centre), member->data_centre);
 		state->is_member =
 			state->is_member || member->incarnation == front->node->incarnation;
 	}
@@ -369,6 +434,12 @@
 	return front->callers.daemon != NULL;
 }
 
+static bool
+serves_batches (const struct front *front)
+{
+	return front->batches.daemon != NULL;
+}
+
 static int
 wait_ms (const struct front *front)
 {
@@ -382,6 +453,8 @@
 	if (!serves_callers (front))
 		return wait;
 	wait = shorter_wait_ms (wait, ingress_timeout_ms (&front->callers));
+	if (serves_batches (front))
+		wait = shorter_wait_ms (wait, ingress_timeout_ms (&front->batches));
 	return shorter_wait_ms (wait, ingress_timeout_ms (&front->balancer));
 }
 
@@ -390,6 +463,7 @@
 	bool mail;
 	bool callers;
 	bool balancer;
+	bool batches;
 };
 
 /*
@@ -401,7 +475,7 @@
 handle_events (struct front *front, const struct epoll_event *events, int count)
 {
 	/* Without events, the wait may have ended for a timer of one of the HTTP servers. */
-	struct pending pending = {count == 0, count == 0, count == 0};
+	struct pending pending = {count == 0, count == 0, count == 0, count == 0};
 	for (int i = 0; i < count; i++) {
 		int fd = events[i].data.fd;
 		bool mail = fd == front->mailbox.event_fd;
@@ -409,10 +483,13 @@
 		bool balancer = serves_callers (front) && fd == ingress_fd (&front->balancer);
 		pending.mail = pending.mail || mail;
 		pending.callers = pending.callers || callers;
+		bool batches = serves_batches (front) && fd == ingress_fd (&front->batches);
 		pending.balancer = pending.balancer || balancer;
-		if (mail || callers || balancer)
+		pending.batches = pending.batches || batches;
+		if (mail || callers || balancer || batches)
 			continue;
 		if (!ingress_socket_event (&front->callers, fd, events[i].events) &&
+			!ingress_socket_event (&front->batches, fd, events[i].events) &&
 			!ingress_socket_event (&front->balancer, fd, events[i].events))
 			fetch_socket_event (&front->fetches, fd, events[i].events);
 	}
@@ -438,6 +515,9 @@
 		if (serves_callers (front) &&
 			(pending.callers || ingress_has_work (&front->callers)))
 			ingress_run (&front->callers);
+		if (serves_batches (front) &&
+			(pending.batches || ingress_has_work (&front->batches)))
+			ingress_run (&front->batches);
 		if (serves_callers (front) &&
 			(pending.balancer || ingress_has_work (&front->balancer)))
 			ingress_run (&front->balancer);
@@ -476,6 +556,8 @@
 	CDS_INIT_LIST_HEAD (&front->sets);
 	route_table_init (&front->routes);
 	CDS_INIT_LIST_HEAD (&front->forwards);
+	CDS_INIT_LIST_HEAD (&front->served);
+	aggregators_init (&front->aggregators, name_hash (options->node_name));
 	timers_init (&front->timers);
 	shares_init (&front->shares, name_hash (options->node_name));
 	set_policy (front);
@@ -493,6 +575,17 @@
 				front->epoll_fd, READINESS_MAX_CONNECTIONS, &limits, &balancer,
 				error)))
 		return false;
+	if (options->front_address[0] && options->front_batch_port_step > 0) {
+		struct ingress_limits batch_limits = {
+			HEADER_MAX_BYTES, BATCH_MAX_BYTES, BATCH_IDLE_TIMEOUT_US};
+		struct ingress_hooks batches = {batch_serve_request, forward_caller_left, front};
+		char address[AGGREGATOR_NAME_SIZE];
+		batch_address (options->node_peer_address, options->front_batch_port_step, address,
+			sizeof (address));
+		if (!ingress_start (&front->batches, address, front->epoll_fd,
+			    BATCH_MAX_CONNECTIONS, &batch_limits, &batches, error))
+			return false;
+	}
 	if (pthread_create (&front->thread, NULL, run, front) != 0)
 		return error_set (error, ERROR_IO, "cannot start a thread; raise the limit");
 	return true;
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -49,7 +49,7 @@
 	char **leaving;          /**< names of leaving data centres, owned */
 	int leaving_count;
 	uint64_t epoch;
-	uint64_t *entry_nodes; /**< hashes of the names of all entry nodes, owned */
+	struct entry_node *entry_nodes; /**< all of them, owned */
 	size_t entry_node_count;
 	bool is_member; /**< this process is one of the entry nodes */
 };
@@ -72,6 +72,7 @@
 	struct fetch_loop fetches;
 	struct ingress callers;
 	struct ingress balancer; /**< readiness probes of the load balancer */
+	struct ingress batches;  /**< batches that other entry nodes send */
 	/** This control node is the leader and reads the target list for all nodes. */
 	_Atomic bool is_leader;
 	/** Stamp of the target list that control posted last; 0: the next one must be complete. */
@@ -79,7 +80,8 @@
 	int64_t started_us;
 	struct front_state *state; /**< the newest; NULL until the first one is received */
 	struct shares shares;      /**< entry nodes that share the capacity of targets */
-	int64_t share_until_us;    /**< this node may use its share until then; 0: not at present */
+	struct aggregators aggregators;
+	int64_t share_until_us; /**< this node may use its share until then; 0: not at present */
 	_Atomic uint64_t reconciled;    /**< revision of the declared state that was applied */
 	uint64_t posted_version;        /**< control thread: version of the routing posted last */
 	struct routing *posted_routing; /**< control thread: the routing posted last */
@@ -91,6 +93,8 @@
 	struct scatter_policy policy;
 	struct rng rng;
 	struct cds_list_head forwards; /**< struct forward, held or in flight */
+	struct cds_list_head served;   /**< struct served_batch, of other nodes */
+	uint64_t batch_number;         /**< of the last batch sent */
 	_Atomic int in_flight;
 	_Atomic int connections;           /**< from callers */
 	_Atomic int64_t view_confirmed_us; /**< when control last confirmed the declared state */
@@ -127,6 +131,10 @@
 void
 front_update_cold_interval (struct front *front, struct replica *replica);
 
+/** Finds the data centres that hold the targets of each fan-out. */
+void
+front_update_homes (struct front *front);
+
 /** Applies the declared limits of a set's service to the set. */
 void
 front_configure_set (struct front *front, struct replica_set *set);
--- a/options/options.c
+++ b/options/options.c
@@ -126,6 +126,12 @@
 	{"front", "cold_slack", OPTION_REAL, TEMPLATE_FIELD (front_cold_slack), 0, 1000000, "1",
 		"Requests per second that a cold target can handle beyond the rate that "
 		"front.cold_factor allows; the sum is rounded down"},
+	{"front", "group_nodes", OPTION_INT, FIELD (front_group_nodes), 0, 1000000, "0",
+		"Minimum average number of entry nodes in a group; each group sends the "
+		"sub-requests for a part of the shards; 0: each node sends all of its own"},
+	{"front", "batch_port_step", OPTION_INT, FIELD (front_batch_port_step), 0, 65535, "0",
+		"Added to the port of node.peer_address, gives the port for batches of other "
+		"nodes; must be the same on all nodes; 0: none, as front.group_nodes 0"},
 	{"front", "connections", OPTION_INT, FIELD (front_connections), 16, 1000000, "3000",
 		"Maximum number of caller connections on this node"},
 	{"front", "list_address", OPTION_ADDRESS, FIELD (front_list_address), 0, 0, "",
--- a/options/options.h
+++ b/options/options.h
@@ -54,6 +54,8 @@
 	double front_extra_slack;
 	double front_cold_factor;
 	double front_cold_slack;
+	int64_t front_group_nodes;
+	int64_t front_batch_port_step;
 	int64_t front_connections;
 	char front_list_address[OPTION_TEXT_SIZE];
 	double front_list_rate;
--- /dev/null
+++ b/query/aggregators.c
@@ -0,0 +1,201 @@
+#include "query/aggregators.h"
+
+#include "core/buf.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+enum { PREFERRED_NODES = 2 };
+
+void
+aggregators_init (struct aggregators *aggregators, uint64_t own_hash)
+{
+	memset (aggregators, 0, sizeof (*aggregators));
+	aggregators->own_hash = own_hash;
+	CDS_INIT_LIST_HEAD (&aggregators->nodes);
+}
+
+int
+aggregator_groups (int nodes, int min_nodes)
+{
+	int groups = 1;
+	if (min_nodes <= 0)
+		return 0;
+	while (groups * 2 * min_nodes <= nodes)
+		groups *= 2;
+	return groups > 1 ? groups : 0;
+}
+
+int
+aggregator_group_of_shard (int shard, int groups)
+{
+	return shard % groups;
+}
+
+int
+aggregator_group_of_node (uint64_t hash, int groups)
+{
+	return (int)(hash % (uint64_t)groups);
+}
+
+static struct aggregator *
+find (struct aggregators *aggregators, const struct entry_node *entry)
+{
+	struct aggregator *aggregator;
+	cds_list_for_each_entry (aggregator, &aggregators->nodes, node) {
+		if (aggregator->entry.hash == entry->hash &&
+			strcmp (aggregator->entry.address, entry->address) == 0)
+			return aggregator;
+	}
+	return NULL;
+}
+
+void
+aggregators_update (struct aggregators *aggregators, const struct entry_node *entries, size_t count,
+	int min_nodes)
+{
+	struct aggregator *aggregator;
+	aggregators->groups = aggregator_groups ((int)count, min_nodes);
+	cds_list_for_each_entry (aggregator, &aggregators->nodes, node)
+		aggregator->declared = false;
+	if (aggregators->groups == 0)
+		return;
+	for (size_t i = 0; i < count; i++) {
+		aggregator = find (aggregators, &entries[i]);
+		if (!aggregator) {
+			aggregator = xcalloc (1, sizeof (*aggregator));
+			cds_list_add (&aggregator->node, &aggregators->nodes);
+		}
+		aggregator->entry = entries[i];
+		aggregator->declared = true;
+		aggregator->group = aggregator_group_of_node (entries[i].hash, aggregators->groups);
+	}
+}
+
+struct aggregator *
+aggregators_remove_unused (struct aggregators *aggregators)
+{
+	struct aggregator *aggregator;
+	cds_list_for_each_entry (aggregator, &aggregators->nodes, node) {
+		if (aggregator->declared || aggregator->in_flight > 0)
+			continue;
+		cds_list_del (&aggregator->node);
+		return aggregator;
+	}
+	return NULL;
+}
+
+static bool
+was_tried (const struct aggregator_criteria *criteria, const struct aggregator *aggregator)
+{
+	for (int i = 0; i < criteria->tried_count; i++) {
+		if (criteria->tried[i] == aggregator)
+			return true;
+	}
+	return false;
+}
+
+/* Lower is better. A hop within a data centre and sub-requests within one cost the least. */
+static int
+distance (const struct aggregator_criteria *criteria, const struct aggregator *aggregator)
+{
+	const char *data_centre = aggregator->entry.data_centre;
+	bool is_own = strcmp (data_centre, criteria->data_centre) == 0;
+	bool is_home = aggregator_homes_contain (criteria->homes, data_centre);
+	if (is_home)
+		return is_own ? 0 : 1;
+	return is_own ? 2 : 3;
+}
+
+static bool
+may_serve (const struct aggregator *aggregator, const struct aggregator_criteria *criteria,
+	int64_t now_us)
+{
+	return aggregator->group == criteria->group && aggregator->declared &&
+	       !aggregator->entry.leaving && aggregator->avoid_until_us <= now_us &&
+	       !was_tried (criteria, aggregator);
+}
+
+/* A node prefers others by the hash of both, so that each is preferred by about equally many. */
+static uint64_t
+preference (const struct aggregators *aggregators, const struct aggregator *aggregator)
+{
+	return XXH64 (&aggregator->entry.hash, sizeof (uint64_t), aggregators->own_hash);
+}
+
+static bool
+is_better (const struct aggregators *aggregators, const struct aggregator_criteria *criteria,
+	const struct aggregator *a, const struct aggregator *b)
+{
+	int distance_a = distance (criteria, a);
+	int distance_b = distance (criteria, b);
+	if (distance_a != distance_b)
+		return distance_a < distance_b;
+	return preference (aggregators, a) > preference (aggregators, b);
+}
+
+struct aggregator *
+aggregator_choose (
+	struct aggregators *aggregators, const struct aggregator_criteria *criteria, int64_t now_us)
+{
+	struct aggregator *best[PREFERRED_NODES] = {0};
+	struct aggregator *aggregator;
+	if (aggregator_group_of_node (aggregators->own_hash, aggregators->groups) ==
+		criteria->group)
+		return NULL;
+	cds_list_for_each_entry (aggregator, &aggregators->nodes, node) {
+		if (!may_serve (aggregator, criteria, now_us))
+			continue;
+		if (!best[0] || is_better (aggregators, criteria, aggregator, best[0])) {
+			best[1] = best[0];
+			best[0] = aggregator;
+		} else if (!best[1] || is_better (aggregators, criteria, aggregator, best[1])) {
+			best[1] = aggregator;
+		}
+	}
+	if (best[1] && distance (criteria, best[1]) == distance (criteria, best[0]) &&
+		best[1]->in_flight < best[0]->in_flight)
+		return best[1];
+	return best[0];
+}
+
+void
+aggregator_batch_ended (
+	struct aggregator *aggregator, enum aggregator_outcome outcome, int64_t now_us)
+{
+	int64_t avoid_us = AGGREGATOR_AVOID_US;
+	aggregator->in_flight--;
+	switch (outcome) {
+	case AGGREGATOR_ANSWERED:
+		aggregator->failures = 0;
+		aggregator->avoid_until_us = 0;
+		return;
+	case AGGREGATOR_REFUSED:
+	case AGGREGATOR_ABANDONED:
+		return;
+	case AGGREGATOR_FAILED:
+		for (int i = 0; i < aggregator->failures && avoid_us < AGGREGATOR_AVOID_MAX_US; i++)
+			avoid_us *= 2;
+		aggregator->failures++;
+		aggregator->avoid_until_us = now_us + avoid_us;
+		return;
+	}
+}
+
+void
+aggregator_homes_add (struct aggregator_homes *homes, const char *data_centre)
+{
+	if (homes->count < AGGREGATOR_HOMES_MAX && !aggregator_homes_contain (homes, data_centre))
+		str_copy (homes->names[homes->count++], AGGREGATOR_NAME_SIZE, data_centre);
+}
+
+bool
+aggregator_homes_contain (const struct aggregator_homes *homes, const char *data_centre)
+{
+	for (int i = 0; i < homes->count; i++) {
+		if (strcmp (homes->names[i], data_centre) == 0)
+			return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/query/aggregators.h
@@ -0,0 +1,124 @@
+/**
+ * @file aggregators.h
+ * Which entry nodes send the sub-requests of a fan-out. No I/O.
+ *
+ * Made for many entry nodes that each get few queries over many shards. If every node sent to every
+ * target, its connections would be idle most of the time and closed, its share of the budget for
+ * extra sub-requests would be too small for hedges, and it would learn that a target is slow only
+ * after that target is fast again. Instead, the nodes are divided into groups. The node that
+ * receives a query sends one batch to one node of each group, its aggregator, which sends the
+ * sub-requests for the shards of the group and merges the replies.
+ */
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <urcu/list.h>
+
+enum {
+	AGGREGATOR_NAME_SIZE = 64,
+	AGGREGATOR_HOMES_MAX = 8,
+	AGGREGATOR_TRIES = 2,         /**< of one batch, before this node sends directly */
+	AGGREGATOR_AVOID_US = 500000, /**< after a failure; doubles with each further one */
+	AGGREGATOR_AVOID_MAX_US = 8000000,
+};
+
+/** An entry node, as declared. */
+struct entry_node {
+	uint64_t hash; /**< of its name */
+	char address[AGGREGATOR_NAME_SIZE];
+	char data_centre[AGGREGATOR_NAME_SIZE];
+	bool leaving;
+};
+
+/** An entry node, as this node uses it. */
+struct aggregator {
+	struct cds_list_head node;
+	struct entry_node entry;
+	int group;
+	bool declared; /**< in the newest list of members */
+	int in_flight; /**< batches */
+	int failures;  /**< consecutive */
+	int64_t avoid_until_us;
+	void *pool; /**< connections of the I/O layer to it */
+};
+
+/** Data centres in which most shards of a route have a usable target. */
+struct aggregator_homes {
+	char names[AGGREGATOR_HOMES_MAX][AGGREGATOR_NAME_SIZE];
+	int count;
+};
+
+struct aggregators {
+	uint64_t own_hash;
+	int groups; /**< 0: this node sends all sub-requests itself */
+	struct cds_list_head nodes;
+};
+
+/** What an aggregator is selected for. */
+struct aggregator_criteria {
+	int group;
+	const char *data_centre; /**< of this node */
+	const struct aggregator_homes *homes;
+	struct aggregator *const *tried;
+	int tried_count;
+};
+
+void
+aggregators_init (struct aggregators *aggregators, uint64_t own_hash);
+
+/**
+ * Number of groups for a number of entry nodes: a power of 2, so that it rarely changes.
+ * @param min_nodes minimum number of nodes in a group on average; 0: no groups
+ * @return 0 when there would be fewer than two groups
+ */
+int
+aggregator_groups (int nodes, int min_nodes);
+
+/** The group that sends the sub-requests of a shard. */
+int
+aggregator_group_of_shard (int shard, int groups);
+
+/** The group of a node. */
+int
+aggregator_group_of_node (uint64_t hash, int groups);
+
+/**
+ * Updates the nodes from a newer list. Nodes that are no longer listed stay, with declared false,
+ * until aggregators_remove_unused().
+ */
+void
+aggregators_update (struct aggregators *aggregators, const struct entry_node *entries, size_t count,
+	int min_nodes);
+
+/** Removes an undeclared node without batches in flight; NULL when there is none. */
+struct aggregator *
+aggregators_remove_unused (struct aggregators *aggregators);
+
+/**
+ * Selects a node of a group: in the data centres that hold targets, this node's own first, and
+ * there always the same two, so that connections stay in use.
+ * @return NULL when this node should send the sub-requests itself
+ */
+struct aggregator *
+aggregator_choose (struct aggregators *aggregators, const struct aggregator_criteria *criteria,
+	int64_t now_us);
+
+/** How a batch ended, as far as its aggregator is concerned. */
+enum aggregator_outcome {
+	AGGREGATOR_ANSWERED,
+	AGGREGATOR_REFUSED,   /**< it ran nothing; another node may serve the batch */
+	AGGREGATOR_FAILED,    /**< no connection or no valid answer in time */
+	AGGREGATOR_ABANDONED, /**< this node stopped waiting; says nothing about the aggregator */
+};
+
+void
+aggregator_batch_ended (
+	struct aggregator *aggregator, enum aggregator_outcome outcome, int64_t now_us);
+
+void
+aggregator_homes_add (struct aggregator_homes *homes, const char *data_centre);
+
+bool
+aggregator_homes_contain (const struct aggregator_homes *homes, const char *data_centre);
--- /dev/null
+++ b/query/batch.h
@@ -0,0 +1,90 @@
+/**
+ * @file batch.h
+ * Messages between the node that received a query and its aggregators, and their MessagePack
+ * encoding. No I/O.
+ *
+ * A batch asks an aggregator for the parts of some shards. The aggregator answers with the parts
+ * that it has at its first hedge at the latest; the sender then asks for the rest, each time once,
+ * until no shard is open.
+ */
+#pragma once
+
+#include "query/scatter.h"
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+enum {
+	BATCH_VERSION = 1,
+	BATCH_MAX_SHARDS = 4096,
+	BATCH_MAX_LINES = 128,
+	BATCH_TEXT_MAX_BYTES = 32768, /**< of a path or header line */
+	BATCH_NAME_SIZE = 256,
+	BATCH_METHOD_SIZE = 32,
+};
+
+/** Identifies a batch; never reused. */
+struct batch_id {
+	uint64_t sender; /**< incarnation of the sending node */
+	uint64_t number;
+};
+
+/** A batch. */
+struct batch_request {
+	struct batch_id id;
+	uint64_t routing_version;
+	uint64_t digest; /**< of the route's shards, see routing_rule.digest */
+	char route[BATCH_NAME_SIZE];
+	char attempt_id[BATCH_NAME_SIZE];
+	char method[BATCH_METHOD_SIZE];
+	char *uri;            /**< owned */
+	int64_t remaining_us; /**< until the deadline, when it was sent */
+	int attempts_used;    /**< of each shard, which another aggregator may have sent */
+	int *shards;          /**< owned; indices in the route */
+	int shard_count;
+	char **lines; /**< owned; the caller's headers that are forwarded to targets */
+	int line_count;
+};
+
+/** What became of one shard. */
+struct batch_part {
+	int shard;
+	bool answered;
+	bool may_have_run;
+	enum give_up give_up; /**< of a shard without an answer */
+	char *stamp;          /**< owned; of an answered shard */
+};
+
+/** The answer to a batch or to a request for its rest. */
+struct batch_result {
+	bool done; /**< no further result follows */
+	int hedges;
+	int retries;
+	struct batch_part *parts; /**< owned; those that no earlier result holds */
+	int part_count;
+	char *records; /**< owned; the greatest records of the answered parts, falling */
+	size_t records_len;
+};
+
+void *
+batch_encode_request (const struct batch_request *request, const char *key, size_t *len);
+
+/** Decodes a batch; false when it is malformed or has another key. */
+bool
+batch_decode_request (struct batch_request *request, const char *key, const void *data, size_t len);
+void
+batch_request_finish (struct batch_request *request);
+
+/** Encodes a request for the rest of a batch. */
+void *
+batch_encode_rest (const struct batch_id *id, const char *key, size_t *len);
+bool
+batch_decode_rest (struct batch_id *id, const char *key, const void *data, size_t len);
+
+void *
+batch_encode_result (const struct batch_result *result, size_t *len);
+bool
+batch_decode_result (struct batch_result *result, const void *data, size_t len);
+void
+batch_result_finish (struct batch_result *result);
--- a/query/routing.c
+++ b/query/routing.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <xxhash.h>
 
 struct routing *
 routing_new (void)
@@ -105,3 +106,14 @@
 	int min_shards = (int)ceil (rule->min_answered_ratio * rule->part_count - 1e-4);
 	return min_shards < 1 ? 1 : min_shards;
 }
+
+uint64_t
+routing_rule_digest (const struct routing *routing, const struct routing_rule *rule)
+{
+	uint64_t digest = XXH64 (&rule->top_k, sizeof (rule->top_k), (uint64_t)rule->part_count);
+	for (int i = 0; i < rule->part_count; i++) {
+		const char *name = routing->services[rule->parts[i].service].name;
+		digest = XXH64 (name, strlen (name), digest);
+	}
+	return digest;
+}
--- a/query/routing.h
+++ b/query/routing.h
@@ -8,6 +8,7 @@
  */
 #pragma once
 
+#include "query/aggregators.h"
 #include "query/quantile.h"
 
 #include <stdatomic.h>
@@ -57,8 +58,11 @@
 	int part_count;
 	int top_k;                 /**< ROUTE_FAN_OUT: records in the answer */
 	double min_answered_ratio; /**< ROUTE_FAN_OUT: minimum share of shards in an answer */
-	struct quantile latency;   /**< of sub-requests on this route */
-	struct route_stats *stats; /**< counters of the I/O layer; not owned */
+	/** ROUTE_FAN_OUT: hash of the shards and top_k; nodes that run one request must agree. */
+	uint64_t digest;
+	struct aggregator_homes homes; /**< ROUTE_FAN_OUT: set by the thread that routes requests */
+	struct quantile latency;       /**< of sub-requests on this route */
+	struct route_stats *stats;     /**< counters of the I/O layer; not owned */
 };
 
 /** Limits for the connections and requests of callers. */
@@ -110,6 +114,10 @@
 int
 routing_next_part (struct routing_rule *rule);
 
+/** Hash of a fan-out's shards and top_k. */
+uint64_t
+routing_rule_digest (const struct routing *routing, const struct routing_rule *rule);
+
 /** Minimum number of shards in an answer. */
 int
 routing_min_shards (const struct routing_rule *rule);
--- a/query/scatter.c
+++ b/query/scatter.c
@@ -5,8 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-void
-scatter_init (struct scatter *scatter, struct routing *routing, struct routing_rule *rule,
+static void
+init_common (struct scatter *scatter, struct routing *routing, struct routing_rule *rule,
 	const struct scatter_policy *policy, const struct scatter_hooks *hooks, int64_t now_us,
 	int64_t deadline_us)
 {
@@ -19,16 +19,47 @@
 	scatter->deadline_us = deadline_us;
 	scatter->partial_us = now_us + rule->objective_us - policy->margin_us;
 	scatter->late_partial_us = now_us + rule->objective_us * 2;
+}
+
+static void
+init_shard (struct scatter *scatter, int shard_index, int part)
+{
+	struct scatter_shard *shard = &scatter->shards[shard_index];
+	shard->scatter = scatter;
+	shard->part = part;
+	shard->set = scatter->routing->services[scatter->rule->parts[part].service].set;
+	shard->hedge_at_us = INT64_MAX;
+}
+
+void
+scatter_init (struct scatter *scatter, struct routing *routing, struct routing_rule *rule,
+	const struct scatter_policy *policy, const struct scatter_hooks *hooks, int64_t now_us,
+	int64_t deadline_us)
+{
 	bool fan_out = rule->shape == ROUTE_FAN_OUT;
+	init_common (scatter, routing, rule, policy, hooks, now_us, deadline_us);
 	scatter->shard_count = fan_out ? rule->part_count : 1;
 	scatter->min_shards = fan_out ? routing_min_shards (rule) : 1;
 	scatter->shards = xcalloc ((size_t)scatter->shard_count, sizeof (*scatter->shards));
 	int first_part = fan_out ? 0 : routing_next_part (rule);
-	for (int i = 0; i < scatter->shard_count; i++) {
-		struct scatter_shard *shard = &scatter->shards[i];
-		shard->scatter = scatter;
-		shard->set = routing->services[rule->parts[first_part + i].service].set;
-		shard->hedge_at_us = INT64_MAX;
+	for (int i = 0; i < scatter->shard_count; i++)
+		init_shard (scatter, i, first_part + i);
+}
+
+void
+scatter_init_section (struct scatter *scatter, struct routing *routing, struct routing_rule *rule,
+	const struct scatter_policy *policy, const struct scatter_hooks *hooks, int64_t now_us,
+	int64_t deadline_us, const int *parts, int part_count, int attempts_used)
+{
+	init_common (scatter, routing, rule, policy, hooks, now_us, deadline_us);
+	scatter->scope = SCATTER_SECTION;
+	scatter->shard_count = part_count;
+	scatter->min_shards = part_count;
+	scatter->shards = xcalloc ((size_t)part_count, sizeof (*scatter->shards));
+	for (int i = 0; i < part_count; i++) {
+		init_shard (scatter, i, parts[i]);
+		scatter->shards[i].attempts_used = attempts_used;
+		scatter->shards[i].reached_target = attempts_used > 0;
 	}
 }
 
@@ -81,7 +112,8 @@
 may_have_run (const struct scatter *scatter)
 {
 	for (int i = 0; i < scatter->shard_count; i++) {
-		if (scatter->shards[i].may_have_run || scatter->shards[i].running > 0)
+		const struct scatter_shard *shard = &scatter->shards[i];
+		if (shard->may_have_run || shard->running > 0 || shard->remote)
 			return true;
 	}
 	return false;
@@ -120,6 +152,13 @@
 	if (scatter->phase == SCATTER_DONE)
 		return;
 	int open_shards = scatter->shard_count - scatter->closed;
+	if (scatter->scope == SCATTER_SECTION) {
+		if (open_shards == 0 || now_us >= scatter->deadline_us)
+			end_with (scatter, SCATTER_MERGED);
+		else
+			scatter->hooks->progress (scatter);
+		return;
+	}
 	bool has_min_shards = scatter->answered >= scatter->min_shards;
 	/* Past the latency objective, some more time for missing shards costs the caller less. */
 	if (now_us >= scatter->start_us + scatter->rule->objective_us)
@@ -144,15 +183,16 @@
 scatter_give_up_name (enum give_up reason)
 {
 	static const char *const names[] = {"", "no target may get work", "queue full",
-		"no retry budget left", "no attempts left", "queued until the request ended"};
+		"no retry budget left", "no attempts left", "queued until the request ended",
+		"its aggregator failed"};
 	return names[reason];
 }
 
 const char *
 scatter_no_hedge_name (enum no_hedge reason)
 {
-	static const char *const names[] = {
-		"", ", no hedge: no target expected to answer soon", ", no hedge: no budget"};
+	static const char *const names[] = {"", ", no hedge: no target expected to answer soon",
+		", no hedge: no budget", ", no hedge: overdue"};
 	return names[reason];
 }
 
@@ -264,7 +304,7 @@
 try_shard (struct scatter *scatter, struct scatter_shard *shard, int64_t now_us)
 {
 	struct replica *replica = NULL;
-	bool is_first = shard->tried_count == 0;
+	bool is_first = shard->tried_count == 0 && !shard->reached_target;
 	if (!has_attempts_left (scatter, shard)) {
 		give_up (scatter, shard, GIVE_UP_ATTEMPTS);
 		return;
@@ -296,11 +336,19 @@
 void
 scatter_start (struct scatter *scatter, int64_t now_us)
 {
-	for (int i = 0; i < scatter->shard_count; i++)
-		try_shard (scatter, &scatter->shards[i], now_us);
+	for (int i = 0; i < scatter->shard_count; i++) {
+		if (!scatter->shards[i].remote)
+			try_shard (scatter, &scatter->shards[i], now_us);
+	}
 	end_if_decided (scatter, now_us);
 }
 
+void
+scatter_set_remote (struct scatter *scatter, int shard_index)
+{
+	scatter->shards[shard_index].remote = true;
+}
+
 static void
 store_reply (struct scatter_shard *shard, const struct sub_answer *answer)
 {
@@ -314,6 +362,64 @@
 	shard->body_len = answer->body_len;
 }
 
+/* An answer counts also after its shard was given up. */
+static void
+accept_answer (
+	struct scatter *scatter, struct scatter_shard *shard, const struct sub_answer *answer)
+{
+	if (shard->answered)
+		return;
+	if (shard->closed)
+		scatter->closed--;
+	shard->closed = false;
+	store_reply (shard, answer);
+	shard->answered = true;
+	scatter->answered++;
+	close_shard (scatter, shard);
+}
+
+void
+scatter_remote_answered (struct scatter *scatter, int shard_index, const struct sub_answer *answer)
+{
+	struct scatter_shard *shard = &scatter->shards[shard_index];
+	if (scatter->phase == SCATTER_DONE || !shard->remote)
+		return;
+	shard->remote = false;
+	shard->may_have_run = true;
+	accept_answer (scatter, shard, answer);
+}
+
+void
+scatter_remote_given_up (
+	struct scatter *scatter, int shard_index, enum give_up reason, bool may_have_run)
+{
+	struct scatter_shard *shard = &scatter->shards[shard_index];
+	if (scatter->phase == SCATTER_DONE || !shard->remote)
+		return;
+	shard->remote = false;
+	shard->may_have_run = may_have_run;
+	give_up (scatter, shard, reason);
+}
+
+void
+scatter_remote_failed (struct scatter *scatter, int shard_index, bool may_have_run, int64_t now_us)
+{
+	struct scatter_shard *shard = &scatter->shards[shard_index];
+	if (scatter->phase == SCATTER_DONE || !shard->remote)
+		return;
+	shard->remote = false;
+	shard->may_have_run = may_have_run;
+	shard->reached_target = may_have_run;
+	shard->attempts_used = may_have_run ? 1 : 0;
+	try_shard (scatter, shard, now_us);
+}
+
+void
+scatter_remote_done (struct scatter *scatter, int64_t now_us)
+{
+	end_if_decided (scatter, now_us);
+}
+
 static bool
 may_try_again (const struct scatter *scatter, const struct scatter_shard *shard)
 {
@@ -332,15 +438,7 @@
 	switch (end) {
 	case SUB_END_ANSWERED:
 		shard->may_have_run = true;
-		if (!shard->closed || !shard->answered) {
-			if (shard->closed)
-				scatter->closed--;
-			shard->closed = false;
-			store_reply (shard, answer);
-			shard->answered = true;
-			scatter->answered++;
-			close_shard (scatter, shard);
-		}
+		accept_answer (scatter, shard, answer);
 		break;
 	case SUB_END_STATUS:
 		shard->may_have_run = true;
@@ -379,7 +477,12 @@
 hedge (struct scatter *scatter, struct scatter_shard *shard, int64_t now_us)
 {
 	struct replica *replica = NULL;
+	int64_t due_us = shard->hedge_at_us;
 	shard->hedge_at_us = INT64_MAX;
+	if (scatter->scope == SCATTER_SECTION && due_us + SCATTER_HEDGE_OVERDUE_US < now_us) {
+		shard->no_hedge = NO_HEDGE_OVERDUE;
+		return;
+	}
 	if (choose_for_shard (scatter, shard, true, now_us, &replica) != REPLICA_FOUND) {
 		shard->no_hedge = NO_HEDGE_TARGET;
 		return;
@@ -402,12 +505,22 @@
 	end_if_decided (scatter, now_us);
 }
 
+bool
+scatter_hedge_is_due (const struct scatter *scatter, int64_t now_us)
+{
+	for (int i = 0; i < scatter->shard_count; i++) {
+		if (scatter->shards[i].hedge_at_us <= now_us && !scatter->shards[i].closed)
+			return true;
+	}
+	return false;
+}
+
 int64_t
 scatter_wake_us (const struct scatter *scatter)
 {
 	int64_t wake_us = scatter->deadline_us;
-	if (is_fan_out (scatter) && scatter->answered >= scatter->min_shards &&
-		scatter->partial_us < wake_us)
+	if (scatter->scope == SCATTER_WHOLE && is_fan_out (scatter) &&
+		scatter->answered >= scatter->min_shards && scatter->partial_us < wake_us)
 		wake_us = scatter->partial_us;
 	for (int i = 0; i < scatter->shard_count; i++) {
 		if (scatter->shards[i].hedge_at_us < wake_us)
@@ -441,20 +554,28 @@
 	return memcmp (*(const char *const *)b, *(const char *const *)a, SCATTER_RECORD_BYTES);
 }
 
-char *
-scatter_merge (const struct scatter *scatter, size_t *len)
+static bool
+is_merged (const struct scatter_shard *shard, bool unreported_only)
+{
+	return shard->answered && !(unreported_only && shard->reported);
+}
+
+static char *
+merge_records (const struct scatter *scatter, bool unreported_only, size_t *len)
 {
 	size_t count = 0;
 	for (int i = 0; i < scatter->shard_count; i++) {
-		if (scatter->shards[i].answered)
+		if (is_merged (&scatter->shards[i], unreported_only))
 			count += scatter->shards[i].body_len / SCATTER_RECORD_BYTES;
 	}
 	const char **records = xcalloc (count + 1, sizeof (*records));
 	size_t at = 0;
 	for (int i = 0; i < scatter->shard_count; i++) {
 		const struct scatter_shard *shard = &scatter->shards[i];
-		for (size_t j = 0; shard->answered && j < shard->body_len / SCATTER_RECORD_BYTES;
-			j++)
+		size_t shard_records = is_merged (shard, unreported_only)
+					       ? shard->body_len / SCATTER_RECORD_BYTES
+					       : 0;
+		for (size_t j = 0; j < shard_records; j++)
 			records[at++] = shard->body + j * SCATTER_RECORD_BYTES;
 	}
 	qsort (records, count, sizeof (*records), compare_records);
@@ -467,3 +588,15 @@
 	*len = count * SCATTER_RECORD_BYTES;
 	return out;
 }
+
+char *
+scatter_merge (const struct scatter *scatter, size_t *len)
+{
+	return merge_records (scatter, false, len);
+}
+
+char *
+scatter_merge_unreported (const struct scatter *scatter, size_t *len)
+{
+	return merge_records (scatter, true, len);
+}
--- a/query/scatter.h
+++ b/query/scatter.h
@@ -30,6 +30,8 @@
 	SCATTER_RETRY_RESERVE = 2,        /**< extra sub-requests that hedges leave to retries */
 	SCATTER_HEDGE_MIN_BURST = 2,      /**< extra sub-requests never reserved for retries */
 	SCATTER_RETRY_AFTER_MS = 250,     /**< minimum wait before a refused caller may retry */
+	/** A hedge that is overdue by this much is not sent: this process was suspended. */
+	SCATTER_HEDGE_OVERDUE_US = 250000,
 };
 
 /** How a sub-request ended. */
@@ -52,6 +54,12 @@
 
 enum scatter_phase { SCATTER_RUNNING, SCATTER_DONE };
 
+/** What of a request this node runs. */
+enum scatter_scope {
+	SCATTER_WHOLE,
+	SCATTER_SECTION, /**< some shards, for another node that answers the caller */
+};
+
 /** What the caller gets. */
 enum scatter_result {
 	SCATTER_MERGED,  /**< fan-out: records of the shards that answered */
@@ -69,10 +77,12 @@
 	GIVE_UP_NO_BUDGET,  /**< no budget is left for an extra sub-request */
 	GIVE_UP_ATTEMPTS,   /**< all attempts that a shard may have are used up */
 	GIVE_UP_NO_TIME,    /**< still queued when the request ended */
+	GIVE_UP_AGGREGATOR, /**< its aggregator failed after it may have sent all attempts */
+	GIVE_UP_COUNT,
 };
 
 /** Why a hedge that was due was not sent. */
-enum no_hedge { NO_HEDGE_NONE, NO_HEDGE_TARGET, NO_HEDGE_BUDGET };
+enum no_hedge { NO_HEDGE_NONE, NO_HEDGE_TARGET, NO_HEDGE_BUDGET, NO_HEDGE_OVERDUE };
 
 struct scatter;
 
@@ -91,6 +101,9 @@
 	enum no_hedge no_hedge;
 	bool closed; /**< answered, or given up */
 	bool answered;
+	bool remote;   /**< an aggregator sends the sub-requests */
+	bool reported; /**< of a section: its end was sent to the node that received the query */
+	int part;      /**< index of the shard in the route */
 	bool may_have_run;
 	bool reached_target; /**< so that the next sub-request is charged to the budget */
 	int64_t hedge_at_us; /**< INT64_MAX: no hedge planned */
@@ -107,6 +120,8 @@
 	void (*send) (struct scatter *scatter, int shard, struct replica *replica);
 	/** Delivers the result. Sub-requests in flight may continue until they end. */
 	void (*deliver) (struct scatter *scatter);
+	/** SCATTER_SECTION: shards may have ended, but not all of them. */
+	void (*progress) (struct scatter *scatter);
 };
 
 /** Settings of this node for all requests. */
@@ -121,6 +136,7 @@
 	struct routing_rule *rule;
 	const struct scatter_policy *policy;
 	const struct scatter_hooks *hooks;
+	enum scatter_scope scope;
 	enum scatter_phase phase;
 	enum scatter_result result;
 	int64_t start_us;
@@ -146,9 +162,45 @@
 scatter_init (struct scatter *scatter, struct routing *routing, struct routing_rule *rule,
 	const struct scatter_policy *policy, const struct scatter_hooks *hooks, int64_t now_us,
 	int64_t deadline_us);
+/**
+ * Prepares a section of a fan-out: the shards that @p parts names by their index in the route. It
+ * ends when all of them have, and does not decide on partial answers.
+ * @param attempts_used attempts of each shard that another node may have used
+ */
+void
+scatter_init_section (struct scatter *scatter, struct routing *routing, struct routing_rule *rule,
+	const struct scatter_policy *policy, const struct scatter_hooks *hooks, int64_t now_us,
+	int64_t deadline_us, const int *parts, int part_count, int attempts_used);
 void
 scatter_finish (struct scatter *scatter);
 
+/** Marks a shard as sent by an aggregator; before scatter_start. */
+void
+scatter_set_remote (struct scatter *scatter, int shard_index);
+
+/**
+ * To be called with the answer for a shard that an aggregator reports. The records of several
+ * shards may come with one of them.
+ */
+void
+scatter_remote_answered (struct scatter *scatter, int shard_index, const struct sub_answer *answer);
+
+/** To be called when an aggregator gave up a shard. */
+void
+scatter_remote_given_up (
+	struct scatter *scatter, int shard_index, enum give_up reason, bool may_have_run);
+
+/**
+ * Takes a shard back from an aggregator that failed; the shard is sent from this node.
+ * @param may_have_run the aggregator may have sent a sub-request, but no hedge
+ */
+void
+scatter_remote_failed (struct scatter *scatter, int shard_index, bool may_have_run, int64_t now_us);
+
+/** Ends the request if nothing more can come; call after a series of the calls above. */
+void
+scatter_remote_done (struct scatter *scatter, int64_t now_us);
+
 void
 scatter_start (struct scatter *scatter, int64_t now_us);
 
@@ -186,3 +238,11 @@
  */
 char *
 scatter_merge (const struct scatter *scatter, size_t *len);
+
+/** Like scatter_merge, but leaves out shards that were reported. */
+char *
+scatter_merge_unreported (const struct scatter *scatter, size_t *len);
+
+/** True when a hedge is due, at scatter_wake_us or later. */
+bool
+scatter_hedge_is_due (const struct scatter *scatter, int64_t now_us);
--- a/test/platform.sh
+++ b/test/platform.sh
@@ -46,6 +46,8 @@
 			ready_address = 127.0.0.1:$((BASE + 50 + n))
 			list_address = 127.0.0.1:$PLATFORM
 			list_rate = 50
+			group_nodes = 1
+			batch_port_step = 700
 			extra_ratio = 0.2
 			extra_slack = 60.5
 			cold_factor = 1
--- a/test/routes.c
+++ b/test/routes.c
@@ -29,6 +29,7 @@
 static struct send sends[MAX_SENDS];
 static int send_count;
 static int delivered;
+static int progressed;
 static int64_t now_us;
 
 static void
@@ -47,7 +48,14 @@
 	delivered++;
 }
 
-static const struct scatter_hooks hooks = {record_send, record_deliver};
+static void
+record_progress (struct scatter *scatter)
+{
+	(void)scatter;
+	progressed++;
+}
+
+static const struct scatter_hooks hooks = {record_send, record_deliver, record_progress};
 static const struct scatter_policy policy = {
 	.data_centre = "local", .extra_percent = 20, .margin_us = 10 * MS};
 
