query: results of aggregators bear the identity of their batch

A late copy of a result on a connection that is used again must not reach another request. A node that was suspended refuses batches for a moment. The fuzz targets scatter and messages cover sections, remote shards and the messages between nodes.

--- a/daemon/batch_serve.c
+++ b/daemon/batch_serve.c
@@ -50,7 +50,8 @@
 	struct served_batch *served = forward->served;
 	struct scatter *scatter = &forward->scatter;
 	struct ingress_request *request = forward->request;
-	struct batch_result result = {.done = done,
+	struct batch_result result = {.id = served->id,
+		.done = done,
 		.hedges = scatter->hedges - served->reported_hedges,
 		.retries = scatter->retries - served->reported_retries};
 	size_t len = 0;
@@ -204,6 +205,16 @@
 	return stop_began_us != 0 && front_now_us (front) >= stop_began_us + FRONT_BALANCER_LAG_US;
 }
 
+/*
+ * Batches that arrived while this process was suspended may have been sent again since. The sender
+ * has closed its connection by then, which is noticed only after the batch was read.
+ */
+static bool
+was_suspended (const struct front *front)
+{
+	return front_now_us (front) < front->resumed_us + FRONT_RESUME_GUARD_US;
+}
+
 static void
 start_section (struct front *front, struct ingress_request *request, struct batch_request *batch,
 	struct routing_rule *rule)
@@ -239,7 +250,7 @@
 	if (!batch_decode_request (&batch, key, request->body.data, request->body.len)) {
 		metric_add (METRIC_PEER_DROPPED, 1);
 		answer_status (request, 400);
-	} else if (!front_has_view (front) || is_closing (front)) {
+	} else if (!front_has_view (front) || is_closing (front) || was_suspended (front)) {
 		answer_status (request, 503);
 	} else {
 		struct routing_rule *rule = find_rule (front, &batch);
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -506,6 +506,9 @@
 	while (!atomic_load (&front->stop)) {
 		int count = epoll_wait (front->epoll_fd, events, EVENTS_PER_WAIT, wait_ms (front));
 		int64_t woken_us = front_now_us (front);
+		if (front->woken_us != 0 && woken_us > front->woken_us + FRONT_SUSPENDED_US)
+			front->resumed_us = woken_us;
+		front->woken_us = woken_us;
 		struct pending pending = handle_events (front, events, count);
 		if (pending.mail)
 			mailbox_clear (&front->mailbox);
@@ -550,6 +553,7 @@
 	memset (front, 0, sizeof (*front));
 	front->node = node;
 	front->started_us = clock_now_us (&node->clock);
+	front->resumed_us = -FRONT_RESUME_GUARD_US;
 	front->log = node->log;
 	front->log.module = "front";
 	front->rng.state = node->incarnation;
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -33,6 +33,10 @@
 	FRONT_READMIT_DELAY_US = 1000000,
 	/** The load balancer probes once a second and acts on the second failed probe. */
 	FRONT_BALANCER_LAG_US = 2500000,
+	/** The loop waits less than this; a longer gap shows that the process was suspended. */
+	FRONT_SUSPENDED_US = 500000,
+	/** For this long after that, batches of other nodes may be outdated. */
+	FRONT_RESUME_GUARD_US = 50000,
 };
 
 /** Kinds of timers of the front's loop, in addition to those of net/fetch.h. */
@@ -78,6 +82,8 @@
 	/** Stamp of the target list that control posted last; 0: the next one must be complete. */
 	_Atomic uint64_t posted_roster_stamp;
 	int64_t started_us;
+	int64_t woken_us;          /**< when the loop last woke up */
+	int64_t resumed_us;        /**< when this process last continued after a suspension */
 	struct front_state *state; /**< the newest; NULL until the first one is received */
 	struct shares shares;      /**< entry nodes that share the capacity of targets */
 	struct aggregators aggregators;
--- a/query/batch.c
+++ b/query/batch.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum { REQUEST_FIELDS = 13, REST_FIELDS = 4, RESULT_FIELDS = 6, PART_FIELDS = 5 };
+enum { REQUEST_FIELDS = 13, REST_FIELDS = 4, RESULT_FIELDS = 8, PART_FIELDS = 5 };
 
 static void
 write_head (struct pack_writer *writer, size_t fields, const char *key, const struct batch_id *id)
@@ -156,6 +156,8 @@
 	pack_start (&writer);
 	pack_array (&writer, RESULT_FIELDS);
 	pack_u64 (&writer, BATCH_VERSION);
+	pack_u64 (&writer, result->id.sender);
+	pack_u64 (&writer, result->id.number);
 	pack_bool (&writer, result->done);
 	pack_i64 (&writer, result->hedges);
 	pack_i64 (&writer, result->retries);
@@ -206,11 +208,13 @@
 		pack_fail (root);
 		return pack_free (&tree);
 	}
-	result->done = pack_get_bool (pack_at (root, 1));
-	result->hedges = (int)pack_get_below (pack_at (root, 2), INT32_MAX);
-	result->retries = (int)pack_get_below (pack_at (root, 3), INT32_MAX);
-	read_parts (result, pack_at (root, 4));
-	const char *records = pack_get_bytes (pack_at (root, 5), &result->records_len);
+	result->id.sender = pack_get_u64 (pack_at (root, 1));
+	result->id.number = pack_get_u64 (pack_at (root, 2));
+	result->done = pack_get_bool (pack_at (root, 3));
+	result->hedges = (int)pack_get_below (pack_at (root, 4), INT32_MAX);
+	result->retries = (int)pack_get_below (pack_at (root, 5), INT32_MAX);
+	read_parts (result, pack_at (root, 6));
+	const char *records = pack_get_bytes (pack_at (root, 7), &result->records_len);
 	if (pack_ok (root))
 		result->records = xmemdup (records, result->records_len);
 	return pack_free (&tree);
--- a/query/batch.h
+++ b/query/batch.h
@@ -58,6 +58,7 @@
 
 /** The answer to a batch or to a request for its rest. */
 struct batch_result {
+	struct batch_id id;
 	bool done; /**< no further result follows */
 	int hedges;
 	int retries;
--- a/test/fuzz/messages.c
+++ b/test/fuzz/messages.c
@@ -4,6 +4,7 @@
  */
 #include "control/view.h"
 #include "control/wire.h"
+#include "query/batch.h"
 #include "query/subwire.h"
 
 #include "control/members.h"
@@ -65,6 +66,35 @@
 	free (cancel.attempts);
 }
 
+static void
+fuzz_batch (const uint8_t *data, size_t size)
+{
+	static const char key[] = "k";
+	struct batch_request request;
+	struct batch_result result;
+	struct batch_id id;
+	size_t len = 0;
+	if (batch_decode_request (&request, key, data, size)) {
+		void *bytes = batch_encode_request (&request, key, &len);
+		struct batch_request copy;
+		if (!batch_decode_request (&copy, key, bytes, len))
+			abort ();
+		batch_request_finish (&copy);
+		free (bytes);
+	}
+	batch_request_finish (&request);
+	if (batch_decode_result (&result, data, size)) {
+		void *bytes = batch_encode_result (&result, &len);
+		struct batch_result copy;
+		if (!batch_decode_result (&copy, bytes, len))
+			abort ();
+		batch_result_finish (&copy);
+		free (bytes);
+	}
+	batch_result_finish (&result);
+	batch_decode_rest (&id, key, data, size);
+}
+
 /* Building a view must succeed with every document that passes validation. */
 static void
 fuzz_document (enum resource_kind kind, const uint8_t *data, size_t size)
@@ -113,6 +143,7 @@
 		break;
 	case 3:
 		fuzz_sub (data + 1, size - 1);
+		fuzz_batch (data + 1, size - 1);
 		break;
 	default:
 		fuzz_document ((enum resource_kind) (data[0] / 5 % RESOURCE_KIND_COUNT), data + 1,
--- a/test/fuzz/scatter.c
+++ b/test/fuzz/scatter.c
@@ -88,6 +88,8 @@
 		answered += scatter->shards[i].answered;
 	switch (scatter->result) {
 	case SCATTER_MERGED:
+		if (scatter->scope == SCATTER_SECTION)
+			return;
 		check (answered >= scatter->rule->min_answered_ratio * scatter->shard_count - 1e-4);
 		check (answered == scatter->answered && answered > 0);
 		char *merged = scatter_merge (scatter, &len);
@@ -110,7 +112,13 @@
 	}
 }
 
-static const struct scatter_hooks hooks = {on_send, on_deliver};
+static void
+on_progress (struct scatter *scatter)
+{
+	check (scatter->scope == SCATTER_SECTION && scatter->phase == SCATTER_RUNNING);
+}
+
+static const struct scatter_hooks hooks = {on_send, on_deliver, on_progress};
 static const struct scatter_policy policy = {
 	.data_centre = "z0", .extra_percent = 20, .margin_us = 10 * MS};
 
@@ -149,8 +157,24 @@
 	memset (request, 0, sizeof (*request));
 	request->started = true;
 	request->non_idempotent = rule->idempotency == ROUTE_NON_IDEMPOTENT;
-	scatter_init (&request->scatter, routing, rule, &policy, &hooks, now_us,
-		now_us + (1 + input_below (input, 1200)) * MS);
+	int64_t deadline_us = now_us + (1 + input_below (input, 1200)) * MS;
+	if (rule->shape == ROUTE_FAN_OUT && input_below (input, 4) == 0) {
+		const int parts[SERVICES] = {0, 1, 2, 3};
+		int attempts_used = (int)input_below (input, 2);
+		for (int i = 0; i < rule->part_count; i++)
+			request->may_have_run[i] = attempts_used;
+		scatter_init_section (&request->scatter, routing, rule, &policy, &hooks, now_us,
+			deadline_us, parts, rule->part_count, attempts_used);
+	} else {
+		scatter_init (
+			&request->scatter, routing, rule, &policy, &hooks, now_us, deadline_us);
+		for (int i = 0; rule->shape == ROUTE_FAN_OUT && i < rule->part_count; i++) {
+			if (input_below (input, 3) != 0)
+				continue;
+			scatter_set_remote (&request->scatter, i);
+			request->may_have_run[i] = 1;
+		}
+	}
 	scatter_start (&request->scatter, now_us);
 }
 
@@ -181,6 +205,36 @@
 	scatter_serve_waiting (set, now_us);
 }
 
+/* An aggregator answers for a shard, gives it up, or fails. */
+static void
+end_remote_shard (struct tracked_request *request, struct input *input)
+{
+	struct scatter *scatter = &request->scatter;
+	if (!request->started || request->delivered > 0)
+		return;
+	int shard = (int)input_below (input, (unsigned)scatter->shard_count);
+	if (!scatter->shards[shard].remote)
+		return;
+	bool may_have_run = input_below (input, 2) != 0;
+	struct sub_answer answer = {
+		.http_status = 200, .stamp = "s", .content_type = "", .body = "", .body_len = 0};
+	switch (input_below (input, 3)) {
+	case 0:
+		scatter_remote_answered (scatter, shard, &answer);
+		break;
+	case 1:
+		request->may_have_run[shard] = may_have_run;
+		scatter_remote_given_up (scatter, shard, GIVE_UP_ATTEMPTS, may_have_run);
+		break;
+	default:
+		request->may_have_run[shard] = may_have_run;
+		scatter_remote_failed (scatter, shard, may_have_run, now_us);
+		break;
+	}
+	if (request->delivered == 0)
+		scatter_remote_done (scatter, now_us);
+}
+
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
@@ -210,7 +264,7 @@
 	struct routing *routing = make_routing (&input, sets);
 	while (input.left > 0) {
 		struct tracked_request *request = &requests[input_below (&input, REQUESTS)];
-		switch (input_below (&input, 5)) {
+		switch (input_below (&input, 6)) {
 		case 0:
 			if (!request->started)
 				start (request, routing, &input);
@@ -220,6 +274,9 @@
 			end_random_send (&input);
 			break;
 		case 3:
+			end_remote_shard (request, &input);
+			break;
+		case 4:
 			now_us += (int64_t)input_below (&input, 64) * MS;
 			break;
 		default:
