control, daemon: one reader of the target list, at a rate that follows its changes

Ruled out: a longer stale time (a leaving target must be noticed while control is lost).

control/refresh.c decides: the leader reads less often while the list is unchanged, by its stated lag; an entry node that starts waits for control first.

--- a/control/follower.c
+++ b/control/follower.c
@@ -39,7 +39,7 @@
 	follower->settings = *settings;
 	state_init (&follower->state);
 	history_init (&follower->history);
-	follower->next_poll_us = now_us;
+	follower->started_us = follower->next_poll_us = now_us;
 	/* Random, so that no reply to an earlier process here counts as a reply to this one. */
 	follower->seq = settings->self.incarnation >> 1;
 	CDS_INIT_LIST_HEAD (&follower->outbox);
@@ -81,6 +81,25 @@
 	follower->next_poll_us = now_us;
 }
 
+/* After a start of everything, a node may get its state before the leader has read the list. */
+static bool
+waits_for_list (const struct follower *follower, int64_t now_us)
+{
+	return follower->state.applied > 0 && follower->roster.stamp == 0 &&
+	       now_us < follower->started_us + FOLLOWER_LIST_WAIT_US;
+}
+
+static int64_t
+poll_interval_us (const struct follower *follower, int64_t now_us)
+{
+	/* New owners cannot start work before the epoch has settled, so the node polls faster. */
+	if (follower->settled < follower->state.epoch || follower->withheld_count > 0)
+		return FOLLOWER_FAST_POLL_US;
+	if (waits_for_list (follower, now_us) && FOLLOWER_LIST_POLL_US < follower->settings.poll_us)
+		return FOLLOWER_LIST_POLL_US;
+	return follower->settings.poll_us;
+}
+
 static void
 send_poll (struct follower *follower, int64_t now_us)
 {
@@ -101,10 +120,7 @@
 	message.u.poll.seq = ++follower->seq;
 	outbox_add (&follower->outbox, &route, &message);
 	follower->sent_us = now_us;
-	follower->next_poll_us = now_us + follower->settings.poll_us;
-	/* New owners cannot start work before the epoch has settled, so the node polls faster. */
-	if (follower->settled < follower->state.epoch || follower->withheld_count > 0)
-		follower->next_poll_us = now_us + FOLLOWER_FAST_POLL_US;
+	follower->next_poll_us = now_us + poll_interval_us (follower, now_us);
 }
 
 void
--- a/control/follower.h
+++ b/control/follower.h
@@ -13,6 +13,9 @@
 	FOLLOWER_FIRST_RETRY_US = 120000, /**< the same, but while the node has no state; doubles */
 	FOLLOWER_RETRY_DOUBLINGS_MAX = 4, /**< limit of that doubling */
 	FOLLOWER_FAST_POLL_US = 100000,   /**< poll interval while an epoch is not settled */
+	FOLLOWER_LIST_POLL_US =
+		150000, /**< poll interval of a started node without a target list */
+	FOLLOWER_LIST_WAIT_US = 3000000,  /**< how long after a start that interval applies */
 	FOLLOWER_WITHHELD_MAX = 8,        /**< releases withheld at the same time */
 	FOLLOWER_CLOCK_DRIFT_PERCENT = 1, /**< subtracted from the lease */
 };
@@ -36,6 +39,7 @@
 
 struct follower {
 	struct follower_settings settings;
+	int64_t started_us;
 	struct state state;
 	uint64_t reconciled; /**< set by the I/O layer: revision that request handling follows */
 	uint64_t released;   /**< set by the I/O layer: targets lost up to it have no work left */
--- a/daemon/batch_send.c
+++ b/daemon/batch_send.c
@@ -22,7 +22,7 @@
 	struct cds_list_head node; /**< in forward.batches */
 	struct fetch fetch;
 	struct front *front;
-	struct forward *forward; /**< NULL: abandoned */
+	struct forward *forward;
 	struct aggregator *aggregator;
 	struct aggregator *tried[AGGREGATOR_TRIES];
 	int tried_count;
@@ -303,8 +303,6 @@
 {
 	if (valid)
 		return AGGREGATOR_ANSWERED;
-	if (!batch->forward)
-		return AGGREGATOR_ABANDONED;
 	return is_refusal (&batch->fetch, end) ? AGGREGATOR_REFUSED : AGGREGATOR_FAILED;
 }
 
@@ -318,21 +316,17 @@
 	struct batch_result result = {0};
 	bool valid = end == FETCH_OK && fetch->status == 200 &&
 		     batch_decode_result (&result, fetch->body.data, fetch->body.len) &&
-		     (!forward || apply_result (batch, &result));
+		     apply_result (batch, &result);
 	bool may_have_run = fetch->sent && !is_refusal (fetch, end);
 	bool done = result.done;
 	batch_result_finish (&result);
 	fetch_finish (fetch);
-	if (end == FETCH_SILENT && forward && batch->aggregator->pool) {
+	if (end == FETCH_SILENT && batch->aggregator->pool) {
 		fetch_pool_retire (batch->aggregator->pool);
 		batch->aggregator->pool = NULL;
 	}
 	enum aggregator_outcome outcome = outcome_of (batch, end, valid);
 	aggregator_batch_ended (batch->aggregator, outcome, now_us);
-	if (!forward) {
-		free (batch);
-		return;
-	}
 	if (outcome == AGGREGATOR_FAILED) {
 		metric_add (METRIC_BATCHES_FAILED, 1);
 		log_event (&front->log, EVENT_BATCH_FAILED,
@@ -355,18 +349,6 @@
 	scatter_remote_done (&forward->scatter, now_us);
 }
 
-void
-batch_abandon (struct forward *forward, int64_t timeout_us)
-{
-	struct sent_batch *batch;
-	struct sent_batch *next;
-	cds_list_for_each_entry_safe (batch, next, &forward->batches, node) {
-		cds_list_del (&batch->node);
-		batch->forward = NULL;
-		fetch_shorten_timeout (&batch->fetch, timeout_us);
-	}
-}
-
 void
 batch_cancel (struct forward *forward)
 {
--- a/daemon/batch_send.h
+++ b/daemon/batch_send.h
@@ -11,12 +11,7 @@
 void
 batch_send_all (struct forward *forward);
 
-/** Stops waiting for the batches of a forward that has ended; they may continue for a short time.
- */
-void
-batch_abandon (struct forward *forward, int64_t timeout_us);
-
-/** Cancels all batches, because the caller has left. */
+/** Cancels the batches of a forward that has ended; the closed connection tells the aggregator. */
 void
 batch_cancel (struct forward *forward);
 
--- a/daemon/discovery.c
+++ b/daemon/discovery.c
@@ -19,13 +19,15 @@
 read_interval_us (const struct discovery *discovery)
 {
 	const struct front *front = discovery->front;
-	bool is_control = front->node->options.front_address[0] == '\0';
-	int nodes = is_control ? 1 : shares_count (&front->shares);
-	double rate = front->node->options.front_list_rate / DISCOVERY_RATE_DIVISOR;
-	int pages = discovery->pages > 0 ? discovery->pages : 1;
-	int64_t min_interval_us = rate > 0 ? (int64_t)(pages * nodes / rate * US_PER_S) : 0;
+	const struct options *options = &front->node->options;
+	struct refresh_load load = {
+		.nodes = options->front_address[0] == '\0' ? 1 : shares_count (&front->shares),
+		.pages = discovery->pages,
+		.rate_per_s = options->front_list_rate,
+		.lag_us = options->front_list_lag_ms * US_PER_MS,
+	};
 	int64_t interval_us =
-		min_interval_us > DISCOVERY_PERIOD_US ? min_interval_us : DISCOVERY_PERIOD_US;
+		refresh_interval_us (&discovery->refresh, &load, front_now_us (front));
 	/* Jitter of 5 percent either way, so that nodes started together do not read together. */
 	return interval_us - interval_us / 20 +
 	       (int64_t)rng_below (&discovery->front->rng, (uint64_t)interval_us / 10);
@@ -161,6 +163,7 @@
 	}
 	size_t packed_len = 0;
 	void *data = listed_targets_encode (&discovery->list, &len);
+	refresh_observe (&discovery->refresh, data, len, front_now_us (front));
 	void *packed = packed_make (data, len, &packed_len);
 	free (data);
 	control_post_roster (front->node->control, packed, packed_len);
@@ -237,7 +240,8 @@
 	const struct front *front = discovery->front;
 	if (!front->node->options.front_address[0])
 		return atomic_load (&front->is_leader);
-	return discovery->read_us + DISCOVERY_STALE_US < front_now_us (front);
+	return refresh_is_due_without_control (discovery->read_us, front->started_us,
+		discovery->start_jitter_us, front_now_us (front));
 }
 
 void
@@ -247,7 +251,7 @@
 		return;
 	if (!should_read (discovery)) {
 		timers_set (&discovery->front->timers, &discovery->timer,
-			front_now_us (discovery->front) + DISCOVERY_PERIOD_US);
+			front_now_us (discovery->front) + DISCOVERY_CHECK_US);
 		return;
 	}
 	discovery->reading = true;
@@ -262,6 +266,8 @@
 {
 	memset (discovery, 0, sizeof (*discovery));
 	discovery->front = front;
+	discovery->start_jitter_us = (int64_t)rng_below (&front->rng, REFRESH_START_WAIT_US);
+	refresh_init (&discovery->refresh, front_now_us (front));
 	timer_init (&discovery->timer, DISCOVERY_TIMER);
 	timers_set (&front->timers, &discovery->timer, front_now_us (front));
 }
--- a/daemon/discovery.h
+++ b/daemon/discovery.h
@@ -6,6 +6,7 @@
  */
 #pragma once
 
+#include "control/refresh.h"
 #include "core/timers.h"
 #include "net/fetch.h"
 #include "platform/list.h"
@@ -15,10 +16,8 @@
 struct front;
 
 enum {
-	DISCOVERY_PERIOD_US = 500000, /**< a leaving target must be noticed within seconds */
-	DISCOVERY_STALE_US = 2000000, /**< an entry node with an older list reads it itself */
 	DISCOVERY_TIMEOUT_US = 900000,
-	DISCOVERY_RATE_DIVISOR = 2, /**< half of the list's rate limit is left for bursts */
+	DISCOVERY_CHECK_US = 50000, /**< interval of checks whether this node is to read */
 };
 
 struct discovery {
@@ -26,6 +25,8 @@
 	struct timer timer;
 	struct fetch fetch;
 	struct fetch_pool *pool;
+	struct refresh refresh;
+	int64_t start_jitter_us;
 	bool reading;
 	int pages;
 	char path[TARGET_LIST_TOKEN_MAX_BYTES * 3 + 64];
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -67,7 +67,7 @@
 	struct sub *sub;
 	struct sub *next;
 	timers_clear (&forward->front->timers, &forward->timer);
-	batch_abandon (forward, ABANDONED_TIMEOUT_US);
+	batch_cancel (forward);
 	cds_list_for_each_entry_safe (sub, next, &forward->subs, node) {
 		cds_list_del (&sub->node);
 		sub->forward = NULL;
@@ -642,7 +642,6 @@
 	}
 	request->user = NULL;
 	forward->request = NULL;
-	batch_cancel (forward);
 	if (forward->scatter.rule->stats && !forward->served)
 		route_stats_record (forward->scatter.rule->stats, &forward->scatter, 0);
 	/* Sub-requests are abandoned: they end on their own or soon lose their connection. */
--- a/options/options.c
+++ b/options/options.c
@@ -138,6 +138,10 @@
 		"IP:port of the platform's list of targets"},
 	{"front", "list_rate", OPTION_REAL, TEMPLATE_FIELD (front_list_rate), 0, 1000000, "10",
 		"Requests per second that the list accepts from all nodes together; 0: no limit"},
+	{"front", "list_lag_ms", OPTION_INT_ROUNDED_UP, TEMPLATE_FIELD (front_list_lag_ms), 0,
+		3600000, "0",
+		"Time by which the platform's list of targets may lag; a list that does not change "
+		"is read less often; a fraction is rounded up"},
 	{"log", "level", OPTION_TEXT, FIELD (log_level), 4, 7, "info",
 		"error, warning, info or debug"},
 	{"platform", "list", OPTION_TEXT, FIELD (platform_list), 0, 255, "",
--- a/test/control.c
+++ b/test/control.c
@@ -422,6 +422,41 @@
 	state_finish (&state);
 }
 
+/* A node that has started serves only once it has the list, which the leader reads meanwhile. */
+static void
+test_node_without_a_target_list_polls_faster (void)
+{
+	struct follower follower;
+	struct follower_settings settings = {
+		.lease_us = 3LL * SECOND, .poll_us = SECOND, .seeds = "a"};
+	int64_t at_us = SECOND;
+	follower_init (&follower, &settings, at_us);
+	follower_tick (&follower, at_us);
+	uint64_t first_seq = follower.seq;
+	struct poll_reply reply = {.seq = first_seq, .revision = 7, .lease_granted = true};
+	follower_receive (&follower, &reply, at_us);
+	follower.next_poll_us = at_us;
+	follower_tick (&follower, at_us);
+	CU_ASSERT_EQUAL (follower.seq, first_seq + 1);
+	reply.seq = follower.seq;
+	follower_receive (&follower, &reply, at_us);
+	follower_tick (&follower, at_us + FOLLOWER_LIST_POLL_US - 1);
+	CU_ASSERT_EQUAL (follower.seq, first_seq + 1);
+	follower_tick (&follower, at_us + FOLLOWER_LIST_POLL_US);
+	CU_ASSERT_EQUAL (follower.seq, first_seq + 2);
+	/* Where no list is read at all, the usual interval applies again. */
+	at_us += FOLLOWER_LIST_WAIT_US;
+	reply.seq = follower.seq;
+	follower_receive (&follower, &reply, at_us);
+	follower_tick (&follower, at_us);
+	CU_ASSERT_EQUAL (follower.seq, first_seq + 3);
+	reply.seq = follower.seq;
+	follower_receive (&follower, &reply, at_us);
+	follower_tick (&follower, at_us + SECOND - 1);
+	CU_ASSERT_EQUAL (follower.seq, first_seq + 3);
+	follower_finish (&follower);
+}
+
 /* A change is accepted, all nodes lose power, and two return with empty disks. */
 static void
 test_power_loss_with_two_lost_disks (void)
@@ -685,6 +720,7 @@
 		TEST (data_centre_leaves_and_returns),
 		TEST (second_disk_loss_after_a_repair),
 		TEST (late_reply_updates_the_state),
+		TEST (node_without_a_target_list_polls_faster),
 		TEST (power_loss_with_two_lost_disks),
 		TEST (crash_before_sync),
 		TEST (owner_crash_transfers_targets),
--- a/test/units.c
+++ b/test/units.c
@@ -5,7 +5,9 @@
  */
 #include "control/members.h"
 #include "control/owner.h"
+#include "control/refresh.h"
 #include "control/view.h"
+#include "core/clock.h"
 #include "core/log.h"
 #include "core/metrics.h"
 #include "core/pack.h"
@@ -193,6 +195,59 @@
 	json_decref (spec);
 }
 
+/* Reads of the target list */
+
+/* Guards against a read by each of hundreds of nodes in the second in which all of them start. */
+static void
+test_nodes_that_start_together_leave_the_list_to_control (void)
+{
+	enum { NODES = 291, START_US = 5000000, CONTROL_READY_US = START_US + 900 * MS };
+	int reads = 0;
+	for (int i = 0; i < NODES; i++) {
+		int64_t jitter_us = (int64_t)i * REFRESH_START_WAIT_US / NODES;
+		for (int64_t now_us = START_US; now_us < CONTROL_READY_US; now_us += 100 * MS)
+			reads += refresh_is_due_without_control (0, START_US, jitter_us, now_us);
+	}
+	CU_ASSERT_EQUAL (reads, 0);
+	/* Without control, all have read it after two seconds, spread over one. */
+	int64_t half_us = START_US + REFRESH_START_WAIT_US + REFRESH_START_WAIT_US / 2;
+	for (int i = 0; i < NODES; i++) {
+		int64_t jitter_us = (int64_t)i * REFRESH_START_WAIT_US / NODES;
+		reads += refresh_is_due_without_control (0, START_US, jitter_us, half_us);
+		CU_ASSERT_TRUE (refresh_is_due_without_control (
+			0, START_US, jitter_us, START_US + 2 * REFRESH_START_WAIT_US));
+	}
+	CU_ASSERT_TRUE (reads > NODES / 3 && reads < NODES * 2 / 3);
+	/* A list that control has brought is used until it is stale. */
+	CU_ASSERT_FALSE (refresh_is_due_without_control (
+		START_US, START_US, 0, START_US + REFRESH_STALE_US));
+	CU_ASSERT_TRUE (refresh_is_due_without_control (
+		START_US, START_US, 0, START_US + REFRESH_STALE_US + 1));
+}
+
+static void
+test_list_is_read_more_often_while_it_changes (void)
+{
+	struct refresh refresh;
+	struct refresh_load load = {.nodes = 1, .pages = 6, .rate_per_s = 3900, .lag_us = 800 * MS};
+	int64_t now_us = 1000 * MS;
+	refresh_init (&refresh, now_us);
+	refresh_observe (&refresh, "a", 1, now_us);
+	CU_ASSERT_EQUAL (refresh_interval_us (&refresh, &load, now_us), REFRESH_PERIOD_US);
+	now_us += REFRESH_BUSY_US;
+	refresh_observe (&refresh, "a", 1, now_us);
+	CU_ASSERT_EQUAL (refresh_interval_us (&refresh, &load, now_us), REFRESH_CALM_PERIOD_US);
+	refresh_observe (&refresh, "b", 1, now_us);
+	CU_ASSERT_EQUAL (refresh_interval_us (&refresh, &load, now_us), REFRESH_PERIOD_US);
+	now_us += REFRESH_BUSY_US;
+	load.lag_us = 0;
+	CU_ASSERT_EQUAL (refresh_interval_us (&refresh, &load, now_us), REFRESH_PERIOD_US);
+	/* All nodes together stay within half of the list's rate. */
+	load.nodes = 291;
+	CU_ASSERT_TRUE (refresh_interval_us (&refresh, &load, now_us) >=
+			(int64_t)291 * 6 * US_PER_S * 2 / 3900);
+}
+
 /* Gate */
 
 struct gate_fixture {
@@ -900,6 +955,8 @@
 		TEST (settings_errors_name_line_field_and_remedy),
 		TEST (bounds_filled_in_by_the_platform),
 		TEST (control_fields_filled_in_by_the_platform),
+		TEST (nodes_that_start_together_leave_the_list_to_control),
+		TEST (list_is_read_more_often_while_it_changes),
 		TEST (resources_with_bad_fields_are_rejected),
 		TEST (cold_target_runs_no_more_than_its_limit),
 		TEST (unannounced_cold_starts_lower_the_limit),
