--- a/daemon/front_dump.c
+++ b/daemon/front_dump.c
@@ -61,6 +61,31 @@
 	buf_addf (out, "]}");
 }
 
+/* The aggregators that this node uses or avoids; the others are as good as unknown to it. */
+static void
+write_aggregators (const struct front *front, int64_t now_us, struct buf *out)
+{
+	const struct aggregator *aggregator;
+	const struct cds_list_head *served;
+	int served_count = 0;
+	int count = 0;
+	cds_list_for_each (served, &front->served) served_count++;
+	buf_addf (out, "{\"max_groups\":%d,\"batches_served\":%d,\"nodes\":[",
+		front->aggregators.max_groups, served_count);
+	cds_list_for_each_entry (aggregator, &front->aggregators.nodes, node) {
+		if (!aggregator->pool && aggregator->avoid_until_us <= now_us)
+			continue;
+		buf_addf (out,
+			"%s{\"address\":\"%s\",\"data_centre\":\"%s\",\"leaving\":%s,"
+			"\"in_flight\":%d,\"failures\":%d,\"avoided_ms\":%" PRId64 "}",
+			count++ ? "," : "", aggregator->entry.address,
+			aggregator->entry.data_centre, aggregator->entry.leaving ? "true" : "false",
+			aggregator->in_flight, aggregator->failures,
+			remaining_ms (aggregator->avoid_until_us, now_us));
+	}
+	buf_addf (out, "]}");
+}
+
 static void
 write_json (struct front *front, struct buf *out)
 {
@@ -78,7 +103,9 @@
 			buf_add (out, ",", 1);
 		write_set (set, now_us, out);
 	}
-	buf_addf (out, "]}");
+	buf_addf (out, "],\"aggregators\":");
+	write_aggregators (front, now_us, out);
+	buf_add (out, "}", 1);
 }
 
 static void
--- a/test/platform.sh
+++ b/test/platform.sh
@@ -278,6 +278,21 @@
 expect "a node with bad new settings keeps the old ones" "$(send_request 5 m2 /all/x)" '^HTTP/1.1 200'
 sed -i 's/^extra_slack = .*/extra_slack = 32.737/' "$RUN/n5.ini"
 
+echo "a node that sends sub-requests for another is frozen:"
+answer=$(call "http://127.0.0.1:$((BASE + 304))/metrics")
+[ "$(grep -oE '^oleanderstile_batches_sent_total [0-9]+' <<< "$answer" | cut -d' ' -f2)" -gt 0 ] || fail "no batch was sent"
+kill -STOP "${PIDS[n5]}"
+for i in 1 2 3 4; do
+	answer=$(send_request 4 "z$i" /all/x)
+	expect "the answer of the other node is complete" "$answer" '^HTTP/1.1 200'
+	expect "no shard is missing" "$answer" '^Oleanderstile-Missing-Parts: 0'
+done
+sent=$(for i in 1 2 3 4; do runs "z$i"; echo; done)
+kill -CONT "${PIDS[n5]}"
+sleep 1
+expect "the frozen node sends nothing late" "$(for i in 1 2 3 4; do runs "z$i"; echo; done | tr '\n' ' ')" "^$(tr '\n' ' ' <<< "$sent" | sed 's/ *$//') *\$"
+expect "it serves again" "$(send_request 5 z5 /all/x)" '^HTTP/1.1 200'
+
 echo "control is lost:"
 for n in 1 2 3; do kill -STOP "${PIDS[n$n]}"; done
 sleep 4
