daemon: batches whose sender has closed its connection are not run

Cause: a batch waits in the socket of a node that is frozen; the close of its sender, which has passed the batch on, is noticed only after the batch was started. Ruled out: the age of the batch (no common clock), the gap in the loop alone (a short freeze looks like an idle wait). The connection is looked at before the start.

--- a/daemon/batch_serve.c
+++ b/daemon/batch_serve.c
@@ -206,13 +206,14 @@
 }
 
 /*
- * Batches that arrived while this process was suspended may have been sent again since. The sender
- * has closed its connection by then, which is noticed only after the batch was read.
+ * A batch that had to wait, for example while this process was suspended, may have been sent again
+ * since. Its sender has closed the connection by then, unless the close is held up in the network.
  */
 static bool
-was_suspended (const struct front *front)
+is_outdated (const struct front *front, const struct ingress_request *request)
 {
-	return front_now_us (front) < front->resumed_us + FRONT_RESUME_GUARD_US;
+	return front_now_us (front) < front->resumed_us + FRONT_RESUME_GUARD_US ||
+	       ingress_caller_has_left (request);
 }
 
 static void
@@ -250,7 +251,7 @@
 	if (!batch_decode_request (&batch, key, request->body.data, request->body.len)) {
 		metric_add (METRIC_PEER_DROPPED, 1);
 		answer_status (request, 400);
-	} else if (!front_has_view (front) || is_closing (front) || was_suspended (front)) {
+	} else if (!front_has_view (front) || is_closing (front) || is_outdated (front, request)) {
 		answer_status (request, 503);
 	} else {
 		struct routing_rule *rule = find_rule (front, &batch);
--- a/net/ingress.c
+++ b/net/ingress.c
@@ -3,11 +3,13 @@
 #include "core/clock.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 #include <sys/epoll.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 enum {
@@ -312,6 +314,16 @@
 	resume (request);
 }
 
+bool
+ingress_caller_has_left (const struct ingress_request *request)
+{
+	char byte = 0;
+	if (!request->client)
+		return true;
+	ssize_t n = recv (request->client->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 const char *
 ingress_header (struct ingress_request *request, const char *name)
 {
--- a/net/ingress.h
+++ b/net/ingress.h
@@ -102,6 +102,13 @@
 ingress_answer (struct ingress_request *request, int status, const struct buf *head, char *body,
 	size_t len, bool close);
 
+/**
+ * Whether the caller has closed its connection. The hook caller_left reports that too, but only
+ * after the request was passed on, when both have arrived before the thread got to read them.
+ */
+bool
+ingress_caller_has_left (const struct ingress_request *request);
+
 /** The first value of a header; empty if the request lacks it. */
 const char *
 ingress_header (struct ingress_request *request, const char *name);
