query: an aggregator uses one attempt until its sender confirms that it waits

A hedge or retry waits until the sender has asked for the rest. Connections to a target are shared by the nodes that send to it.

--- a/daemon/batch_serve.c
+++ b/daemon/batch_serve.c
@@ -28,15 +28,6 @@
 	ingress_answer (request, status, NULL, NULL, 0, false);
 }
 
-static int
-count_unreported (const struct scatter *scatter)
-{
-	int count = 0;
-	for (int i = 0; i < scatter->shard_count; i++)
-		count += scatter->shards[i].closed && !scatter->shards[i].reported;
-	return count;
-}
-
 /* Shards that were given up are reported at the end, since an answer may still come. */
 static bool
 is_reported_now (const struct scatter_shard *shard, bool done)
@@ -92,8 +83,12 @@
 batch_serve_progress (struct scatter *scatter)
 {
 	struct forward *forward = caa_container_of (scatter, struct forward, scatter);
-	if (forward->served->has_result && forward->request &&
-		count_answered_unreported (scatter) > 0) {
+	if (!forward->request)
+		return;
+	bool is_due = forward->served->has_result
+			      ? count_answered_unreported (scatter) > 0
+			      : scatter_hedge_is_due (scatter, front_now_us (forward->front));
+	if (is_due) {
 		send_result (forward, false);
 		forward_set_timer (forward);
 	}
@@ -116,7 +111,7 @@
 {
 	const struct served_batch *served = forward->served;
 	int64_t wake_us = forward->scatter.phase == SCATTER_DONE ? INT64_MAX : scatter_wake_us;
-	if (!forward->request && served->rest_until_us < wake_us)
+	if (!forward->request && (served->rest_until_us < wake_us || forward->scatter.unconfirmed))
 		wake_us = served->rest_until_us;
 	return wake_us;
 }
@@ -131,8 +126,6 @@
 		forward_free (forward);
 		return;
 	}
-	if (!served->has_result && scatter_hedge_is_due (scatter, now_us))
-		send_result (forward, false);
 	/* Set first, since the tick may end the section and free the forward. */
 	timers_set (&forward->front->timers, &forward->timer, now_us + REST_WAIT_US);
 	bool is_last = scatter->deadline_us <= now_us && forward->request;
@@ -183,8 +176,10 @@
 		return;
 	}
 	forward_set_timer (forward);
-	if (count_unreported (&forward->scatter) > 0)
-		batch_serve_progress (&forward->scatter);
+	scatter_confirm (&forward->scatter, front_now_us (front));
+	/* The hedges that were sent have to be in the timer, unless the section has ended. */
+	if (find_served (front, &id) == forward)
+		forward_set_timer (forward);
 }
 
 /* Finds the route of a batch; NULL when this node's view of its shards differs. */
--- a/daemon/discovery.c
+++ b/daemon/discovery.c
@@ -112,7 +112,7 @@
 		remove_unlisted (front, set);
 		scatter_serve_waiting (set, now_us);
 	}
-	front_update_homes (front);
+	front_update_fan_outs (front);
 }
 
 static bool
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -50,6 +50,7 @@
 	if (!replica->pool)
 		replica->pool = fetch_pool_new (
 			&front->fetches, replica->address, replica->set->connections, &pool_hooks);
+	fetch_pool_set_max_connections (replica->pool, replica->set->connections);
 	return replica->pool;
 }
 
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -94,6 +94,59 @@
 	update_cold_intervals (front, set);
 }
 
+/* Adds the data centres in which at least half of a fan-out's shards have a usable target. */
+static void
+update_homes (const struct routing *routing, struct routing_rule *rule)
+{
+	struct aggregator_homes seen = {0};
+	int counts[AGGREGATOR_HOMES_MAX] = {0};
+	for (int i = 0; i < rule->part_count; i++) {
+		const struct replica_set *set = routing->services[rule->parts[i].service].set;
+		const struct replica *replica;
+		cds_list_for_each_entry (replica, &set->replicas, node) {
+			if (!replica_usable (replica))
+				continue;
+			aggregator_homes_add (&seen, replica->data_centre);
+			for (int j = 0; j < seen.count; j++)
+				counts[j] += strcmp (seen.names[j], replica->data_centre) == 0;
+		}
+	}
+	rule->homes.count = 0;
+	for (int i = 0; i < seen.count; i++) {
+		if (counts[i] * 2 >= rule->part_count)
+			aggregator_homes_add (&rule->homes, seen.names[i]);
+	}
+}
+
+/* Only few of the entry nodes send to the targets of a shard, so each may open more connections. */
+static void
+update_connections (
+	struct front *front, const struct routing *routing, const struct routing_rule *rule)
+{
+	int groups = aggregator_groups (&front->aggregators, rule->part_count);
+	if (groups == 0)
+		return;
+	int users = aggregator_users (shares_count (&front->shares), groups);
+	for (int i = 0; i < rule->part_count; i++) {
+		const struct routing_service *service = &routing->services[rule->parts[i].service];
+		int connections = replica_connections (service->max_connections, users);
+		if (connections > service->set->connections)
+			service->set->connections = connections;
+	}
+}
+
+void
+front_update_fan_outs (struct front *front)
+{
+	struct routing *routing = front->state ? front->state->routing : NULL;
+	for (int i = 0; routing && i < routing->rule_count; i++) {
+		if (routing->rules[i].shape != ROUTE_FAN_OUT)
+			continue;
+		update_homes (routing, &routing->rules[i]);
+		update_connections (front, routing, &routing->rules[i]);
+	}
+}
+
 /* Rechecks whether this node may use its share; that depends on lease and settled epoch. */
 static void
 update_share (struct front *front)
@@ -113,6 +166,8 @@
 		if (changed)
 			front_configure_set (front, set);
 	}
+	if (changed)
+		front_update_fan_outs (front);
 }
 
 struct replica_set *
@@ -197,40 +252,6 @@
 	free (state);
 }
 
-/* Adds the data centres in which at least half of a fan-out's shards have a usable target. */
-static void
-update_homes (const struct routing *routing, struct routing_rule *rule)
-{
-	struct aggregator_homes seen = {0};
-	int counts[AGGREGATOR_HOMES_MAX] = {0};
-	for (int i = 0; i < rule->part_count; i++) {
-		const struct replica_set *set = routing->services[rule->parts[i].service].set;
-		const struct replica *replica;
-		cds_list_for_each_entry (replica, &set->replicas, node) {
-			if (!replica_usable (replica))
-				continue;
-			aggregator_homes_add (&seen, replica->data_centre);
-			for (int j = 0; j < seen.count; j++)
-				counts[j] += strcmp (seen.names[j], replica->data_centre) == 0;
-		}
-	}
-	rule->homes.count = 0;
-	for (int i = 0; i < seen.count; i++) {
-		if (counts[i] * 2 >= rule->part_count)
-			aggregator_homes_add (&rule->homes, seen.names[i]);
-	}
-}
-
-void
-front_update_homes (struct front *front)
-{
-	struct routing *routing = front->state ? front->state->routing : NULL;
-	for (int i = 0; routing && i < routing->rule_count; i++) {
-		if (routing->rules[i].shape == ROUTE_FAN_OUT)
-			update_homes (routing, &routing->rules[i]);
-	}
-}
-
 static void
 update_entry_nodes (struct front *front, const struct front_state *state)
 {
@@ -268,7 +289,7 @@
 	cds_list_for_each_entry (set, &front->sets, node)
 		front_configure_set (front, set);
 	update_evacuation (front);
-	front_update_homes (front);
+	front_update_fan_outs (front);
 	if (state->routing) {
 		front->callers.limits.body_bytes = state->routing->limits.body_bytes;
 		front->callers.limits.idle_timeout_us =
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -137,9 +137,12 @@
 void
 front_update_cold_interval (struct front *front, struct replica *replica);
 
-/** Finds the data centres that hold the targets of each fan-out. */
+/**
+ * Updates what depends on the targets and entry nodes of each fan-out: the data centres that hold
+ * its targets, and the connections that this node may open to each.
+ */
 void
-front_update_homes (struct front *front);
+front_update_fan_outs (struct front *front);
 
 /** Applies the declared limits of a set's service to the set. */
 void
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -157,6 +157,12 @@
 	return pool;
 }
 
+void
+fetch_pool_set_max_connections (struct fetch_pool *pool, int max_connections)
+{
+	pool->max_connections = max_connections > 0 ? max_connections : 1;
+}
+
 void
 fetch_pool_retire (struct fetch_pool *pool)
 {
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -126,6 +126,10 @@
 fetch_pool_new (struct fetch_loop *loop, const char *address, int max_connections,
 	const struct fetch_hooks *hooks);
 
+/** Changes the maximum number of connections; surplus ones stay open until they are idle. */
+void
+fetch_pool_set_max_connections (struct fetch_pool *pool, int max_connections);
+
 /** Retires a pool: its fetches may complete, but no connection is reused. */
 void
 fetch_pool_retire (struct fetch_pool *pool);
--- a/query/aggregators.c
+++ b/query/aggregators.c
@@ -37,6 +37,15 @@
 	return groups > 1 ? groups : 0;
 }
 
+int
+aggregator_users (int nodes, int groups)
+{
+	int users = nodes / groups / AGGREGATOR_PREFERRED_PART;
+	if (users < AGGREGATOR_PREFERRED_MIN * AGGREGATOR_HOMES_USUAL)
+		users = AGGREGATOR_PREFERRED_MIN * AGGREGATOR_HOMES_USUAL;
+	return users + AGGREGATOR_PREFERRED_MIN;
+}
+
 int
 aggregator_group_of_shard (int shard, int groups)
 {
--- a/query/aggregators.h
+++ b/query/aggregators.h
@@ -19,6 +19,7 @@
 enum {
 	AGGREGATOR_NAME_SIZE = 64,
 	AGGREGATOR_HOMES_MAX = 8,
+	AGGREGATOR_HOMES_USUAL = 3,    /**< data centres that hold replicas of one shard */
 	AGGREGATOR_PREFERRED_MIN = 2,  /**< nodes of a group in one data centre that get batches */
 	AGGREGATOR_PREFERRED_PART = 4, /**< the same as a part of its nodes there: one in four */
 	AGGREGATOR_TRIES = 2,          /**< of one batch, before this node sends directly */
@@ -86,6 +87,10 @@
 int
 aggregator_groups (const struct aggregators *aggregators, int shards);
 
+/** Number of nodes that usually send to the targets of a shard, with a few that take over. */
+int
+aggregator_users (int nodes, int groups);
+
 /** The group that sends the sub-requests of a shard. */
 int
 aggregator_group_of_shard (int shard, int groups);
--- a/query/scatter.c
+++ b/query/scatter.c
@@ -53,6 +53,8 @@
 {
 	init_common (scatter, routing, rule, policy, hooks, now_us, deadline_us);
 	scatter->scope = SCATTER_SECTION;
+	scatter->unconfirmed = true;
+	scatter->attempts_before = attempts_used;
 	scatter->shard_count = part_count;
 	scatter->min_shards = part_count;
 	scatter->shards = xcalloc ((size_t)part_count, sizeof (*scatter->shards));
@@ -245,6 +247,12 @@
 	       shard->tried_count < SCATTER_MAX_ATTEMPTS;
 }
 
+static bool
+needs_confirmation (const struct scatter *scatter, const struct scatter_shard *shard)
+{
+	return scatter->unconfirmed && shard->attempts_used > scatter->attempts_before;
+}
+
 static enum replica_selection
 choose_for_shard (struct scatter *scatter, struct scatter_shard *shard, bool hedge, int64_t now_us,
 	struct replica **replica)
@@ -309,6 +317,10 @@
 		give_up (scatter, shard, GIVE_UP_ATTEMPTS);
 		return;
 	}
+	if (needs_confirmation (scatter, shard)) {
+		shard->hedge_at_us = now_us;
+		return;
+	}
 	switch (choose_for_shard (scatter, shard, false, now_us, &replica)) {
 	case REPLICA_FOUND:
 		if (shard->reached_target && !budget_spend (&shard->set->extra)) {
@@ -499,12 +511,27 @@
 scatter_tick (struct scatter *scatter, int64_t now_us)
 {
 	for (int i = 0; i < scatter->shard_count && scatter->phase == SCATTER_RUNNING; i++) {
-		if (scatter->shards[i].hedge_at_us <= now_us && !scatter->shards[i].closed)
-			hedge (scatter, &scatter->shards[i], now_us);
+		struct scatter_shard *shard = &scatter->shards[i];
+		if (shard->hedge_at_us > now_us || shard->closed ||
+			needs_confirmation (scatter, shard))
+			continue;
+		if (shard->running > 0) {
+			hedge (scatter, shard, now_us);
+		} else if (!shard->queued) {
+			shard->hedge_at_us = INT64_MAX;
+			try_shard (scatter, shard, now_us);
+		}
 	}
 	end_if_decided (scatter, now_us);
 }
 
+void
+scatter_confirm (struct scatter *scatter, int64_t now_us)
+{
+	scatter->unconfirmed = false;
+	scatter_tick (scatter, now_us);
+}
+
 bool
 scatter_hedge_is_due (const struct scatter *scatter, int64_t now_us)
 {
--- a/query/scatter.h
+++ b/query/scatter.h
@@ -137,6 +137,13 @@
 	const struct scatter_policy *policy;
 	const struct scatter_hooks *hooks;
 	enum scatter_scope scope;
+	/**
+	 * SCATTER_SECTION: the node that received the query has not confirmed yet that it still
+	 * waits. It may have passed the shards to another node, so each gets one attempt until
+	 * then.
+	 */
+	bool unconfirmed;
+	int attempts_before; /**< SCATTER_SECTION: attempts of each shard by other nodes */
 	enum scatter_phase phase;
 	enum scatter_result result;
 	int64_t start_us;
@@ -243,6 +250,10 @@
 char *
 scatter_merge_unreported (const struct scatter *scatter, size_t *len);
 
-/** True when a hedge is due, at scatter_wake_us or later. */
+/** Confirms that the receiver of a section still waits, and sends what is due. */
+void
+scatter_confirm (struct scatter *scatter, int64_t now_us);
+
+/** True when a hedge or retry is due, at scatter_wake_us or later. */
 bool
 scatter_hedge_is_due (const struct scatter *scatter, int64_t now_us);
--- a/test/aggregators.c
+++ b/test/aggregators.c
@@ -121,8 +121,10 @@
 	aggregators_init (&aggregators, entries[0].hash);
 	aggregators_update (&aggregators, entries, NODES, MIN_NODES);
 	int own_group = aggregator_group_of_node (entries[0].hash, GROUPS);
-	struct aggregator_criteria criteria = {
-		.group = (own_group + 1) % GROUPS, .data_centre = "a", .homes = &homes};
+	struct aggregator_criteria criteria = {.groups = GROUPS,
+		.group = (own_group + 1) % GROUPS,
+		.data_centre = "a",
+		.homes = &homes};
 	struct aggregator *first = aggregator_choose (&aggregators, &criteria, 0);
 	for (int i = 0; i < NODES; i++) {
 		if (first && entries[i].hash == first->entry.hash)
@@ -574,6 +576,40 @@
 	routing_unref (routing);
 }
 
+/*
+ * Guards against more attempts than the route allows: a node that waited for a first result in vain
+ * passes the shards to another one, while the aggregator is only slow.
+ */
+static void
+test_section_sends_one_attempt_until_it_is_confirmed (void)
+{
+	struct scatter scatter;
+	struct routing *routing = make_routing (4);
+	const int parts[] = {0, 1, 2};
+	scatter_init_section (&scatter, routing, &routing->rules[0], &policy, &hooks, now_us,
+		now_us + 1000 * MS, parts, 3, 0);
+	scatter_start (&scatter, now_us);
+	CU_ASSERT_EQUAL (send_count, 3);
+	/* One that may have run is not sent again, one that did not run is. */
+	end_send (&scatter, 0, SUB_END_BROKEN, "");
+	CU_ASSERT_EQUAL (send_count, 3);
+	CU_ASSERT_TRUE (scatter_hedge_is_due (&scatter, now_us));
+	end_send (&scatter, 1, SUB_END_NOT_RUN, "");
+	CU_ASSERT_EQUAL (send_count, 4);
+	now_us += 60 * MS;
+	scatter_tick (&scatter, now_us);
+	CU_ASSERT_EQUAL (send_count, 4);
+	scatter_confirm (&scatter, now_us);
+	/* A retry of the first shard and hedges of the others. */
+	CU_ASSERT_EQUAL (send_count, 7);
+	for (int i = 2; i < send_count; i++)
+		end_send (&scatter, i, SUB_END_ANSWERED, "");
+	CU_ASSERT_EQUAL (delivered, 1);
+	CU_ASSERT_EQUAL (scatter.answered, 3);
+	scatter_finish (&scatter);
+	routing_unref (routing);
+}
+
 /* Guards against hedges that leave a node after it was frozen, when its sender has failed over. */
 static void
 test_overdue_hedge_of_a_section_is_not_sent (void)
@@ -588,7 +624,7 @@
 		now_us = scatter_wake_us (&scatter);
 		CU_ASSERT_TRUE (scatter_hedge_is_due (&scatter, now_us));
 		now_us += late ? 2000 * MS : 0;
-		scatter_tick (&scatter, now_us);
+		scatter_confirm (&scatter, now_us);
 		CU_ASSERT_EQUAL (send_count, late ? 1 : 2);
 		CU_ASSERT_FALSE (scatter_hedge_is_due (&scatter, now_us));
 		for (int i = 0; i < send_count; i++)
@@ -612,6 +648,7 @@
 		TEST (shards_of_a_failed_aggregator_are_sent_directly),
 		TEST (refusal_only_if_no_aggregator_may_have_sent),
 		TEST (section_reports_progress_and_ends_when_all_shards_have),
+		TEST (section_sends_one_attempt_until_it_is_confirmed),
 		TEST (overdue_hedge_of_a_section_is_not_sent),
 	};
 	return suite_run ("aggregators", tests, sizeof (tests) / sizeof (tests[0]));
--- a/test/fuzz/scatter.c
+++ b/test/fuzz/scatter.c
@@ -24,6 +24,7 @@
 	int delivered;
 	int may_have_run[SERVICES]; /* sub-requests of each shard that run or may have run */
 	bool non_idempotent;
+	int attempts_before; /* of each shard of a section, by other nodes */
 };
 
 struct send {
@@ -58,6 +59,8 @@
 			sends[i].use.replica != replica);
 	request->may_have_run[shard]++;
 	check (request->may_have_run[shard] <= scatter->rule->max_attempts);
+	if (scatter->unconfirmed)
+		check (request->may_have_run[shard] <= request->attempts_before + 1);
 	if (request->non_idempotent)
 		check (request->may_have_run[shard] == 1);
 	check (send_count < MAX_SENDS);
@@ -161,6 +164,7 @@
 	if (rule->shape == ROUTE_FAN_OUT && input_below (input, 4) == 0) {
 		const int parts[SERVICES] = {0, 1, 2, 3};
 		int attempts_used = (int)input_below (input, 2);
+		request->attempts_before = attempts_used;
 		for (int i = 0; i < rule->part_count; i++)
 			request->may_have_run[i] = attempts_used;
 		scatter_init_section (&request->scatter, routing, rule, &policy, &hooks, now_us,
@@ -213,6 +217,8 @@
 	if (!request->started || request->delivered > 0)
 		return;
 	int shard = (int)input_below (input, (unsigned)scatter->shard_count);
+	if (scatter->scope == SCATTER_SECTION)
+		scatter_confirm (scatter, now_us);
 	if (!scatter->shards[shard].remote)
 		return;
 	bool may_have_run = input_below (input, 2) != 0;
