--- a/daemon/front.c
+++ b/daemon/front.c
@@ -74,6 +74,35 @@
 	}
 }
 
+/*
+ * Sets this node's share of the slack and of the connections. Groups follow from the members, so
+ * for a short time two nodes may divide the nodes into different groups, and a service may be part
+ * of two fan-outs. Half of the slack is divided within a group, so that two divisions stay within
+ * it.
+ */
+static void
+apply_shares (struct front *front, struct replica_set *set, const struct routing_service *service)
+{
+	double slack = front->node->options.front_extra_slack;
+	int nodes = shares_count (&front->shares);
+	/* The rank takes a hash of each node, and matters only when there is less than one for
+	 * each. */
+	int rank = slack < nodes + 1 ? shares_rank (&front->shares, name_hash (set->name)) : 0;
+	int burst = budget_share (slack, nodes, rank);
+	int connections = replica_connections (service->max_connections, nodes);
+	if (set->group_nodes > 0) {
+		int group_connections =
+			replica_connections (service->max_connections, set->group_users);
+		burst = set->group_rank < 0
+				? 0
+				: budget_share (slack / 2, set->group_nodes, set->group_rank);
+		if (group_connections > connections)
+			connections = group_connections;
+	}
+	budget_set_burst (&set->extra, burst);
+	set->connections = connections;
+}
+
 void
 front_configure_set (struct front *front, struct replica_set *set)
 {
@@ -83,11 +112,8 @@
 	if (at < 0)
 		return;
 	struct routing_service *service = &routing->services[at];
-	int nodes = shares_count (&front->shares);
-	int rank = shares_rank (&front->shares, name_hash (set->name));
 	service->set = set;
-	budget_set_burst (&set->extra, budget_share (options->front_extra_slack, nodes, rank));
-	set->connections = replica_connections (service->max_connections, nodes);
+	apply_shares (front, set, service);
 	set->cold_rate_per_s =
 		service->cold_rate_per_s * options->front_cold_factor + options->front_cold_slack;
 	set->share_until_us = front->share_until_us;
@@ -118,20 +144,22 @@
 	}
 }
 
-/* Only few of the entry nodes send to the targets of a shard, so each may open more connections. */
+/* Notes which entry nodes send to the targets of each shard. */
 static void
-update_connections (
-	struct front *front, const struct routing *routing, const struct routing_rule *rule)
+update_groups (
+	const struct front *front, const struct routing *routing, const struct routing_rule *rule)
 {
 	int groups = aggregator_groups (&front->aggregators, rule->part_count);
-	if (groups == 0)
-		return;
-	int users = aggregator_users (shares_count (&front->shares), groups);
-	for (int i = 0; i < rule->part_count; i++) {
-		const struct routing_service *service = &routing->services[rule->parts[i].service];
-		int connections = replica_connections (service->max_connections, users);
-		if (connections > service->set->connections)
-			service->set->connections = connections;
+	for (int group = 0; group < groups; group++) {
+		struct aggregator_group nodes =
+			aggregator_group_get (&front->aggregators, groups, group);
+		for (int i = group; i < rule->part_count; i += groups) {
+			struct replica_set *set = routing->services[rule->parts[i].service].set;
+			set->group_nodes = nodes.nodes;
+			set->group_users = aggregator_users (shares_count (&front->shares), groups);
+			if (set->group_rank < 0)
+				set->group_rank = nodes.own_rank;
+		}
 	}
 }
 
@@ -139,11 +167,22 @@
 front_update_fan_outs (struct front *front)
 {
 	struct routing *routing = front->state ? front->state->routing : NULL;
-	for (int i = 0; routing && i < routing->rule_count; i++) {
+	struct replica_set *set;
+	if (!routing)
+		return;
+	cds_list_for_each_entry (set, &front->sets, node) {
+		set->group_nodes = 0;
+		set->group_rank = -1;
+	}
+	for (int i = 0; i < routing->rule_count; i++) {
 		if (routing->rules[i].shape != ROUTE_FAN_OUT)
 			continue;
 		update_homes (routing, &routing->rules[i]);
-		update_connections (front, routing, &routing->rules[i]);
+		update_groups (front, routing, &routing->rules[i]);
+	}
+	for (int i = 0; i < routing->service_count; i++) {
+		if (routing->services[i].set)
+			apply_shares (front, routing->services[i].set, &routing->services[i]);
 	}
 }
 
--- a/query/aggregators.c
+++ b/query/aggregators.c
@@ -46,6 +46,25 @@
 	return users + AGGREGATOR_PREFERRED_MIN;
 }
 
+struct aggregator_group
+aggregator_group_get (const struct aggregators *aggregators, int groups, int group)
+{
+	struct aggregator_group result = {.own_rank = -1};
+	const struct aggregator *aggregator;
+	bool is_own = aggregator_group_of_node (aggregators->own_hash, groups) == group;
+	int lower = 0;
+	cds_list_for_each_entry (aggregator, &aggregators->nodes, node) {
+		if (!aggregator->declared ||
+			aggregator_group_of_node (aggregator->entry.hash, groups) != group)
+			continue;
+		result.nodes++;
+		lower += aggregator->entry.hash < aggregators->own_hash;
+	}
+	if (is_own)
+		result.own_rank = lower;
+	return result;
+}
+
 int
 aggregator_group_of_shard (int shard, int groups)
 {
--- a/query/aggregators.h
+++ b/query/aggregators.h
@@ -21,7 +21,7 @@
 	AGGREGATOR_HOMES_MAX = 8,
 	AGGREGATOR_HOMES_USUAL = 3,    /**< data centres that hold replicas of one shard */
 	AGGREGATOR_PREFERRED_MIN = 2,  /**< nodes of a group in one data centre that get batches */
-	AGGREGATOR_PREFERRED_PART = 4, /**< the same as a part of its nodes there: one in four */
+	AGGREGATOR_PREFERRED_PART = 2, /**< the same as a part of its nodes there: one in two */
 	AGGREGATOR_TRIES = 2,          /**< of one batch, before this node sends directly */
 	AGGREGATOR_AVOID_US = 500000,  /**< after a failure; doubles with each further one */
 	AGGREGATOR_AVOID_MAX_US = 8000000,
@@ -91,6 +91,15 @@
 int
 aggregator_users (int nodes, int groups);
 
+/** The entry nodes of one group, as far as shares of a bound depend on them. */
+struct aggregator_group {
+	int nodes;
+	int own_rank; /**< of this node among them; -1: it is not one of them */
+};
+
+struct aggregator_group
+aggregator_group_get (const struct aggregators *aggregators, int groups, int group);
+
 /** The group that sends the sub-requests of a shard. */
 int
 aggregator_group_of_shard (int shard, int groups);
