--- a/daemon/batch_serve.c
+++ b/daemon/batch_serve.c
@@ -1,6 +1,7 @@
 #include "daemon/batch_serve.h"
 
 #include "core/metrics.h"
+#include "daemon/forward_log.h"
 #include "query/batch.h"
 
 #include <stdlib.h>
@@ -16,6 +17,7 @@
 	struct cds_list_head node; /**< in front.served */
 	struct forward *forward;
 	struct batch_id id;
+	bool logged;
 	bool has_result;       /**< a first result was sent */
 	int64_t rest_until_us; /**< while no request for the rest is held */
 	int reported_hedges;
@@ -97,6 +99,9 @@
 void
 batch_serve_finish (struct forward *forward)
 {
+	if (!forward->served->logged)
+		forward_log_end (forward, 200);
+	forward->served->logged = true;
 	if (forward->request) {
 		send_result (forward, true);
 		forward_free (forward);
--- a/daemon/forward_log.c
+++ b/daemon/forward_log.c
@@ -33,12 +33,28 @@
 	return (XXH64 (id, strlen (id), 0) & (LOG_SAMPLE_ONE_IN - 1)) == 0;
 }
 
+/* The shard that explains best why an answer is late or incomplete. */
+static const struct scatter_shard *
+find_cause (const struct scatter *scatter)
+{
+	const struct scatter_shard *cause = &scatter->shards[0];
+	for (int i = 0; i < scatter->shard_count; i++) {
+		const struct scatter_shard *shard = &scatter->shards[i];
+		if (!shard->answered)
+			return shard;
+		if (shard->no_hedge != NO_HEDGE_NONE ||
+			(cause->no_hedge == NO_HEDGE_NONE &&
+				shard->tried_count > cause->tried_count))
+			cause = shard;
+	}
+	return cause;
+}
+
 void
 forward_log_end (const struct forward *forward, int status)
 {
 	const struct scatter *scatter = &forward->scatter;
 	int64_t took_us = front_now_us (forward->front) - scatter->start_us;
-	int last_missing = 0;
 	if (status < 400 && took_us <= scatter->rule->objective_us &&
 		scatter->answered == scatter->shard_count) {
 		if (is_sampled (forward->head.attempt_id))
@@ -55,22 +71,19 @@
 				(long long)forward_list_age_ms (forward->front));
 		return;
 	}
-	for (int i = 0; i < scatter->shard_count; i++) {
-		if (!scatter->shards[i].answered)
-			last_missing = i;
-	}
-	const struct scatter_shard *shard = &scatter->shards[last_missing];
+	const struct scatter_shard *shard = find_cause (scatter);
 	log_event (&forward->front->log,
 		status >= 400 ? EVENT_REQUEST_FAILED : EVENT_REQUEST_DEGRADED,
-		"%s: status %d on route %s after %lld ms; %d of %d shards, %d hedges, %d retries; "
+		"%s: status %d on route %s%s after %lld ms; %d of %d shards, %d hedges, %d "
+		"retries; "
 		"shard %s tried %d, running %d, queued %d of %d%s%s%s; routing %llu, view %lld ms "
 		"old, list %lld ms old",
 		forward->head.attempt_id, status, scatter->rule->name,
-		(long long)(took_us / US_PER_MS), scatter->answered, scatter->shard_count,
-		scatter->hedges, scatter->retries, shard->set->name, shard->tried_count,
-		shard->running, shard->queued, shard->set->waiting_count,
-		shard->give_up ? ", " : "", scatter_give_up_name (shard->give_up),
-		scatter_no_hedge_name (shard->no_hedge),
+		forward->served ? " as aggregator" : "", (long long)(took_us / US_PER_MS),
+		scatter->answered, scatter->shard_count, scatter->hedges, scatter->retries,
+		shard->set->name, shard->tried_count, shard->running, shard->queued,
+		shard->set->waiting_count, shard->give_up ? ", " : "",
+		scatter_give_up_name (shard->give_up), scatter_no_hedge_name (shard->no_hedge),
 		(unsigned long long)scatter->routing->version,
 		(long long)forward_view_age_ms (forward->front),
 		(long long)forward_list_age_ms (forward->front));
