query: time refills the budget of an aggregator

Cause: the slack holds for each window of ten seconds, but a bucket that only first sub-requests refill uses it once. Half of a share can be saved up, half comes back over a window, so that no window exceeds the share. A quarter of the slack is left to nodes outside the group, for direct sends.

--- a/daemon/front.c
+++ b/daemon/front.c
@@ -19,6 +19,7 @@
 	EVENTS_PER_WAIT = 128,
 	IDLE_WAIT_MS = 200,
 	READINESS_MAX_CONNECTIONS = 16,
+	OUTSIDE_SLACK_PERCENT = 25, /* of the slack, for nodes outside the group of a service */
 	BATCH_MAX_CONNECTIONS = 1000,
 	BATCH_MAX_BYTES = 1048576,
 	BATCH_IDLE_TIMEOUT_US = 60000000,
@@ -75,32 +76,48 @@
 }
 
 /*
- * Sets this node's share of the slack and of the connections. Groups follow from the members, so
- * for a short time two nodes may divide the nodes into different groups, and a service may be part
- * of two fan-outs. Half of the slack is divided within a group, so that two divisions stay within
- * it.
+ * The slack is divided within the group that sends to a service. A quarter is left to the other
+ * nodes, which send themselves when aggregators fail.
  */
 static void
+apply_group_slack (const struct front *front, struct replica_set *set)
+{
+	const struct options *options = &front->node->options;
+	double slack = options->front_extra_slack;
+	double outside = slack * OUTSIDE_SLACK_PERCENT / 100;
+	int nodes = shares_count (&front->shares);
+	if (set->group_rank < 0) {
+		int rank = shares_rank (&front->shares, name_hash (set->name));
+		budget_set_burst (&set->extra, budget_share (outside, nodes, rank));
+		budget_set_refill (&set->extra, 0, 0);
+		return;
+	}
+	int share = budget_share (slack - outside, set->group_nodes, set->group_rank);
+	int refill = share / 2;
+	budget_set_burst (&set->extra, share - refill);
+	budget_set_refill (
+		&set->extra, refill, (int64_t)(options->front_extra_window_s * US_PER_S));
+}
+
+/* Sets this node's share of the slack and of the connections. */
+static void
 apply_shares (struct front *front, struct replica_set *set, const struct routing_service *service)
 {
 	double slack = front->node->options.front_extra_slack;
 	int nodes = shares_count (&front->shares);
+	set->connections = replica_connections (service->max_connections, nodes);
+	if (set->group_nodes > 0) {
+		int connections = replica_connections (service->max_connections, set->group_users);
+		if (connections > set->connections)
+			set->connections = connections;
+		apply_group_slack (front, set);
+		return;
+	}
 	/* The rank takes a hash of each node, and matters only when there is less than one for
 	 * each. */
 	int rank = slack < nodes + 1 ? shares_rank (&front->shares, name_hash (set->name)) : 0;
-	int burst = budget_share (slack, nodes, rank);
-	int connections = replica_connections (service->max_connections, nodes);
-	if (set->group_nodes > 0) {
-		int group_connections =
-			replica_connections (service->max_connections, set->group_users);
-		burst = set->group_rank < 0
-				? 0
-				: budget_share (slack / 2, set->group_nodes, set->group_rank);
-		if (group_connections > connections)
-			connections = group_connections;
-	}
-	budget_set_burst (&set->extra, burst);
-	set->connections = connections;
+	budget_set_burst (&set->extra, budget_share (slack, nodes, rank));
+	budget_set_refill (&set->extra, 0, 0);
 }
 
 void
@@ -155,6 +172,10 @@
 			aggregator_group_get (&front->aggregators, groups, group);
 		for (int i = group; i < rule->part_count; i += groups) {
 			struct replica_set *set = routing->services[rule->parts[i].service].set;
+			/* Other nodes may still use shares of the previous groups. */
+			if (set->groups != groups)
+				budget_empty (&set->extra);
+			set->groups = groups;
 			set->group_nodes = nodes.nodes;
 			set->group_users = aggregator_users (shares_count (&front->shares), groups);
 			if (set->group_rank < 0)
--- a/options/options.h
+++ b/options/options.h
@@ -52,6 +52,7 @@
 	int64_t front_stop_ms;
 	double front_extra_ratio;
 	double front_extra_slack;
+	double front_extra_window_s;
 	double front_cold_factor;
 	double front_cold_slack;
 	int64_t front_group_nodes;
--- a/query/budget.c
+++ b/query/budget.c
@@ -20,6 +20,35 @@
 {
 	budget->max_tokens = (int64_t)BUDGET_TOKENS_PER_EXTRA * burst;
 	atomic_init (&budget->tokens, budget->max_tokens);
+	budget->refill_tokens = budget->window_us = budget->refilled_us = 0;
+}
+
+void
+budget_set_refill (struct budget *budget, int refill, int64_t window_us)
+{
+	budget->refill_tokens = (int64_t)BUDGET_TOKENS_PER_EXTRA * refill;
+	budget->window_us = window_us;
+}
+
+void
+budget_refill (struct budget *budget, int64_t now_us)
+{
+	if (budget->refill_tokens == 0 || budget->window_us <= 0)
+		return;
+	if (budget->refilled_us == 0)
+		budget->refilled_us = now_us;
+	int64_t tokens = budget->refill_tokens * (now_us - budget->refilled_us) / budget->window_us;
+	if (tokens <= 0)
+		return;
+	/* Counts only whole tokens as added, so that frequent calls lose nothing. */
+	budget->refilled_us += tokens * budget->window_us / budget->refill_tokens;
+	budget_earn (budget, tokens < budget->max_tokens ? (int)tokens : (int)budget->max_tokens);
+}
+
+void
+budget_empty (struct budget *budget)
+{
+	atomic_store (&budget->tokens, 0);
 }
 
 void
--- a/query/budget.h
+++ b/query/budget.h
@@ -2,8 +2,9 @@
  * @file budget.h
  * Limits hedges and retries (extra sub-requests) to a share of the first sub-requests. No I/O.
  *
- * A token bucket that only first sub-requests refill, so that neither a retry storm nor a hedge
- * storm can start.
+ * A token bucket that first sub-requests refill, so that neither a retry storm nor a hedge storm
+ * can start. Where few nodes send to a service, time refills it too, by a part of a bound per
+ * window.
  */
 #pragma once
 
@@ -19,6 +20,9 @@
 struct budget {
 	_Atomic int64_t tokens;
 	int64_t max_tokens;
+	int64_t refill_tokens; /**< added over each window in any case; 0: none */
+	int64_t window_us;
+	int64_t refilled_us; /**< when tokens were last added; 0: never */
 };
 
 /**
@@ -38,6 +42,21 @@
 void
 budget_set_burst (struct budget *budget, int burst);
 
+/**
+ * Sets the extra sub-requests that time alone brings in a window. Together with the burst they are
+ * the most that a node sends in a window beyond what it earns.
+ */
+void
+budget_set_refill (struct budget *budget, int refill, int64_t window_us);
+
+/** Adds what has come in since the last call. For budgets of one thread. */
+void
+budget_refill (struct budget *budget, int64_t now_us);
+
+/** Drops all tokens. */
+void
+budget_empty (struct budget *budget);
+
 /** Starts full, with @p burst extra sub-requests, which is also the maximum. */
 void
 budget_init_burst (struct budget *budget, int burst);
--- a/query/replica.h
+++ b/query/replica.h
@@ -84,6 +84,7 @@
 	struct budget extra;         /**< for sub-requests beyond the first of each shard */
 	/** Entry nodes whose group sends to the targets; 0: all entry nodes do. */
 	int group_nodes;
+	int groups;             /**< number of groups that the entry nodes are divided into */
 	int group_rank;         /**< of this node in that group; -1: it is in another one */
 	int group_users;        /**< nodes of the group that usually send */
 	int connections;        /**< this node's share of the connections of each target */
--- a/query/scatter.c
+++ b/query/scatter.c
@@ -323,6 +323,7 @@
 	}
 	switch (choose_for_shard (scatter, shard, false, now_us, &replica)) {
 	case REPLICA_FOUND:
+		budget_refill (&shard->set->extra, now_us);
 		if (shard->reached_target && !budget_spend (&shard->set->extra)) {
 			give_up (scatter, shard, GIVE_UP_NO_BUDGET);
 			return;
@@ -499,6 +500,7 @@
 		shard->no_hedge = NO_HEDGE_TARGET;
 		return;
 	}
+	budget_refill (&shard->set->extra, now_us);
 	if (!budget_spend_above (&shard->set->extra, retry_reserve (&shard->set->extra))) {
 		shard->no_hedge = NO_HEDGE_BUDGET;
 		return;
--- a/test/routes.c
+++ b/test/routes.c
@@ -338,6 +338,41 @@
 	CU_ASSERT_EQUAL (budget_share (32.7, 40, 31), 0);
 }
 
+/* The burst and the refill of a window are the most that time alone brings in any window. */
+static void
+test_budget_refilled_by_time (void)
+{
+	enum { WINDOW_MS = 10000, STEP_MS = 7 };
+	struct budget budget;
+	int spent[3 * WINDOW_MS / STEP_MS + 1] = {0};
+	int count = 0;
+	int total = 0;
+	budget_init_burst (&budget, 6);
+	budget_set_refill (&budget, 6, (int64_t)WINDOW_MS * MS);
+	for (int at_ms = 1; at_ms < 3 * WINDOW_MS; at_ms += STEP_MS) {
+		budget_refill (&budget, (int64_t)at_ms * MS);
+		while (budget_spend (&budget))
+			spent[count]++;
+		total += spent[count++];
+	}
+	/* Three windows bring 18 in addition to the burst; the last one may not have come in yet.
+	 */
+	CU_ASSERT_TRUE (total >= 23 && total <= 24);
+	for (int i = 0; i + WINDOW_MS / STEP_MS < count; i++) {
+		int in_window = 0;
+		for (int j = i; j < i + WINDOW_MS / STEP_MS; j++)
+			in_window += spent[j];
+		CU_ASSERT_TRUE (in_window <= 12);
+	}
+	budget_empty (&budget);
+	CU_ASSERT_FALSE (budget_spend (&budget));
+	/* A long time without requests brings no more than the burst. */
+	budget_refill (&budget, (int64_t)100 * WINDOW_MS * MS);
+	for (total = 0; budget_spend (&budget); total++)
+		;
+	CU_ASSERT_EQUAL (total, 6);
+}
+
 static void
 test_refusal_uses_up_no_attempt (void)
 {
@@ -859,6 +894,7 @@
 		TEST (sub_request_that_was_not_sent_costs_no_budget),
 		TEST (budget_with_a_changed_burst),
 		TEST (shares_of_the_slack_never_exceed_it),
+		TEST (budget_refilled_by_time),
 		TEST (refusal_uses_up_no_attempt),
 		TEST (non_idempotent_request_runs_at_most_once),
 		TEST (error_reply_of_the_target_is_forwarded),
