--- a/daemon/front.c
+++ b/daemon/front.c
@@ -77,7 +77,8 @@
 
 /*
  * The slack is divided within the group that sends to a service. A quarter is left to the other
- * nodes, which send themselves when aggregators fail.
+ * nodes, which send themselves when aggregators fail. Half of a share may be saved up, half comes
+ * with time.
  */
 static void
 apply_group_slack (const struct front *front, struct replica_set *set)
@@ -85,18 +86,20 @@
 	const struct options *options = &front->node->options;
 	double slack = options->front_extra_slack;
 	double outside = slack * OUTSIDE_SLACK_PERCENT / 100;
-	int nodes = shares_count (&front->shares);
+	int64_t window_us = (int64_t)(options->front_extra_window_s * US_PER_S);
+	int burst = 0;
+	int refill = 0;
 	if (set->group_rank < 0) {
 		int rank = shares_rank (&front->shares, name_hash (set->name));
-		budget_set_burst (&set->extra, budget_share (outside, nodes, rank));
-		budget_set_refill (&set->extra, 0, 0);
-		return;
+		burst = refill = budget_share (outside / 2, shares_count (&front->shares), rank);
+	} else {
+		int share = budget_share (slack - outside, set->group_nodes, set->group_rank);
+		refill = share / 2;
+		burst = share - refill;
 	}
-	int share = budget_share (slack - outside, set->group_nodes, set->group_rank);
-	int refill = share / 2;
-	budget_set_burst (&set->extra, share - refill);
-	budget_set_refill (
-		&set->extra, refill, (int64_t)(options->front_extra_window_s * US_PER_S));
+	budget_set_burst (&set->extra, burst);
+	budget_set_refill (&set->extra, refill, window_us);
+	budget_refill (&set->extra, front_now_us (front));
 }
 
 /* Sets this node's share of the slack and of the connections. */
--- a/query/aggregators.c
+++ b/query/aggregators.c
@@ -40,10 +40,7 @@
 int
 aggregator_users (int nodes, int groups)
 {
-	int users = nodes / groups / AGGREGATOR_PREFERRED_PART;
-	if (users < AGGREGATOR_PREFERRED_MIN * AGGREGATOR_HOMES_USUAL)
-		users = AGGREGATOR_PREFERRED_MIN * AGGREGATOR_HOMES_USUAL;
-	return users + AGGREGATOR_PREFERRED_MIN;
+	return nodes / groups + 1;
 }
 
 struct aggregator_group
@@ -204,18 +201,10 @@
 	if (aggregator_group_of_node (aggregators->own_hash, criteria->groups) == criteria->group)
 		return NULL;
 	int count = find_candidates (aggregators, criteria, now_us, candidates);
-	int preferred = count / AGGREGATOR_PREFERRED_PART;
-	if (preferred < AGGREGATOR_PREFERRED_MIN)
-		preferred = AGGREGATOR_PREFERRED_MIN;
-	for (int i = 0; i < preferred && i < count; i++) {
-		struct aggregator *next;
-		move_next_to_front (candidates + i, count - i, (uint64_t)criteria->group);
-		next = candidates[i];
-		if (!best || next->in_flight < best->in_flight ||
-			(next->in_flight == best->in_flight &&
-				preference (next, aggregators->own_hash) >
-					preference (best, aggregators->own_hash)))
-			best = next;
+	for (int i = 0; i < AGGREGATOR_PREFERRED && i < count; i++) {
+		move_next_to_front (candidates + i, count - i, aggregators->own_hash);
+		if (!best || candidates[i]->in_flight < best->in_flight)
+			best = candidates[i];
 	}
 	return best;
 }
--- a/query/aggregators.h
+++ b/query/aggregators.h
@@ -19,11 +19,9 @@
 enum {
 	AGGREGATOR_NAME_SIZE = 64,
 	AGGREGATOR_HOMES_MAX = 8,
-	AGGREGATOR_HOMES_USUAL = 3,    /**< data centres that hold replicas of one shard */
-	AGGREGATOR_PREFERRED_MIN = 2,  /**< nodes of a group in one data centre that get batches */
-	AGGREGATOR_PREFERRED_PART = 2, /**< the same as a part of its nodes there: one in two */
-	AGGREGATOR_TRIES = 2,          /**< of one batch, before this node sends directly */
-	AGGREGATOR_AVOID_US = 500000,  /**< after a failure; doubles with each further one */
+	AGGREGATOR_PREFERRED = 2,     /**< nodes of each group to which one node sends */
+	AGGREGATOR_TRIES = 2,         /**< of one batch, before this node sends directly */
+	AGGREGATOR_AVOID_US = 500000, /**< after a failure; doubles with each further one */
 	AGGREGATOR_AVOID_MAX_US = 8000000,
 };
 
@@ -87,7 +85,7 @@
 int
 aggregator_groups (const struct aggregators *aggregators, int shards);
 
-/** Number of nodes that usually send to the targets of a shard, with a few that take over. */
+/** Number of nodes that may send to the targets of a shard, with one that joins. */
 int
 aggregator_users (int nodes, int groups);
 
@@ -122,8 +120,7 @@
 
 /**
  * Selects a node of a group: in the data centres that hold targets, this node's own first, and
- * there one of the few that all nodes prefer, so that these get enough queries to keep connections
- * open and to notice slow targets.
+ * there one of the same two, so that connections to them stay open.
  * @return NULL when this node should send the sub-requests itself
  */
 struct aggregator *
--- a/query/scatter.c
+++ b/query/scatter.c
@@ -480,6 +480,8 @@
 static int
 retry_reserve (const struct budget *extra)
 {
+	if (extra->refill_tokens > 0)
+		return 0;
 	int64_t spare = extra->max_tokens / BUDGET_TOKENS_PER_EXTRA - SCATTER_HEDGE_MIN_BURST;
 	if (spare < 0)
 		return 0;
