daemon: an aggregator sends a first result by a deadline

A section whose shards all wait for capacity has no hedge due, so its sender took the aggregator for dead.

--- a/daemon/batch_serve.c
+++ b/daemon/batch_serve.c
@@ -10,6 +10,8 @@
 enum {
 	/* A sender that does not ask for the rest within this time has ended the request. */
 	REST_WAIT_US = 300000,
+	/* The sender passes its batch to another node after 60 percent of the objective. */
+	FIRST_RESULT_OBJECTIVE_PERCENT = 45,
 };
 
 /** The state of a batch of another node, beside its forward. */
@@ -18,8 +20,9 @@
 	struct forward *forward;
 	struct batch_id id;
 	bool logged;
-	bool has_result;       /**< a first result was sent */
-	int64_t rest_until_us; /**< while no request for the rest is held */
+	int64_t first_until_us; /**< a first result is sent by then, with what there is */
+	bool has_result;        /**< a first result was sent */
+	int64_t rest_until_us;  /**< while no request for the rest is held */
 	int reported_hedges;
 	int reported_retries;
 };
@@ -131,6 +134,8 @@
 		forward_free (forward);
 		return;
 	}
+	if (!served->has_result && served->first_until_us <= now_us)
+		send_result (forward, false);
 	/* Set first, since the tick may end the section and free the forward. */
 	timers_set (&forward->front->timers, &forward->timer, now_us + REST_WAIT_US);
 	bool is_last = scatter->deadline_us <= now_us && forward->request;
@@ -225,6 +230,8 @@
 	forward->served = xcalloc (1, sizeof (*forward->served));
 	forward->served->forward = forward;
 	forward->served->id = batch->id;
+	forward->served->first_until_us =
+		forward->arrived_us + rule->objective_us * FIRST_RESULT_OBJECTIVE_PERCENT / 100;
 	cds_list_add (&forward->served->node, &front->served);
 	str_copy (forward->head.attempt_id, sizeof (forward->head.attempt_id), batch->attempt_id);
 	str_copy (forward->method, sizeof (forward->method), batch->method);
