--- a/daemon/batch_serve.c
+++ b/daemon/batch_serve.c
@@ -10,7 +10,7 @@
 enum {
 	/* A sender that does not ask for the rest within this time has ended the request. */
 	REST_WAIT_US = 300000,
-	/* The sender passes its batch to another node after 60 percent of the objective. */
+	/* The sender passes its batch to another node after 90 percent of the objective. */
 	FIRST_RESULT_OBJECTIVE_PERCENT = 45,
 };
 
--- a/query/aggregators.c
+++ b/query/aggregators.c
@@ -48,11 +48,11 @@
 {
 	struct aggregator_group result = {.own_rank = -1};
 	const struct aggregator *aggregator;
-	bool is_own = aggregator_group_of_node (aggregators->own_hash, groups) == group;
+	const struct aggregator *own = aggregators->own;
+	bool is_own = own && aggregator_group_of_node (own, groups) == group;
 	int lower = 0;
 	cds_list_for_each_entry (aggregator, &aggregators->nodes, node) {
-		if (!aggregator->declared ||
-			aggregator_group_of_node (aggregator->entry.hash, groups) != group)
+		if (!aggregator->declared || aggregator_group_of_node (aggregator, groups) != group)
 			continue;
 		result.nodes++;
 		lower += aggregator->entry.hash < aggregators->own_hash;
@@ -69,9 +69,48 @@
 }
 
 int
-aggregator_group_of_node (uint64_t hash, int groups)
+aggregator_group_of_node (const struct aggregator *aggregator, int groups)
 {
-	return (int)(hash % (uint64_t)groups);
+	return aggregator->place * groups / aggregator->places;
+}
+
+/* By data centre, then by hash; nodes that are not listed come last. */
+static int
+compare_places (const void *a, const void *b)
+{
+	const struct aggregator *left = *(const struct aggregator *const *)a;
+	const struct aggregator *right = *(const struct aggregator *const *)b;
+	if (left->declared != right->declared)
+		return left->declared ? -1 : 1;
+	int order = strcmp (left->entry.data_centre, right->entry.data_centre);
+	if (order != 0)
+		return order;
+	return left->entry.hash < right->entry.hash ? -1 : left->entry.hash > right->entry.hash;
+}
+
+static void
+assign_places (struct aggregators *aggregators, size_t count)
+{
+	struct aggregator **nodes = xcalloc (count + 1, sizeof (*nodes));
+	struct aggregator *aggregator;
+	size_t listed = 0;
+	cds_list_for_each_entry (aggregator, &aggregators->nodes, node) {
+		if (aggregator->declared && listed < count)
+			nodes[listed++] = aggregator;
+	}
+	qsort (nodes, listed, sizeof (*nodes), compare_places);
+	for (size_t first = 0; first < listed;) {
+		size_t end = first;
+		while (end < listed && strcmp (nodes[end]->entry.data_centre,
+					       nodes[first]->entry.data_centre) == 0)
+			end++;
+		for (size_t i = first; i < end; i++) {
+			nodes[i]->place = (int)(i - first);
+			nodes[i]->places = (int)(end - first);
+		}
+		first = end;
+	}
+	free (nodes);
 }
 
 static struct aggregator *
@@ -92,6 +131,7 @@
 {
 	struct aggregator *aggregator;
 	aggregators->max_groups = aggregator_max_groups ((int)count, min_nodes);
+	aggregators->own = NULL;
 	cds_list_for_each_entry (aggregator, &aggregators->nodes, node)
 		aggregator->declared = false;
 	if (aggregators->max_groups == 0)
@@ -104,7 +144,10 @@
 		}
 		aggregator->entry = entries[i];
 		aggregator->declared = true;
+		if (entries[i].hash == aggregators->own_hash)
+			aggregators->own = aggregator;
 	}
+	assign_places (aggregators, count);
 }
 
 struct aggregator *
@@ -146,10 +189,10 @@
 may_serve (const struct aggregator *aggregator, const struct aggregator_criteria *criteria,
 	int64_t now_us)
 {
-	return aggregator_group_of_node (aggregator->entry.hash, criteria->groups) ==
-		       criteria->group &&
-	       aggregator->declared && !aggregator->entry.leaving &&
-	       aggregator->avoid_until_us <= now_us && !was_tried (criteria, aggregator);
+	return aggregator->declared &&
+	       aggregator_group_of_node (aggregator, criteria->groups) == criteria->group &&
+	       !aggregator->entry.leaving && aggregator->avoid_until_us <= now_us &&
+	       !was_tried (criteria, aggregator);
 }
 
 /* The nodes at the shortest distance that may serve. */
@@ -198,7 +241,8 @@
 {
 	struct aggregator *candidates[CANDIDATES_MAX];
 	struct aggregator *best = NULL;
-	if (aggregator_group_of_node (aggregators->own_hash, criteria->groups) == criteria->group)
+	if (aggregators->own &&
+		aggregator_group_of_node (aggregators->own, criteria->groups) == criteria->group)
 		return NULL;
 	int count = find_candidates (aggregators, criteria, now_us, candidates);
 	for (int i = 0; i < AGGREGATOR_PREFERRED && i < count; i++) {
--- a/query/aggregators.h
+++ b/query/aggregators.h
@@ -37,6 +37,8 @@
 struct aggregator {
 	struct cds_list_head node;
 	struct entry_node entry;
+	int place;     /**< in the order of hashes of the nodes of its data centre */
+	int places;    /**< number of these nodes */
 	bool declared; /**< in the newest list of members */
 	int in_flight; /**< batches */
 	int failures;  /**< consecutive */
@@ -52,7 +54,8 @@
 
 struct aggregators {
 	uint64_t own_hash;
-	int max_groups; /**< 0: this node sends all sub-requests itself */
+	const struct aggregator *own; /**< this node; NULL while it is not listed */
+	int max_groups;               /**< 0: this node sends all sub-requests itself */
 	struct cds_list_head nodes;
 };
 
@@ -102,9 +105,12 @@
 int
 aggregator_group_of_shard (int shard, int groups);
 
-/** The group of a node. */
+/**
+ * The group of a node. The nodes of each data centre are divided evenly; one that joins or leaves
+ * moves only few others to another group.
+ */
 int
-aggregator_group_of_node (uint64_t hash, int groups);
+aggregator_group_of_node (const struct aggregator *aggregator, int groups);
 
 /**
  * Updates the nodes from a newer list. Nodes that are no longer listed stay, with declared false,
--- a/test/aggregators.c
+++ b/test/aggregators.c
@@ -78,7 +78,7 @@
 	struct aggregator_homes homes = make_homes ();
 	aggregators_init (&aggregators, entries[0].hash);
 	aggregators_update (&aggregators, entries, NODES, MIN_NODES);
-	int own_group = aggregator_group_of_node (entries[0].hash, GROUPS);
+	int own_group = aggregator_group_of_node (aggregators.own, GROUPS);
 	struct aggregator_criteria criteria = {
 		.groups = GROUPS, .group = own_group, .data_centre = "a", .homes = &homes};
 	/* A node sends the sub-requests of its own group itself. */
@@ -88,7 +88,7 @@
 	CU_ASSERT_PTR_NOT_NULL_FATAL (first);
 	if (!first)
 		return;
-	CU_ASSERT_EQUAL (aggregator_group_of_node (first->entry.hash, GROUPS), criteria.group);
+	CU_ASSERT_EQUAL (aggregator_group_of_node (first, GROUPS), criteria.group);
 	CU_ASSERT_STRING_EQUAL (first->entry.data_centre, "a");
 	/* The same again, so that its connections stay in use. */
 	CU_ASSERT_PTR_EQUAL (aggregator_choose (&aggregators, &criteria, 0), first);
@@ -120,7 +120,7 @@
 	struct aggregator_homes homes = make_homes ();
 	aggregators_init (&aggregators, entries[0].hash);
 	aggregators_update (&aggregators, entries, NODES, MIN_NODES);
-	int own_group = aggregator_group_of_node (entries[0].hash, GROUPS);
+	int own_group = aggregator_group_of_node (aggregators.own, GROUPS);
 	struct aggregator_criteria criteria = {.groups = GROUPS,
 		.group = (own_group + 1) % GROUPS,
 		.data_centre = "a",
@@ -151,6 +151,34 @@
 	free (entries);
 }
 
+/* Guards against a group with few nodes, which get several times the load of the others. */
+static void
+test_groups_are_even_in_each_data_centre (void)
+{
+	static const int sizes[] = {58, 84, 291};
+	for (size_t size = 0; size < sizeof (sizes) / sizeof (sizes[0]); size++) {
+		struct aggregators view;
+		struct entry_node *entries = make_entries (sizes[size]);
+		int counts[DATA_CENTRES][GROUPS] = {{0}};
+		const struct aggregator *aggregator;
+		aggregators_init (&view, entries[0].hash);
+		aggregators_update (&view, entries, (size_t)sizes[size], MIN_NODES);
+		cds_list_for_each_entry (aggregator, &view.nodes, node)
+			counts[aggregator->entry.data_centre[0] - 'a']
+			      [aggregator_group_of_node (aggregator, GROUPS)]++;
+		for (int i = 0; i < DATA_CENTRES; i++) {
+			int nodes = 0;
+			for (int j = 0; j < GROUPS; j++)
+				nodes += counts[i][j];
+			for (int j = 0; j < GROUPS; j++)
+				CU_ASSERT_TRUE (counts[i][j] >= nodes / GROUPS &&
+						counts[i][j] <= nodes / GROUPS + 1);
+		}
+		finish_nodes (&view);
+		free (entries);
+	}
+}
+
 static void
 test_nodes_of_a_group_share_a_bound (void)
 {
@@ -669,6 +697,7 @@
 		TEST (number_of_groups),
 		TEST (choice_of_an_aggregator),
 		TEST (leaving_and_removed_nodes_get_no_batches),
+		TEST (groups_are_even_in_each_data_centre),
 		TEST (nodes_of_a_group_share_a_bound),
 		TEST (replay_of_few_queries_at_many_nodes),
 		TEST (batches_are_encoded_and_checked),
