--- a/daemon/front.c
+++ b/daemon/front.c
@@ -21,6 +21,7 @@
 	READINESS_MAX_CONNECTIONS = 16,
 	OUTSIDE_SLACK_PERCENT = 25, /* of the slack, for nodes outside the group of a service */
 	BATCH_MAX_CONNECTIONS = 1000,
+	BATCH_HEADER_MAX_BYTES = 4096,
 	BATCH_MAX_BYTES = 1048576,
 	BATCH_IDLE_TIMEOUT_US = 60000000,
 	HEADER_MAX_BYTES = 32768,   /* larger headers get 431; a routing may set a lower limit */
@@ -665,7 +666,7 @@
 		return false;
 	if (options->front_address[0] && options->front_batch_port_step > 0) {
 		struct ingress_limits batch_limits = {
-			HEADER_MAX_BYTES, BATCH_MAX_BYTES, BATCH_IDLE_TIMEOUT_US};
+			BATCH_HEADER_MAX_BYTES, BATCH_MAX_BYTES, BATCH_IDLE_TIMEOUT_US};
 		struct ingress_hooks batches = {batch_serve_request, forward_caller_left, front};
 		char address[AGGREGATOR_NAME_SIZE];
 		batch_address (options->node_peer_address, options->front_batch_port_step, address,
