--- a/query/aggregators.c
+++ b/query/aggregators.c
@@ -71,7 +71,8 @@
 int
 aggregator_group_of_node (const struct aggregator *aggregator, int groups)
 {
-	return aggregator->place * groups / aggregator->places;
+	uint64_t at = (uint64_t)(aggregator->place * groups / aggregator->places);
+	return (int)((aggregator->data_centre_hash + at) % (uint64_t)groups);
 }
 
 /* By data centre, then by hash; nodes that are not listed come last. */
@@ -125,6 +126,13 @@
 	return NULL;
 }
 
+/* Leaves room for a place to be added. */
+static uint64_t
+hash_of (const char *name)
+{
+	return XXH64 (name, strlen (name), 0) >> 1;
+}
+
 void
 aggregators_update (struct aggregators *aggregators, const struct entry_node *entries, size_t count,
 	int min_nodes)
@@ -143,6 +151,7 @@
 			cds_list_add (&aggregator->node, &aggregators->nodes);
 		}
 		aggregator->entry = entries[i];
+		aggregator->data_centre_hash = hash_of (entries[i].data_centre);
 		aggregator->declared = true;
 		if (entries[i].hash == aggregators->own_hash)
 			aggregators->own = aggregator;
--- a/query/aggregators.h
+++ b/query/aggregators.h
@@ -37,8 +37,10 @@
 struct aggregator {
 	struct cds_list_head node;
 	struct entry_node entry;
-	int place;     /**< in the order of hashes of the nodes of its data centre */
-	int places;    /**< number of these nodes */
+	int place;  /**< in the order of hashes of the nodes of its data centre */
+	int places; /**< number of these nodes */
+	/** Data centres with few nodes start at different groups, so that none is left without. */
+	uint64_t data_centre_hash;
 	bool declared; /**< in the newest list of members */
 	int in_flight; /**< batches */
 	int failures;  /**< consecutive */
