--- a/query/aggregators.c
+++ b/query/aggregators.c
@@ -72,7 +72,8 @@
 aggregator_group_of_node (const struct aggregator *aggregator, int groups)
 {
 	uint64_t at = (uint64_t)(aggregator->place * groups / aggregator->places);
-	return (int)((aggregator->data_centre_hash + at) % (uint64_t)groups);
+	uint64_t first = aggregator->data_centre_hash % (uint64_t)groups;
+	return (int)((first + at) % (uint64_t)groups);
 }
 
 /* By data centre, then by hash; nodes that are not listed come last. */
@@ -126,11 +127,10 @@
 	return NULL;
 }
 
-/* Leaves room for a place to be added. */
 static uint64_t
 hash_of (const char *name)
 {
-	return XXH64 (name, strlen (name), 0) >> 1;
+	return XXH64 (name, strlen (name), 0);
 }
 
 void
