daemon: a sign of life from aggregators

The deadline of the first result was not in the timer, and a request for the rest was held until a shard answered, for dark targets longer than its timeout; the sender then avoided a healthy node.

--- a/daemon/batch_serve.c
+++ b/daemon/batch_serve.c
@@ -10,6 +10,9 @@
 enum {
 	/* A sender that does not ask for the rest within this time has ended the request. */
 	REST_WAIT_US = 300000,
+	/* A request for the rest is answered by then, also without anything new, as a sign of life.
+	 */
+	REST_HOLD_US = 250000,
 	/* The sender passes its batch to another node after 90 percent of the objective. */
 	FIRST_RESULT_OBJECTIVE_PERCENT = 45,
 };
@@ -20,9 +23,9 @@
 	struct forward *forward;
 	struct batch_id id;
 	bool logged;
-	int64_t first_until_us; /**< a first result is sent by then, with what there is */
-	bool has_result;        /**< a first result was sent */
-	int64_t rest_until_us;  /**< while no request for the rest is held */
+	int64_t result_until_us; /**< a held request is answered by then, with what there is */
+	bool has_result;         /**< a first result was sent */
+	int64_t rest_until_us;   /**< while no request for the rest is held */
 	int reported_hedges;
 	int reported_retries;
 };
@@ -119,6 +122,8 @@
 {
 	const struct served_batch *served = forward->served;
 	int64_t wake_us = forward->scatter.phase == SCATTER_DONE ? INT64_MAX : scatter_wake_us;
+	if (forward->request && served->result_until_us < wake_us)
+		wake_us = served->result_until_us;
 	if (!forward->request && (served->rest_until_us < wake_us || forward->scatter.unconfirmed))
 		wake_us = served->rest_until_us;
 	return wake_us;
@@ -134,7 +139,7 @@
 		forward_free (forward);
 		return;
 	}
-	if (!served->has_result && served->first_until_us <= now_us)
+	if (forward->request && served->result_until_us <= now_us)
 		send_result (forward, false);
 	/* Set first, since the tick may end the section and free the forward. */
 	timers_set (&forward->front->timers, &forward->timer, now_us + REST_WAIT_US);
@@ -181,6 +186,7 @@
 	}
 	forward->request = request;
 	request->user = forward;
+	forward->served->result_until_us = front_now_us (front) + REST_HOLD_US;
 	if (forward->scatter.phase == SCATTER_DONE) {
 		batch_serve_finish (forward);
 		return;
@@ -230,7 +236,7 @@
 	forward->served = xcalloc (1, sizeof (*forward->served));
 	forward->served->forward = forward;
 	forward->served->id = batch->id;
-	forward->served->first_until_us =
+	forward->served->result_until_us =
 		forward->arrived_us + rule->objective_us * FIRST_RESULT_OBJECTIVE_PERCENT / 100;
 	cds_list_add (&forward->served->node, &front->served);
 	str_copy (forward->head.attempt_id, sizeof (forward->head.attempt_id), batch->attempt_id);
