--- a/query/scatter.c
+++ b/query/scatter.c
@@ -519,9 +519,9 @@
 		if (shard->hedge_at_us > now_us || shard->closed ||
 			needs_confirmation (scatter, shard))
 			continue;
-		if (shard->running > 0) {
+		if (shard->running > 0 || shard->queued) {
 			hedge (scatter, shard, now_us);
-		} else if (!shard->queued) {
+		} else {
 			shard->hedge_at_us = INT64_MAX;
 			try_shard (scatter, shard, now_us);
 		}
--- a/test/fuzz/scatter.c
+++ b/test/fuzz/scatter.c
@@ -209,6 +209,16 @@
 	scatter_serve_waiting (set, now_us);
 }
 
+/* A timer that is due again at once would take all of the processor time. */
+static void
+tick (struct tracked_request *request)
+{
+	struct scatter *scatter = &request->scatter;
+	scatter_tick (scatter, now_us);
+	if (request->delivered == 0 && !scatter->unconfirmed)
+		check (scatter_wake_us (scatter) > now_us);
+}
+
 /* An aggregator answers for a shard, gives it up, or fails. */
 static void
 end_remote_shard (struct tracked_request *request, struct input *input)
@@ -288,7 +298,7 @@
 		default:
 			now_us += (int64_t)input_below (&input, 8) * MS;
 			if (request->started && request->delivered == 0)
-				scatter_tick (&request->scatter, now_us);
+				tick (request);
 			break;
 		}
 	}
