--- a/daemon/batch_send.c
+++ b/daemon/batch_send.c
@@ -11,8 +11,7 @@
 	BATCH_CONNECTIONS = 8, /* to one aggregator */
 	BATCH_RESULT_MAX_BYTES = 1048576,
 	BATCH_CONNECT_TIMEOUT_US = 50000,
-	/* An aggregator sends a first result after 45 percent of the objective, unless it is
-	   overloaded. */
+	/* An aggregator that is not overloaded sends a first result after 45 percent. */
 	FIRST_RESULT_OBJECTIVE_PERCENT = 90,
 	FIRST_RESULT_MIN_US = 30000,
 	REST_TIMEOUT_US = 1000000, /* longer than any usual pause of a target */
--- a/daemon/batch_serve.c
+++ b/daemon/batch_serve.c
@@ -10,8 +10,7 @@
 enum {
 	/* A sender that does not ask for the rest within this time has ended the request. */
 	REST_WAIT_US = 300000,
-	/* A request for the rest is answered by then, also without anything new, as a sign of life.
-	 */
+	/* A request for the rest is answered by then, even without anything new. */
 	REST_HOLD_US = 250000,
 	/* The sender passes its batch to another node after 90 percent of the objective. */
 	FIRST_RESULT_OBJECTIVE_PERCENT = 45,
--- a/daemon/batch_serve.h
+++ b/daemon/batch_serve.h
@@ -21,7 +21,7 @@
 void
 batch_serve_finish (struct forward *forward);
 
-/** Sends a first result before hedges are sent, then the hedges that are due. */
+/** Sends a result that is due, and hedges that are due once the sender has confirmed. */
 void
 batch_serve_timer_due (struct forward *forward);
 
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -117,8 +117,7 @@
 		apply_group_slack (front, set);
 		return;
 	}
-	/* The rank takes a hash of each node, and matters only when there is less than one for
-	 * each. */
+	/* The rank takes a hash of each node; it matters when there is less than one for each. */
 	int rank = slack < nodes + 1 ? shares_rank (&front->shares, name_hash (set->name)) : 0;
 	budget_set_burst (&set->extra, budget_share (slack, nodes, rank));
 	budget_set_refill (&set->extra, 0, 0);
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -139,7 +139,7 @@
 
 /**
  * Updates what depends on the targets and entry nodes of each fan-out: the data centres that hold
- * its targets, and the connections that this node may open to each.
+ * its targets, the group that sends to each target, and this node's shares of its limits.
  */
 void
 front_update_fan_outs (struct front *front);
