daemon: shares are updated once all sets are bound to a new routing

Cause: apply_state() rechecked the shares before the services of a new routing were bound to their replica sets. When the removal of a node settled at that moment, front_update_fan_outs() followed a NULL pointer for a service that the routing had just brought, and the entry node ended. Found by reading the change again.

The test in platform.sh brings new services while a node leaves; with 20 ms put in between the state and the settled revision (a scratch copy), one run in three ended the node before this change.

--- a/daemon/front.c
+++ b/daemon/front.c
@@ -344,13 +344,14 @@
 	struct replica_set *set;
 	front->state = state;
 	update_entry_nodes (front, state);
-	update_share (front);
 	if (state->routing && state->routing != old_routing)
 		inherit_route_state (front, state->routing, old_routing);
 	for (int i = 0; state->routing && i < state->routing->service_count; i++)
 		front_replica_set (front, state->routing->services[i].name);
+	/* Binds all sets to the new routing, which what follows relies on. */
 	cds_list_for_each_entry (set, &front->sets, node)
 		front_configure_set (front, set);
+	update_share (front);
 	update_evacuation (front);
 	front_update_fan_outs (front);
 	if (state->routing) {
--- a/test/platform.sh
+++ b/test/platform.sh
@@ -84,7 +84,8 @@
 		tr -d '\r'
 }
 
-# manifest VERSION [ROUTE]: prints a routing document, with an additional route if given.
+# manifest VERSION [ROUTE [SERVICES]]: prints a routing document, with an additional route and
+# additional services if given.
 manifest () {
 	cat <<-END
 		{"version":$1,"routes":[{"name":"all","host":"site.example","path_prefix":"/all/",
@@ -94,7 +95,7 @@
 		"route_type":"non_idempotent","timeout_ms":1500,"target_latency_ms":200,"priority":0,
 		"max_attempts":3,"service":"s3"}${2:+,$2}],
 		"services":[{"name":"s0","max_connections":30},{"name":"s1","max_connections":30},
-		{"name":"s2","max_connections":30},{"name":"s3","max_connections":30}]}
+		{"name":"s2","max_connections":30},{"name":"s3","max_connections":30}${3:+,$3}]}
 	END
 }
 
@@ -326,4 +327,15 @@
 stopped_ms=$(($(date +%s%3N) - stopping_ms))
 [ "$stopped_ms" -lt 6000 ] || fail "the stop took $stopped_ms ms, more than the grace period of 6 s"
 unset "PIDS[n5]"
+
+echo "routings with new services while the removal of a node settles:"
+for v in $(seq 30 69); do
+	parts=$(for i in 1 2 3; do printf '"v%s-%s",' "$v" "$i"; done)
+	services=$(for i in 1 2 3; do printf '{"name":"v%s-%s","max_connections":9},' "$v" "$i"; done)
+	route="{\"name\":\"v$v\",\"host\":\"site.example\",\"path_prefix\":\"/v/\",\"route_type\":\"idempotent\",\"timeout_ms\":900,\"max_attempts\":2,\"top_k\":1,\"min_shard_ratio\":0.5,\"fanout\":[${parts%,}]}"
+	order 1 POST /config/replace "$(manifest "$v" "$route" "${services%,}")" > "$RUN/x"
+	sleep 0.05
+done
+kill -0 "${PIDS[n4]}" 2> /dev/null || fail "entry node 4 has ended"
+expect "the other entry node serves" "$(send_request 4 y1 /all/x)" '^HTTP/1.1 200'
 echo "platform: $checks checks passed"
