query, net: decisions on batches apart from I/O; endless replies share one bound

When results are returned (query/section.c), what happens to a batch after a failure (query/failover.c) and how the slack is divided (budget_group_limits()) were decided in daemon/. They are modules without I/O now, with the load that they answer in their heads; behaviour as before.

Cause of the second part: each sub-request might buffer 64 MB of a body without end, and an entry VM has 160 MB. Ruled out: heads without end (the parser stops at some 80 KB) and interim replies without end (they hold no memory and end with the deadline); tests show both. All bodies of a loop share 48 MB, one has 16 MB at most. endless_bodies_share_one_bound failed before.

front.extra_window_s takes any number from 0: a declared window below one second would have ended every entry node. Tests for it and for front.list_lag_ms.

--- a/daemon/batch_send.c
+++ b/daemon/batch_send.c
@@ -2,6 +2,7 @@
 
 #include "core/metrics.h"
 #include "query/batch.h"
+#include "query/failover.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -11,10 +12,6 @@
 	BATCH_CONNECTIONS = 8, /* to one aggregator */
 	BATCH_RESULT_MAX_BYTES = 1048576,
 	BATCH_CONNECT_TIMEOUT_US = 50000,
-	/* An aggregator that is not overloaded sends a first result after 45 percent. */
-	FIRST_RESULT_OBJECTIVE_PERCENT = 90,
-	FIRST_RESULT_MIN_US = 30000,
-	REST_TIMEOUT_US = 1000000, /* longer than any usual pause of a target */
 };
 
 /** A batch at an aggregator. */
@@ -24,13 +21,11 @@
 	struct front *front;
 	struct forward *forward;
 	struct aggregator *aggregator;
-	struct aggregator *tried[AGGREGATOR_TRIES];
-	int tried_count;
+	struct aggregator *tried[FAILOVER_AGGREGATORS_MAX];
+	struct failover failover;
 	struct batch_id id;
 	int groups; /**< number of groups when the batch was made */
 	int group;
-	int attempts_used; /**< of each shard, by aggregators that failed */
-	bool has_result;   /**< the aggregator has sent a first result */
 };
 
 static void
@@ -88,14 +83,10 @@
 }
 
 static int64_t
-first_result_timeout_us (const struct sent_batch *batch)
+result_timeout_us (const struct sent_batch *batch)
 {
-	const struct routing_rule *rule = batch->forward->scatter.rule;
-	int64_t timeout_us = rule->objective_us * FIRST_RESULT_OBJECTIVE_PERCENT / 100;
-	if (timeout_us < FIRST_RESULT_MIN_US)
-		timeout_us = FIRST_RESULT_MIN_US;
-	int64_t left_us = remaining_us (batch);
-	return timeout_us < left_us ? timeout_us : left_us;
+	return failover_timeout_us (
+		&batch->failover, batch->forward->scatter.rule->objective_us, remaining_us (batch));
 }
 
 static void
@@ -110,7 +101,7 @@
 		.digest = scatter->rule->digest,
 		.uri = forward->uri,
 		.remaining_us = remaining_us (batch),
-		.attempts_used = batch->attempts_used,
+		.attempts_used = batch->failover.attempts_used,
 		.shards = shards,
 		.lines = forward->lines,
 		.line_count = forward->line_count,
@@ -128,19 +119,17 @@
 	}
 	void *body = batch_encode_request (&request, front->node->options.control_key, &len);
 	free (shards);
-	batch->tried[batch->tried_count++] = batch->aggregator;
+	batch->tried[batch->failover.aggregators++] = batch->aggregator;
 	metric_add (METRIC_BATCHES_SENT, 1);
-	post (batch, "/batch", body, len, first_result_timeout_us (batch));
+	post (batch, "/batch", body, len, result_timeout_us (batch));
 }
 
 static void
 send_rest (struct sent_batch *batch)
 {
 	size_t len = 0;
-	int64_t left_us = remaining_us (batch);
 	void *body = batch_encode_rest (&batch->id, batch->front->node->options.control_key, &len);
-	post (batch, "/batch/rest", body, len,
-		left_us < REST_TIMEOUT_US ? left_us : REST_TIMEOUT_US);
+	post (batch, "/batch/rest", body, len, result_timeout_us (batch));
 }
 
 static struct aggregator *
@@ -153,10 +142,8 @@
 		.data_centre = front->policy.data_centre,
 		.homes = &batch->forward->scatter.rule->homes,
 		.tried = batch->tried,
-		.tried_count = batch->tried_count,
+		.tried_count = batch->failover.aggregators,
 	};
-	if (batch->tried_count == AGGREGATOR_TRIES)
-		return NULL;
 	return aggregator_choose (&front->aggregators, &criteria, front_now_us (front));
 }
 
@@ -247,8 +234,8 @@
 	metric_add (METRIC_BATCHES_RETURNED, 1);
 	for (int i = 0; i < batch->forward->scatter.shard_count; i++) {
 		if (is_of_batch (batch, i))
-			scatter_remote_failed (
-				&batch->forward->scatter, i, batch->attempts_used > 0, now_us);
+			scatter_remote_failed (&batch->forward->scatter, i,
+				batch->failover.attempts_used > 0, now_us);
 	}
 }
 
@@ -274,20 +261,17 @@
 fail_over (struct sent_batch *batch, bool may_have_run, int64_t now_us)
 {
 	struct forward *forward = batch->forward;
-	int max_attempts = forward->scatter.rule->max_attempts;
-	if (batch->has_result)
-		batch->attempts_used = max_attempts;
-	else if (may_have_run)
-		batch->attempts_used++;
-	batch->aggregator = batch->attempts_used < max_attempts ? choose (batch) : NULL;
+	enum failover_step step =
+		failover_next (&batch->failover, may_have_run, forward->scatter.rule->max_attempts);
+	batch->aggregator = step == FAILOVER_TO_AGGREGATOR ? choose (batch) : NULL;
 	if (batch->aggregator) {
 		send_first (batch);
 		return;
 	}
-	if (batch->attempts_used < max_attempts)
-		send_directly (batch, now_us);
-	else
+	if (step == FAILOVER_GIVE_UP)
 		give_up (batch);
+	else
+		send_directly (batch, now_us);
 	free_batch (batch);
 	scatter_remote_done (&forward->scatter, now_us);
 }
@@ -333,14 +317,14 @@
 		log_event (&front->log, EVENT_BATCH_FAILED,
 			"%s: no valid answer from %s%s: fetch %d, status %ld, sent %d, group %d",
 			forward->head.attempt_id, batch->aggregator->entry.address,
-			batch->has_result ? " to a request for the rest" : "", (int)end,
+			batch->failover.has_result ? " to a request for the rest" : "", (int)end,
 			fetch->status, fetch->sent, batch->group);
 	}
 	if (!valid) {
 		fail_over (batch, may_have_run, now_us);
 		return;
 	}
-	batch->has_result = true;
+	batch->failover.has_result = true;
 	if (done)
 		give_up (batch);
 	if (!done && has_open_shards (batch))
--- a/daemon/batch_serve.c
+++ b/daemon/batch_serve.c
@@ -3,28 +3,18 @@
 #include "core/metrics.h"
 #include "daemon/forward_log.h"
 #include "query/batch.h"
+#include "query/section.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-enum {
-	/* A sender that does not ask for the rest within this time has ended the request. */
-	REST_WAIT_US = 300000,
-	/* A request for the rest is answered by then, even without anything new. */
-	REST_HOLD_US = 250000,
-	/* The sender passes its batch to another node after 90 percent of the objective. */
-	FIRST_RESULT_OBJECTIVE_PERCENT = 45,
-};
-
 /** The state of a batch of another node, beside its forward. */
 struct served_batch {
 	struct cds_list_head node; /**< in front.served */
 	struct forward *forward;
 	struct batch_id id;
+	struct section section;
 	bool logged;
-	int64_t result_until_us; /**< a held request is answered by then, with what there is */
-	bool has_result;         /**< a first result was sent */
-	int64_t rest_until_us;   /**< while no request for the rest is held */
 	int reported_hedges;
 	int reported_retries;
 };
@@ -66,10 +56,9 @@
 			.stamp = shard->answered ? xstrdup (shard->stamp) : NULL};
 		shard->reported = true;
 	}
-	served->has_result = true;
 	served->reported_hedges = scatter->hedges;
 	served->reported_retries = scatter->retries;
-	served->rest_until_us = front_now_us (forward->front) + REST_WAIT_US;
+	section_returned (&served->section, front_now_us (forward->front));
 	forward->request = NULL;
 	request->user = NULL;
 	void *body = batch_encode_result (&result, &len);
@@ -77,28 +66,32 @@
 	ingress_answer (request, 200, NULL, body, len, false);
 }
 
-static int
-count_answered_unreported (const struct scatter *scatter)
+static bool
+has_new_part (const struct scatter *scatter)
+{
+	for (int i = 0; i < scatter->shard_count; i++) {
+		if (scatter->shards[i].answered && !scatter->shards[i].reported)
+			return true;
+	}
+	return false;
+}
+
+static bool
+result_is_due (const struct forward *forward)
 {
-	int count = 0;
-	for (int i = 0; i < scatter->shard_count; i++)
-		count += scatter->shards[i].answered && !scatter->shards[i].reported;
-	return count;
+	int64_t now_us = front_now_us (forward->front);
+	return section_result_is_due (&forward->served->section, has_new_part (&forward->scatter),
+		scatter_hedge_is_due (&forward->scatter, now_us), now_us);
 }
 
 void
 batch_serve_progress (struct scatter *scatter)
 {
 	struct forward *forward = caa_container_of (scatter, struct forward, scatter);
-	if (!forward->request)
+	if (!result_is_due (forward))
 		return;
-	bool is_due = forward->served->has_result
-			      ? count_answered_unreported (scatter) > 0
-			      : scatter_hedge_is_due (scatter, front_now_us (forward->front));
-	if (is_due) {
-		send_result (forward, false);
-		forward_set_timer (forward);
-	}
+	send_result (forward, false);
+	forward_set_timer (forward);
 }
 
 void
@@ -119,13 +112,13 @@
 int64_t
 batch_serve_wake_us (const struct forward *forward, int64_t scatter_wake_us)
 {
-	const struct served_batch *served = forward->served;
-	int64_t wake_us = forward->scatter.phase == SCATTER_DONE ? INT64_MAX : scatter_wake_us;
-	if (forward->request && served->result_until_us < wake_us)
-		wake_us = served->result_until_us;
-	if (!forward->request && (served->rest_until_us < wake_us || forward->scatter.unconfirmed))
-		wake_us = served->rest_until_us;
-	return wake_us;
+	const struct section *section = &forward->served->section;
+	int64_t wake_us = section_wake_us (section);
+	/* Until the sender has confirmed, no attempt is due that could be sent. */
+	bool is_waiting = !section->held && forward->scatter.unconfirmed;
+	if (forward->scatter.phase == SCATTER_DONE || is_waiting)
+		return wake_us;
+	return scatter_wake_us < wake_us ? scatter_wake_us : wake_us;
 }
 
 void
@@ -134,14 +127,14 @@
 	struct served_batch *served = forward->served;
 	struct scatter *scatter = &forward->scatter;
 	int64_t now_us = front_now_us (forward->front);
-	if (!forward->request && served->rest_until_us <= now_us) {
+	if (section_is_abandoned (&served->section, now_us)) {
 		forward_free (forward);
 		return;
 	}
-	if (forward->request && served->result_until_us <= now_us)
+	if (result_is_due (forward))
 		send_result (forward, false);
 	/* Set first, since the tick may end the section and free the forward. */
-	timers_set (&forward->front->timers, &forward->timer, now_us + REST_WAIT_US);
+	timers_set (&forward->front->timers, &forward->timer, now_us + SECTION_REST_WAIT_US);
 	bool is_last = scatter->deadline_us <= now_us && forward->request;
 	scatter_tick (scatter, now_us);
 	if (!is_last)
@@ -185,7 +178,7 @@
 	}
 	forward->request = request;
 	request->user = forward;
-	forward->served->result_until_us = front_now_us (front) + REST_HOLD_US;
+	section_hold (&forward->served->section, front_now_us (front));
 	if (forward->scatter.phase == SCATTER_DONE) {
 		batch_serve_finish (forward);
 		return;
@@ -235,8 +228,7 @@
 	forward->served = xcalloc (1, sizeof (*forward->served));
 	forward->served->forward = forward;
 	forward->served->id = batch->id;
-	forward->served->result_until_us =
-		forward->arrived_us + rule->objective_us * FIRST_RESULT_OBJECTIVE_PERCENT / 100;
+	section_init (&forward->served->section, rule->objective_us, forward->arrived_us);
 	cds_list_add (&forward->served->node, &front->served);
 	str_copy (forward->head.attempt_id, sizeof (forward->head.attempt_id), batch->attempt_id);
 	str_copy (forward->method, sizeof (forward->method), batch->method);
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -13,7 +13,7 @@
 #include <strings.h>
 
 enum {
-	SUB_BODY_MAX_BYTES = 64 * 1024 * 1024,
+	SUB_BODY_MAX_BYTES = 16 * 1024 * 1024,
 	HEADER_EXTRA_BYTES = 4,          /* colon, space and end of line */
 	SUB_EXTRA_LINES = 4,             /* own headers and the terminating NULL */
 	SUB_SILENCE_MIN_US = 1000000,    /* longer than any usual pause of a target */
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -19,7 +19,6 @@
 	EVENTS_PER_WAIT = 128,
 	IDLE_WAIT_MS = 200,
 	READINESS_MAX_CONNECTIONS = 16,
-	OUTSIDE_SLACK_PERCENT = 25, /* of the slack, for nodes outside the group of a service */
 	BATCH_MAX_CONNECTIONS = 1000,
 	BATCH_HEADER_MAX_BYTES = 4096,
 	BATCH_MAX_BYTES = 1048576,
@@ -76,30 +75,17 @@
 	}
 }
 
-/*
- * The slack is divided within the group that sends to a service. A quarter is left to the other
- * nodes, which send themselves when aggregators fail. Half of a share may be saved up, half comes
- * with time.
- */
 static void
 apply_group_slack (const struct front *front, struct replica_set *set)
 {
 	const struct options *options = &front->node->options;
-	double slack = options->front_extra_slack;
-	double outside = slack * OUTSIDE_SLACK_PERCENT / 100;
-	int64_t window_us = (int64_t)(options->front_extra_window_s * US_PER_S);
-	int burst = 0;
-	int refill = 0;
-	if (set->group_rank < 0) {
-		int rank = shares_rank (&front->shares, name_hash (set->name));
-		burst = refill = budget_share (outside / 2, shares_count (&front->shares), rank);
-	} else {
-		int share = budget_share (slack - outside, set->group_nodes, set->group_rank);
-		refill = share / 2;
-		burst = share - refill;
-	}
-	budget_set_burst (&set->extra, burst);
-	budget_set_refill (&set->extra, refill, window_us);
+	/* The rank takes a hash of each node; only nodes outside the group need it. */
+	int rank = set->group_rank < 0 ? shares_rank (&front->shares, name_hash (set->name)) : 0;
+	struct budget_limits limits = budget_group_limits (options->front_extra_slack,
+		shares_count (&front->shares), rank, set->group_nodes, set->group_rank);
+	budget_set_burst (&set->extra, limits.burst);
+	budget_set_refill (
+		&set->extra, limits.refill, (int64_t)(options->front_extra_window_s * US_PER_S));
 	budget_refill (&set->extra, front_now_us (front));
 }
 
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -56,6 +56,7 @@
 	CDS_INIT_LIST_HEAD (&loop->pools);
 	CDS_INIT_LIST_HEAD (&loop->retired);
 	CDS_INIT_LIST_HEAD (&loop->closed);
+	loop->body_bytes_max = FETCH_BODY_BYTES_MAX;
 	loop->read_buffer = xmalloc (READ_BUFFER_BYTES);
 }
 
@@ -387,6 +388,7 @@
 	void (*done) (struct fetch *, enum fetch_end))
 {
 	fetch->pool = pool;
+	fetch->loop = pool->loop;
 	fetch->conn = NULL;
 	fetch->status = 0;
 	fetch->active = true;
@@ -453,6 +455,8 @@
 void
 fetch_finish (struct fetch *fetch)
 {
+	if (fetch->loop)
+		fetch->loop->body_bytes -= fetch->body.len;
 	buf_finish (&fetch->body);
 }
 
@@ -542,10 +546,13 @@
 {
 	struct fetch_conn *conn = parser->data;
 	struct fetch *fetch = conn->fetch;
-	if (fetch->body.len + len > fetch->body_max_bytes) {
+	struct fetch_loop *loop = fetch->loop;
+	if (fetch->body.len + len > fetch->body_max_bytes ||
+		loop->body_bytes + len > loop->body_bytes_max) {
 		conn->too_large = true;
 		return 1;
 	}
+	loop->body_bytes += len;
 	buf_add (&fetch->body, at, len);
 	return 0;
 }
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -25,6 +25,9 @@
 /** Kinds of timers that fetches embed; other timers of the loop use FETCH_TIMER_KIND_END and up. */
 enum { FETCH_TIMER = 1, FETCH_TIMER_KIND_END = 16 };
 
+/** Default of fetch_loop.body_bytes_max. */
+enum { FETCH_BODY_BYTES_MAX = 48 * 1024 * 1024 };
+
 /** How a fetch ended. */
 enum fetch_end {
 	FETCH_OK,       /**< a complete HTTP reply */
@@ -43,6 +46,7 @@
 	struct reply_headers headers;
 	struct buf out; /**< the encoded request */
 	struct buf body;
+	struct fetch_loop *loop; /**< counts the body */
 	size_t body_max_bytes;
 	long status;
 	int64_t deadline_us; /**< for the complete reply; 0: fail in the next iteration */
@@ -96,6 +100,8 @@
 	int fd_count;
 	char *read_buffer;           /**< for received bytes; too large for the stacks of threads */
 	struct cds_list_head closed; /**< connections to free at the end of the iteration */
+	size_t body_bytes;           /**< received bodies that are held */
+	size_t body_bytes_max;       /**< limit of all of them; more ends a fetch as too large */
 };
 
 struct fetch_pool {
--- a/options/options.c
+++ b/options/options.c
@@ -121,8 +121,9 @@
 	{"front", "extra_slack", OPTION_REAL, TEMPLATE_FIELD (front_extra_slack), 0, 1000000, "10",
 		"Hedges and retries allowed beyond front.extra_ratio, divided among all nodes, "
 		"rounded down"},
-	{"front", "extra_window_s", OPTION_REAL, TEMPLATE_FIELD (front_extra_window_s), 1, 3600,
-		"10", "Time in which front.extra_slack is allowed once"},
+	{"front", "extra_window_s", OPTION_REAL, TEMPLATE_FIELD (front_extra_window_s), 0, 3600,
+		"10",
+		"Window over which front.extra_slack applies, in seconds; 0: it does not refill"},
 	{"front", "cold_factor", OPTION_REAL, TEMPLATE_FIELD (front_cold_factor), 0, 100, "1",
 		"Multiple of a service's cold rate that a cold target can handle"},
 	{"front", "cold_slack", OPTION_REAL, TEMPLATE_FIELD (front_cold_slack), 0, 1000000, "1",
--- a/query/aggregators.h
+++ b/query/aggregators.h
@@ -20,7 +20,6 @@
 	AGGREGATOR_NAME_SIZE = 64,
 	AGGREGATOR_HOMES_MAX = 8,
 	AGGREGATOR_PREFERRED = 2,     /**< nodes of each group to which one node sends */
-	AGGREGATOR_TRIES = 2,         /**< of one batch, before this node sends directly */
 	AGGREGATOR_AVOID_US = 500000, /**< after a failure; doubles with each further one */
 	AGGREGATOR_AVOID_MAX_US = 8000000,
 };
--- a/query/budget.c
+++ b/query/budget.c
@@ -9,6 +9,21 @@
 	return rank < (int)slack - 1 ? 1 : 0;
 }
 
+struct budget_limits
+budget_group_limits (double slack, int nodes, int rank, int group_nodes, int group_rank)
+{
+	double outside = slack * BUDGET_OUTSIDE_PERCENT / 100;
+	struct budget_limits limits;
+	if (group_rank < 0) {
+		limits.burst = limits.refill = budget_share (outside / 2, nodes, rank);
+		return limits;
+	}
+	int share = budget_share (slack - outside, group_nodes, group_rank);
+	limits.refill = share / 2;
+	limits.burst = share - limits.refill;
+	return limits;
+}
+
 void
 budget_init (struct budget *budget)
 {
--- a/query/budget.h
+++ b/query/budget.h
@@ -14,6 +14,7 @@
 
 enum {
 	BUDGET_TOKENS_PER_EXTRA = 100, /**< tokens that one extra sub-request costs */
+	BUDGET_OUTSIDE_PERCENT = 25,   /**< of a slack, for nodes outside the group of a service */
 	BUDGET_DEFAULT_BURST = 10,     /**< extra sub-requests that a full budget allows */
 };
 
@@ -34,6 +35,23 @@
 int
 budget_share (double slack, int nodes, int rank);
 
+/** What one node may send in extra sub-requests to a service, beyond those that it earns. */
+struct budget_limits {
+	int burst;  /**< saved up at most */
+	int refill; /**< that come with time in each window */
+};
+
+/**
+ * One node's part of a slack that only the nodes of one group usually use. A quarter is left to the
+ * other nodes, which send themselves when aggregators fail.
+ * @param nodes all entry nodes
+ * @param rank of this node among them
+ * @param group_nodes nodes of the group
+ * @param group_rank of this node among them; -1: it is not one of them
+ */
+struct budget_limits
+budget_group_limits (double slack, int nodes, int rank, int group_nodes, int group_rank);
+
 /** Starts full, with BUDGET_DEFAULT_BURST extra sub-requests. */
 void
 budget_init (struct budget *budget);
--- a/test/fetch.c
+++ b/test/fetch.c
@@ -393,6 +393,108 @@
 	fixture_finish (&fixture);
 }
 
+/* Sends a text again and again until the fetch ends; returns the number of bytes, at most max. */
+static size_t
+send_endlessly (struct fetch_fixture *fixture, const struct fetch_result *result, int fd,
+	const char *text, size_t max)
+{
+	size_t sent = 0;
+	while (!result->done && sent < max) {
+		if (send (fd, text, strlen (text), MSG_NOSIGNAL | MSG_DONTWAIT) > 0)
+			sent += strlen (text);
+		run_loop_once (fixture);
+	}
+	return sent;
+}
+
+/* Guards against targets that send bytes without end until the node closes the connection. */
+static void
+test_endless_head_ends_the_fetch (void)
+{
+	static const char *const heads[] = {
+		"X-Filler: 0123456789012345678901234567890123456789\r\n",
+		"0123456789012345678901234567890123456789"};
+	for (size_t i = 0; i < sizeof (heads) / sizeof (heads[0]); i++) {
+		struct fetch_fixture fixture;
+		struct fetch_result result;
+		char text[1024];
+		char block[4096] = "";
+		while (strlen (block) + strlen (heads[i]) < sizeof (block))
+			strcat (block, heads[i]);
+		fixture_init (&fixture, 1);
+		start_fetch (&fixture, &result, "GET", NULL, false);
+		int fd = read_request (&fixture, -1, text, sizeof (text));
+		send_reply (&fixture, fd, "HTTP/1.1 200 OK\r\nX-First: ");
+		size_t sent = send_endlessly (&fixture, &result, fd, block, 1024 * 1024);
+		CU_ASSERT_TRUE (result.done);
+		CU_ASSERT_EQUAL (result.end, FETCH_FAILED);
+		CU_ASSERT_TRUE (sent < 256 * 1024);
+		fetch_finish (&result.fetch);
+		close (fd);
+		fixture_finish (&fixture);
+	}
+}
+
+static void
+test_endless_interim_replies_end_with_the_deadline (void)
+{
+	struct fetch_fixture fixture;
+	struct fetch_result result;
+	char text[1024];
+	fixture_init (&fixture, 1);
+	start_fetch (&fixture, &result, "GET", NULL, false);
+	int fd = read_request (&fixture, -1, text, sizeof (text));
+	send_endlessly (&fixture, &result, fd, "HTTP/1.1 102 Processing\r\n\r\n", 64 * 1024);
+	CU_ASSERT_FALSE (result.done);
+	CU_ASSERT_EQUAL (fixture.loop.body_bytes, 0);
+	clock_advance (&fixture.clock, TIMEOUT_US);
+	run_loop_once (&fixture);
+	CU_ASSERT_TRUE (result.done);
+	CU_ASSERT_EQUAL (fixture.pool->conn_count, 0);
+	fetch_finish (&result.fetch);
+	close (fd);
+	fixture_finish (&fixture);
+}
+
+static void
+test_endless_bodies_share_one_bound (void)
+{
+	enum { FETCHES = 3, BOUND = 9000 };
+	struct fetch_fixture fixture;
+	struct fetch_result results[FETCHES];
+	char text[1024];
+	char block[1001] = "";
+	memset (block, 'b', sizeof (block) - 1);
+	fixture_init (&fixture, FETCHES);
+	fixture.loop.body_bytes_max = BOUND;
+	int fds[FETCHES];
+	for (int i = 0; i < FETCHES; i++) {
+		start_fetch (&fixture, &results[i], "GET", NULL, false);
+		fds[i] = read_request (&fixture, -1, text, sizeof (text));
+		send_reply (&fixture, fds[i], "HTTP/1.1 200 OK\r\n\r\n");
+	}
+	/* Each stays below its own limit of 4096 bytes; together they exceed the bound. */
+	for (int block_count = 0; block_count < 4; block_count++) {
+		for (int i = 0; i < FETCHES; i++) {
+			if (!results[i].done)
+				send_reply (&fixture, fds[i], block);
+			CU_ASSERT_TRUE (fixture.loop.body_bytes <= BOUND);
+		}
+	}
+	int too_large = 0;
+	for (int i = 0; i < FETCHES; i++)
+		too_large += results[i].done && results[i].end == FETCH_TOO_LARGE;
+	CU_ASSERT_TRUE (too_large >= 1);
+	/* The bytes of an ended fetch are free again once it is finished. */
+	for (int i = 0; i < FETCHES; i++) {
+		fetch_cancel (&results[i].fetch);
+		fetch_finish (&results[i].fetch);
+		close (fds[i]);
+	}
+	CU_ASSERT_EQUAL (fixture.loop.body_bytes, 0);
+	fixture_finish (&fixture);
+}
+
 int
 main (void)
 {
@@ -406,6 +508,9 @@
 		TEST (waiting_for_a_free_connection),
 		TEST (deadline_and_cancel),
 		TEST (keep_alive_timeout_and_early_close),
+		TEST (endless_head_ends_the_fetch),
+		TEST (endless_interim_replies_end_with_the_deadline),
+		TEST (endless_bodies_share_one_bound),
 	};
 	return suite_run ("fetch", tests, sizeof (tests) / sizeof (tests[0]));
 }
--- a/test/units.c
+++ b/test/units.c
@@ -125,6 +125,7 @@
 		{"cold_factor", offsetof (struct options, front_cold_factor), 1, "101"},
 		{"cold_slack", offsetof (struct options, front_cold_slack), 1, "1e9"},
 		{"list_rate", offsetof (struct options, front_list_rate), 10, "2000000"},
+		{"extra_window_s", offsetof (struct options, front_extra_window_s), 10, "3601"},
 	};
 	struct options options;
 	struct error error;
@@ -163,6 +164,12 @@
 	CU_ASSERT_FALSE (parse_entry (&options, "control", "losses", "2.1", &error));
 	CU_ASSERT_PTR_NOT_NULL (
 		strstr (error.message, "test.ini:7: control.losses: bad value; give"));
+	CU_ASSERT_TRUE (parse_entry (&options, "front", "list_lag_ms", "800.5", &error));
+	CU_ASSERT_EQUAL (options.front_list_lag_ms, 801);
+	CU_ASSERT_TRUE (parse_entry (&options, "front", "list_lag_ms", "0", &error));
+	CU_ASSERT_TRUE (parse_entry (&options, "front", "list_lag_ms", "", &error));
+	CU_ASSERT_EQUAL (options.front_list_lag_ms, 0);
+	CU_ASSERT_FALSE (parse_entry (&options, "front", "list_lag_ms", "-1", &error));
 	CU_ASSERT_TRUE (parse_entry (&options, "control", "bootstrap", "", &error));
 	CU_ASSERT_EQUAL (options.control_bootstrap, 0);
 	CU_ASSERT_TRUE (parse_entry (&options, "control", "bootstrap", "true", &error));
