query, daemon: groups of a service in several fan-outs, tests of fail-over

Cause: a service that is a shard of two fan-outs with different numbers of groups changed its groups with each update of the target list, and its budget was emptied each time (found by reading; no site has such routes). The larger group wins, in whatever order the fan-outs come.

Tests: healthy_aggregator_is_not_taken_for_dead (dark targets for 2 s), failover_never_exceeds_the_attempts (all ways in which two aggregators refuse, freeze or are killed), replay_of_frozen_aggregators (a ninth of 291 nodes for 3.5 s), slack_of_groups_is_never_exceeded, group_of_a_service_in_two_fan_outs.

--- a/daemon/front.c
+++ b/daemon/front.c
@@ -80,9 +80,10 @@
 {
 	const struct options *options = &front->node->options;
 	/* The rank takes a hash of each node; only nodes outside the group need it. */
-	int rank = set->group_rank < 0 ? shares_rank (&front->shares, name_hash (set->name)) : 0;
+	int rank =
+		set->group.own_rank < 0 ? shares_rank (&front->shares, name_hash (set->name)) : 0;
 	struct budget_limits limits = budget_group_limits (options->front_extra_slack,
-		shares_count (&front->shares), rank, set->group_nodes, set->group_rank);
+		shares_count (&front->shares), rank, set->group.nodes, set->group.own_rank);
 	budget_set_burst (&set->extra, limits.burst);
 	budget_set_refill (
 		&set->extra, limits.refill, (int64_t)(options->front_extra_window_s * US_PER_S));
@@ -96,8 +97,8 @@
 	double slack = front->node->options.front_extra_slack;
 	int nodes = shares_count (&front->shares);
 	set->connections = replica_connections (service->max_connections, nodes);
-	if (set->group_nodes > 0) {
-		int connections = replica_connections (service->max_connections, set->group_users);
+	if (set->group.groups > 0) {
+		int connections = replica_connections (service->max_connections, set->group.users);
 		if (connections > set->connections)
 			set->connections = connections;
 		apply_group_slack (front, set);
@@ -156,19 +157,12 @@
 	const struct front *front, const struct routing *routing, const struct routing_rule *rule)
 {
 	int groups = aggregator_groups (&front->aggregators, rule->part_count);
-	for (int group = 0; group < groups; group++) {
-		struct aggregator_group nodes =
-			aggregator_group_get (&front->aggregators, groups, group);
-		for (int i = group; i < rule->part_count; i += groups) {
+	for (int at = 0; at < groups; at++) {
+		struct aggregator_group group =
+			aggregator_group_get (&front->aggregators, groups, at);
+		for (int i = at; i < rule->part_count; i += groups) {
 			struct replica_set *set = routing->services[rule->parts[i].service].set;
-			/* Other nodes may still use shares of the previous groups. */
-			if (set->groups != groups)
-				budget_empty (&set->extra);
-			set->groups = groups;
-			set->group_nodes = nodes.nodes;
-			set->group_users = aggregator_users (shares_count (&front->shares), groups);
-			if (set->group_rank < 0)
-				set->group_rank = nodes.own_rank;
+			set->group = aggregator_group_merge (set->group, group);
 		}
 	}
 }
@@ -177,12 +171,13 @@
 front_update_fan_outs (struct front *front)
 {
 	struct routing *routing = front->state ? front->state->routing : NULL;
-	struct replica_set *set;
 	if (!routing)
 		return;
-	cds_list_for_each_entry (set, &front->sets, node) {
-		set->group_nodes = 0;
-		set->group_rank = -1;
+	int *previous = xcalloc ((size_t)routing->service_count + 1, sizeof (*previous));
+	for (int i = 0; i < routing->service_count; i++) {
+		struct replica_set *set = routing->services[i].set;
+		previous[i] = set->group.groups;
+		set->group = (struct aggregator_group){.own_rank = -1};
 	}
 	for (int i = 0; i < routing->rule_count; i++) {
 		if (routing->rules[i].shape != ROUTE_FAN_OUT)
@@ -191,9 +186,13 @@
 		update_groups (front, routing, &routing->rules[i]);
 	}
 	for (int i = 0; i < routing->service_count; i++) {
-		if (routing->services[i].set)
-			apply_shares (front, routing->services[i].set, &routing->services[i]);
+		struct replica_set *set = routing->services[i].set;
+		/* Other nodes may still use shares of the previous groups. */
+		if (set->group.groups != previous[i])
+			budget_empty (&set->extra);
+		apply_shares (front, set, &routing->services[i]);
 	}
+	free (previous);
 }
 
 /* Rechecks whether this node may use its share; that depends on lease and settled epoch. */
--- a/query/aggregators.c
+++ b/query/aggregators.c
@@ -37,16 +37,10 @@
 	return groups > 1 ? groups : 0;
 }
 
-int
-aggregator_users (int nodes, int groups)
-{
-	return nodes / groups + 1;
-}
-
 struct aggregator_group
 aggregator_group_get (const struct aggregators *aggregators, int groups, int group)
 {
-	struct aggregator_group result = {.own_rank = -1};
+	struct aggregator_group result = {.groups = groups, .own_rank = -1};
 	const struct aggregator *aggregator;
 	const struct aggregator *own = aggregators->own;
 	bool is_own = own && aggregator_group_of_node (own, groups) == group;
@@ -59,9 +53,16 @@
 	}
 	if (is_own)
 		result.own_rank = lower;
+	result.users = result.nodes + 1;
 	return result;
 }
 
+struct aggregator_group
+aggregator_group_merge (struct aggregator_group a, struct aggregator_group b)
+{
+	return a.nodes >= b.nodes ? a : b;
+}
+
 int
 aggregator_group_of_shard (int shard, int groups)
 {
--- a/query/aggregators.h
+++ b/query/aggregators.h
@@ -89,19 +89,24 @@
 int
 aggregator_groups (const struct aggregators *aggregators, int shards);
 
-/** Number of nodes that may send to the targets of a shard, with one that joins. */
-int
-aggregator_users (int nodes, int groups);
-
 /** The entry nodes of one group, as far as shares of a bound depend on them. */
 struct aggregator_group {
-	int nodes;
+	int groups;   /**< number of groups that the entry nodes are divided into; 0: none */
+	int nodes;    /**< of this group */
 	int own_rank; /**< of this node among them; -1: it is not one of them */
+	int users;    /**< nodes that may send to the targets of a shard, with one that joins */
 };
 
 struct aggregator_group
 aggregator_group_get (const struct aggregators *aggregators, int groups, int group);
 
+/**
+ * Which group sends to a service that is a shard of several fan-outs: the one with the most nodes,
+ * in whatever order they come.
+ */
+struct aggregator_group
+aggregator_group_merge (struct aggregator_group a, struct aggregator_group b);
+
 /** The group that sends the sub-requests of a shard. */
 int
 aggregator_group_of_shard (int shard, int groups);
--- a/query/batch.c
+++ b/query/batch.c
@@ -211,8 +211,8 @@
 	result->id.sender = pack_get_u64 (pack_at (root, 1));
 	result->id.number = pack_get_u64 (pack_at (root, 2));
 	result->done = pack_get_bool (pack_at (root, 3));
-	result->hedges = (int)pack_get_below (pack_at (root, 4), INT32_MAX);
-	result->retries = (int)pack_get_below (pack_at (root, 5), INT32_MAX);
+	result->hedges = (int)pack_get_below (pack_at (root, 4), BATCH_MAX_COUNT);
+	result->retries = (int)pack_get_below (pack_at (root, 5), BATCH_MAX_COUNT);
 	read_parts (result, pack_at (root, 6));
 	const char *records = pack_get_bytes (pack_at (root, 7), &result->records_len);
 	if (pack_ok (root))
--- a/query/batch.h
+++ b/query/batch.h
@@ -18,6 +18,7 @@
 enum {
 	BATCH_VERSION = 1,
 	BATCH_MAX_SHARDS = 4096,
+	BATCH_MAX_COUNT = 65536, /**< of hedges or retries in one result */
 	BATCH_MAX_LINES = 128,
 	BATCH_TEXT_MAX_BYTES = 32768, /**< of a path or header line */
 	BATCH_NAME_SIZE = 256,
--- a/query/replica.h
+++ b/query/replica.h
@@ -79,17 +79,13 @@
 	struct cds_list_head replicas;
 	struct cds_list_head waiting; /**< struct scatter_shard, by priority, then by arrival */
 	int waiting_count;
-	int64_t last_request_us;     /**< when a target was last chosen for a first sub-request */
-	int64_t request_interval_us; /**< moving average of the time between two of these */
-	struct budget extra;         /**< for sub-requests beyond the first of each shard */
-	/** Entry nodes whose group sends to the targets; 0: all entry nodes do. */
-	int group_nodes;
-	int groups;             /**< number of groups that the entry nodes are divided into */
-	int group_rank;         /**< of this node in that group; -1: it is in another one */
-	int group_users;        /**< nodes of the group that usually send */
-	int connections;        /**< this node's share of the connections of each target */
-	double cold_rate_per_s; /**< what a cold target can handle from all nodes together */
-	int64_t share_until_us; /**< this node may send to cold targets until then */
+	int64_t last_request_us;       /**< when a target was last chosen for a first sub-request */
+	int64_t request_interval_us;   /**< moving average of the time between two of these */
+	struct budget extra;           /**< for sub-requests beyond the first of each shard */
+	struct aggregator_group group; /**< that sends to the targets; groups 0: all nodes do */
+	int connections;               /**< this node's share of the connections of each target */
+	double cold_rate_per_s;        /**< what a cold target can handle from all nodes together */
+	int64_t share_until_us;        /**< this node may send to cold targets until then */
 };
 
 /** What a replica is selected for. */
--- a/test/aggregators.c
+++ b/test/aggregators.c
@@ -6,6 +6,8 @@
 #include "core/buf.h"
 #include "core/rng.h"
 #include "query/batch.h"
+#include "query/failover.h"
+#include "query/section.h"
 #include "test/suite.h"
 
 #include <stdio.h>
@@ -690,6 +692,187 @@
 	}
 }
 
+/* When results are returned, and what happens when none come */
+
+/*
+ * Replays targets that stay dark for 2 s: no part comes and no attempt is due any more. A healthy
+ * aggregator must not look dead to its sender meanwhile, or the shards go to a second one and add
+ * to its load.
+ */
+static void
+test_healthy_aggregator_is_not_taken_for_dead (void)
+{
+	static const int64_t objectives_us[] = {30 * MS, 60 * MS, 120 * MS, 500 * MS};
+	for (size_t i = 0; i < sizeof (objectives_us) / sizeof (objectives_us[0]); i++) {
+		int64_t objective_us = objectives_us[i];
+		struct section section;
+		struct failover failover = {.aggregators = 1};
+		int64_t at_us = 0;
+		int64_t asked_us = 0;
+		section_init (&section, objective_us, at_us);
+		while (at_us < 2000 * MS) {
+			int64_t timeout_us =
+				failover_timeout_us (&failover, objective_us, 5000 * MS);
+			at_us = section_wake_us (&section);
+			CU_ASSERT_TRUE (section_result_is_due (&section, false, false, at_us));
+			/* The rest of the time is left for the network and a busy processor. */
+			CU_ASSERT_TRUE (at_us - asked_us <= timeout_us * 6 / 10);
+			section_returned (&section, at_us);
+			CU_ASSERT_FALSE (section_is_abandoned (&section, at_us + 100 * MS));
+			failover.has_result = true;
+			asked_us = at_us += 5 * MS;
+			section_hold (&section, at_us);
+		}
+	}
+}
+
+static void
+test_results_are_returned_when_they_help (void)
+{
+	struct section section;
+	section_init (&section, 100 * MS, 0);
+	/* Parts wait for the first result, so that most batches need only one. */
+	CU_ASSERT_FALSE (section_result_is_due (&section, true, false, 10 * MS));
+	CU_ASSERT_TRUE (section_result_is_due (&section, true, true, 20 * MS));
+	section_returned (&section, 20 * MS);
+	CU_ASSERT_FALSE (section_result_is_due (&section, true, true, 25 * MS));
+	section_hold (&section, 25 * MS);
+	CU_ASSERT_FALSE (section_result_is_due (&section, false, true, 30 * MS));
+	CU_ASSERT_TRUE (section_result_is_due (&section, true, false, 30 * MS));
+	section_returned (&section, 30 * MS);
+	CU_ASSERT_FALSE (section_is_abandoned (&section, 30 * MS + SECTION_REST_WAIT_US - 1));
+	CU_ASSERT_TRUE (section_is_abandoned (&section, 30 * MS + SECTION_REST_WAIT_US));
+}
+
+/* All ways in which aggregators may fail one after another, against the attempts of the route. */
+static void
+test_failover_never_exceeds_the_attempts (void)
+{
+	enum { REFUSES, IS_FROZEN, IS_KILLED_AFTER_A_RESULT, WAYS };
+	for (int max_attempts = 1; max_attempts <= 4; max_attempts++) {
+		for (int way = 0; way < WAYS * WAYS; way++) {
+			struct failover failover = {0};
+			enum failover_step step = FAILOVER_TO_AGGREGATOR;
+			int used = 0;
+			int ways = way;
+			while (step == FAILOVER_TO_AGGREGATOR) {
+				int how = ways % WAYS;
+				ways /= WAYS;
+				failover.aggregators++;
+				failover.has_result = how == IS_KILLED_AFTER_A_RESULT;
+				/* Before its first result it sends one, after it all that are left.
+				 */
+				used += how == REFUSES     ? 0
+					: how == IS_FROZEN ? 1
+							   : max_attempts - used;
+				CU_ASSERT_TRUE (used <= max_attempts);
+				step = failover_next (&failover, how != REFUSES, max_attempts);
+			}
+			CU_ASSERT_TRUE (failover.aggregators <= FAILOVER_AGGREGATORS_MAX);
+			CU_ASSERT_EQUAL (failover.attempts_used, used);
+			CU_ASSERT_EQUAL (step == FAILOVER_GIVE_UP, used == max_attempts);
+		}
+	}
+}
+
+/*
+ * Replays nodes that freeze: a ninth of 291 for 3.5 s of 34. A query whose batch meets a frozen
+ * node pays for it once, since its sender then avoids that node.
+ */
+static void
+test_replay_of_frozen_aggregators (void)
+{
+	enum { QUERIES = 70 * 34, FROZEN_FROM = 70 * 10, FROZEN_TO = 70 * 13 + 35 };
+	struct entry_node *entries = make_entries (NODES);
+	struct aggregators *views = xcalloc (NODES, sizeof (*views));
+	struct aggregator_homes homes = make_homes ();
+	struct rng rng = {.state = 11};
+	int delayed = 0;
+	int lost = 0;
+	for (int i = 0; i < NODES; i++) {
+		aggregators_init (&views[i], entries[i].hash);
+		aggregators_update (&views[i], entries, NODES, MIN_NODES);
+	}
+	for (int query = 0; query < QUERIES; query++) {
+		int node = (int)rng_below (&rng, NODES);
+		int64_t at_us = (int64_t)query * REPLAY_INTERVAL_US;
+		bool is_frozen_time = query >= FROZEN_FROM && query < FROZEN_TO;
+		int groups = aggregator_groups (&views[node], SHARDS);
+		bool is_delayed = false;
+		for (int group = 0; group < groups; group++) {
+			struct failover failover = {0};
+			struct aggregator *tried[FAILOVER_AGGREGATORS_MAX];
+			enum failover_step step = FAILOVER_TO_AGGREGATOR;
+			while (step == FAILOVER_TO_AGGREGATOR) {
+				struct aggregator_criteria criteria = {.groups = groups,
+					.group = group,
+					.data_centre = entries[node].data_centre,
+					.homes = &homes,
+					.tried = tried,
+					.tried_count = failover.aggregators};
+				struct aggregator *chosen =
+					aggregator_choose (&views[node], &criteria, at_us);
+				bool is_frozen =
+					chosen && is_frozen_time && chosen->entry.hash % 9 == 0;
+				if (!is_frozen)
+					break;
+				tried[failover.aggregators++] = chosen;
+				chosen->in_flight++;
+				aggregator_batch_ended (chosen, AGGREGATOR_FAILED, at_us);
+				is_delayed = true;
+				step = failover_next (&failover, true, 2);
+			}
+			lost += step == FAILOVER_GIVE_UP;
+		}
+		delayed += is_delayed;
+	}
+	/* Most queries of the frozen time meet a frozen node in one of eight groups, others none.
+	 */
+	CU_ASSERT_TRUE (delayed > 0);
+	CU_ASSERT_TRUE (delayed <= FROZEN_TO - FROZEN_FROM);
+	/* Few batches meet two frozen nodes in a row: one in 81. */
+	CU_ASSERT_TRUE (lost < (FROZEN_TO - FROZEN_FROM) * 8 / 40);
+	for (int i = 0; i < NODES; i++)
+		finish_nodes (&views[i]);
+	free (views);
+	free (entries);
+}
+
+/* The parts of all nodes, inside the group and outside, never add up to more than the slack. */
+static void
+test_slack_of_groups_is_never_exceeded (void)
+{
+	static const double slacks[] = {0, 1, 10.5, 56, 156, 208, 622, 2000};
+	for (size_t i = 0; i < sizeof (slacks) / sizeof (slacks[0]); i++) {
+		for (int nodes = 24; nodes <= 1043; nodes += 17) {
+			int group_nodes = nodes / 8 + 1;
+			int sum = 0;
+			for (int rank = 0; rank < nodes; rank++) {
+				int group_rank = rank < group_nodes ? rank : -1;
+				struct budget_limits limits = budget_group_limits (
+					slacks[i], nodes, rank, group_nodes, group_rank);
+				sum += limits.burst + limits.refill;
+			}
+			CU_ASSERT_TRUE (sum <= slacks[i]);
+		}
+	}
+	CU_ASSERT_TRUE (budget_group_limits (622, 291, 0, 37, 0).refill >= 4);
+}
+
+/* Guards against budgets that are emptied over and over as the order of two fan-outs alternates. */
+static void
+test_group_of_a_service_in_two_fan_outs (void)
+{
+	struct aggregator_group none = {.own_rank = -1};
+	struct aggregator_group small = {.groups = 8, .nodes = 36, .own_rank = 3};
+	struct aggregator_group large = {.groups = 4, .nodes = 73, .own_rank = -1};
+	CU_ASSERT_EQUAL (aggregator_group_merge (none, small).groups, 8);
+	CU_ASSERT_EQUAL (
+		aggregator_group_merge (aggregator_group_merge (none, small), large).groups, 4);
+	CU_ASSERT_EQUAL (
+		aggregator_group_merge (aggregator_group_merge (none, large), small).groups, 4);
+}
+
 int
 main (void)
 {
@@ -708,6 +891,12 @@
 		TEST (section_reports_progress_and_ends_when_all_shards_have),
 		TEST (section_sends_one_attempt_until_it_is_confirmed),
 		TEST (overdue_hedge_of_a_section_is_not_sent),
+		TEST (healthy_aggregator_is_not_taken_for_dead),
+		TEST (results_are_returned_when_they_help),
+		TEST (failover_never_exceeds_the_attempts),
+		TEST (replay_of_frozen_aggregators),
+		TEST (slack_of_groups_is_never_exceeded),
+		TEST (group_of_a_service_in_two_fan_outs),
 	};
 	return suite_run ("aggregators", tests, sizeof (tests) / sizeof (tests[0]));
 }
