--- a/test/fetch.c
+++ b/test/fetch.c
@@ -418,9 +418,10 @@
 		struct fetch_fixture fixture;
 		struct fetch_result result;
 		char text[1024];
-		char block[4096] = "";
-		while (strlen (block) + strlen (heads[i]) < sizeof (block))
-			strcat (block, heads[i]);
+		char block[4096] = {0};
+		size_t filled = 0;
+		for (; filled + strlen (heads[i]) < sizeof (block); filled += strlen (heads[i]))
+			memcpy (block + filled, heads[i], strlen (heads[i]));
 		fixture_init (&fixture, 1);
 		start_fetch (&fixture, &result, "GET", NULL, false);
 		int fd = read_request (&fixture, -1, text, sizeof (text));
