--- a/test/platform.sh
+++ b/test/platform.sh
@@ -305,6 +305,11 @@
 echo "all control nodes and an entry node are killed and restarted:"
 for n in 1 2 3 4; do kill -KILL "${PIDS[n$n]}"; done
 sleep 0.2
+for i in 1 2 3; do
+	answer=$(send_request 5 "t$i" /all/x)
+	expect "the other entry node answers without the killed one" "$answer" '^HTTP/1.1 200'
+	expect "no shard is missing" "$answer" '^Oleanderstile-Missing-Parts: 0'
+done
 for n in 4 1 2 3; do start_node $n; done
 wait_for 5 eval "send_request 4 n1 /all/x > '$RUN/held'; [ -s '$RUN/held' ]" || fail "entry node 4 did not start"
 expect "a request to a node that is starting is held and answered" "$(cat "$RUN/held")" '^HTTP/1.1 200'
@@ -321,6 +326,13 @@
 kill -TERM "${PIDS[n5]}"
 sleep 0.1
 is_ready 5 > "$RUN/x" && fail "a stopping entry node reports that it is ready"
+# For 5 s the stopping node still serves batches or refuses them.
+for i in $(seq 1 12); do
+	answer=$(send_request 4 "u$i" /all/x)
+	expect "the other entry node answers while this one stops" "$answer" '^HTTP/1.1 200'
+	expect "no shard is missing" "$answer" '^Oleanderstile-Missing-Parts: 0'
+	sleep 0.4
+done
 wait $last
 expect "a request accepted before the stop is answered" "$(cat "$RUN/last")" '^last'
 wait "${PIDS[n5]}" || fail "entry node 5 exited with $?"
