query, daemon: a planned stop answers every request that it accepted

What callers saw: requests sent on kept connections about 4 s after SIGTERM were passed on to targets and cut without an answer when the entry node ended, among them requests that must not be repeated.

Cause: a stopping node accepted a request while four usual latencies remained, which ignores the time in the queue and any slower request, and the loop ended with requests in flight. Ruled out: the load balancer (the connections were older), targets (they answered later), callers' deadlines (15 s).

Now, once the load balancer uses other nodes, a request is accepted only if its own deadline lies within the stop; others are refused at once. At the end each request that was read gets its last answer (what the shards have, 503 if nothing ran, 504 otherwise), answers are written, then connections close. Requests that were not sent are refused 0.6 s earlier. Batches return what has been answered, so that their sender passes on the rest.

--- a/daemon/batch_serve.c
+++ b/daemon/batch_serve.c
@@ -109,6 +109,14 @@
 	forward_set_timer (forward);
 }
 
+void
+batch_serve_end (struct forward *forward)
+{
+	/* Not marked as done, so that the sender passes the open shards to another node. */
+	if (forward->request)
+		send_result (forward, false);
+}
+
 int64_t
 batch_serve_wake_us (const struct forward *forward, int64_t scatter_wake_us)
 {
@@ -172,7 +180,7 @@
 		return;
 	}
 	struct forward *forward = find_served (front, &id);
-	if (!forward || forward->request) {
+	if (!forward || forward->request || atomic_load (&front->stop)) {
 		answer_status (request, 404);
 		return;
 	}
@@ -204,8 +212,8 @@
 static bool
 is_closing (const struct front *front)
 {
-	int64_t stop_began_us = atomic_load (&front->stop_began_us);
-	return stop_began_us != 0 && front_now_us (front) >= stop_began_us + FRONT_BALANCER_LAG_US;
+	struct drain drain = front_drain (front);
+	return drain_closes_connections (&drain, front_now_us (front));
 }
 
 /*
--- a/daemon/batch_serve.h
+++ b/daemon/batch_serve.h
@@ -21,6 +21,10 @@
 void
 batch_serve_finish (struct forward *forward);
 
+/** Returns what has been answered so far to a sender that waits, since this node stops. */
+void
+batch_serve_end (struct forward *forward);
+
 /** Sends a result that is due, and hedges that are due once the sender has confirmed. */
 void
 batch_serve_timer_due (struct forward *forward);
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -20,7 +20,7 @@
 	SUB_CONNECT_TIMEOUT_US = 200000, /* several times a slow handshake between data centres */
 	SUB_SILENCE_LATENCY_FACTOR = 8,  /* times the usual latency */
 	ABANDONED_TIMEOUT_US = 400000,   /* so that abandoned work ends within half a second */
-	UNREADY_RETRY_MS = 500,          /* a node without a view gets one within two polls */
+	UNREADY_RETRY_US = 500000,       /* a node without a view gets one within two polls */
 };
 
 /** A sub-request at a target. */
@@ -121,22 +121,9 @@
 static bool
 should_close_connections (const struct front *front)
 {
-	int64_t stop_began_us = atomic_load (&front->stop_began_us);
 	/* Connections stay open until the load balancer has had time to switch to other nodes. */
-	return stop_began_us != 0 && front_now_us (front) >= stop_began_us + FRONT_BALANCER_LAG_US;
-}
-
-/* Requests that may not finish before the node stops are refused, to run on another node. */
-static bool
-is_too_late_to_start (const struct front *front, const struct routing_rule *rule)
-{
-	int64_t stop_began_us = atomic_load (&front->stop_began_us);
-	if (stop_began_us == 0)
-		return false;
-	int64_t end_us = stop_began_us + front->node->options.front_stop_ms * US_PER_MS;
-	int64_t usual_us =
-		quantile_get (&rule->latency, SCATTER_HEDGE_PERCENTILE, rule->objective_us);
-	return front_now_us (front) + usual_us * FRONT_STOP_LATENCY_FACTOR > end_us;
+	struct drain drain = front_drain (front);
+	return drain_closes_connections (&drain, front_now_us (front));
 }
 
 static void
@@ -420,13 +407,21 @@
 	add_line (forward, name, value);
 }
 
+static int64_t
+retry_after_us (const struct front *front)
+{
+	struct drain drain = front_drain (front);
+	return drain.began_us != 0 ? drain_retry_after_us (&drain, front_now_us (front))
+				   : UNREADY_RETRY_US;
+}
+
 static void
-refuse (struct ingress_request *request, int status, bool close)
+refuse (const struct front *front, struct ingress_request *request, int status, bool close)
 {
 	struct buf lines;
 	buf_init (&lines);
 	if (status == 503)
-		buf_addf (&lines, "Retry-After: %.3f\n", UNREADY_RETRY_MS / 1000.0);
+		buf_addf (&lines, "Retry-After: %.3f\n", (double)retry_after_us (front) / US_PER_S);
 	ingress_answer (request, status, &lines, NULL, 0, close);
 	buf_finish (&lines);
 }
@@ -466,7 +461,7 @@
 		(unsigned long long)(routing ? routing->version : 0),
 		(long long)forward_view_age_ms (front), (long long)forward_list_age_ms (front));
 	free_unstarted (forward);
-	refuse (request, status, close);
+	refuse (front, request, status, close);
 }
 
 /* When the request ends: the caller's deadline less a margin, or the route's timeout if sooner. */
@@ -531,6 +526,18 @@
 	return atomic_load (&front->view_confirmed_us) + FRONT_VIEW_STALE_US < front_now_us (front);
 }
 
+/* Requests that may not finish before the node stops are refused, to run on another node. */
+static bool
+is_too_late_to_start (const struct forward *forward, const struct routing_rule *rule)
+{
+	const struct front *front = forward->front;
+	struct drain drain = front_drain (front);
+	int64_t usual_us =
+		quantile_get (&rule->latency, SCATTER_HEDGE_PERCENTILE, rule->objective_us);
+	return atomic_load (&front->stop) ||
+	       !drain_accepts (&drain, usual_us, deadline_us (forward, rule), front_now_us (front));
+}
+
 /* Finds the route and starts the request, or refuses it. */
 static void
 route_request (struct forward *forward, struct ingress_request *request)
@@ -545,7 +552,7 @@
 		refuse_early (forward, request, 503, EARLY_NO_VIEW, close);
 	else if (!rule)
 		refuse_early (forward, request, 404, EARLY_NO_ROUTE, close);
-	else if (is_too_late_to_start (front, rule))
+	else if (is_too_late_to_start (forward, rule))
 		refuse_early (forward, request, 503, EARLY_STOPPING, close);
 	else
 		start_request (forward, request, rule);
@@ -629,6 +636,45 @@
 	}
 }
 
+/* Returns whether the request was ended; one that serves a batch goes on without its sender. */
+static bool
+end_forward (struct forward *forward)
+{
+	if (forward->held) {
+		struct ingress_request *request = take_held_request (forward);
+		refuse_early (forward, request, 503, EARLY_STOPPING, true);
+		return true;
+	}
+	if (forward->served)
+		batch_serve_end (forward);
+	else
+		scatter_end (&forward->scatter);
+	return !forward->served;
+}
+
+void
+forward_refuse_unsent (struct front *front)
+{
+	struct forward *forward;
+	struct forward *next;
+	cds_list_for_each_entry_safe (forward, next, &front->forwards, node) {
+		if (!forward->served &&
+			(forward->held || !scatter_may_have_run (&forward->scatter)))
+			end_forward (forward);
+	}
+}
+
+int
+forward_end_all (struct front *front)
+{
+	int count = 0;
+	struct forward *forward;
+	struct forward *next;
+	cds_list_for_each_entry_safe (forward, next, &front->forwards, node)
+		count += end_forward (forward);
+	return count;
+}
+
 void
 forward_caller_left (struct ingress_request *request, void *user)
 {
--- a/daemon/forward.h
+++ b/daemon/forward.h
@@ -59,6 +59,17 @@
 void
 forward_release_held (struct front *front);
 
+/** Refuses the requests of which nothing was sent to a target. */
+void
+forward_refuse_unsent (struct front *front);
+
+/**
+ * Answers all requests in flight with what is known, since this node stops.
+ * @return their number
+ */
+int
+forward_end_all (struct front *front);
+
 /** Ends a request whose caller has left before the answer. */
 void
 forward_caller_left (struct ingress_request *request, void *user);
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -35,6 +35,14 @@
 	return clock_now_us (&front->node->clock);
 }
 
+struct drain
+front_drain (const struct front *front)
+{
+	int64_t began_us = atomic_load (&front->stop_began_us);
+	return (struct drain){.began_us = began_us,
+		.stop_us = began_us + front->node->options.front_stop_ms * US_PER_MS};
+}
+
 bool
 front_has_view (const struct front *front)
 {
@@ -459,6 +467,14 @@
 	case FRONT_DUMP:
 		front_write_dump (front, caa_container_of (mail, struct front_dump, mail));
 		return;
+	case FRONT_REFUSE_UNSENT:
+		free (mail);
+		forward_refuse_unsent (front);
+		return;
+	case FRONT_STOP:
+		free (mail);
+		atomic_store (&front->stop, true);
+		return;
 	}
 }
 
@@ -566,40 +582,62 @@
 	return pending;
 }
 
+static void
+iterate (struct front *front)
+{
+	struct epoll_event events[EVENTS_PER_WAIT];
+	struct mail *mail;
+	int count = epoll_wait (front->epoll_fd, events, EVENTS_PER_WAIT, wait_ms (front));
+	int64_t woken_us = front_now_us (front);
+	if (front->woken_us != 0 && woken_us > front->woken_us + FRONT_SUSPENDED_US)
+		front->resumed_us = woken_us;
+	front->woken_us = woken_us;
+	struct pending pending = handle_events (front, events, count);
+	if (pending.mail)
+		mailbox_clear (&front->mailbox);
+	while (pending.mail && (mail = mailbox_take (&front->mailbox)))
+		handle_mail (front, mail);
+	run_timers (front);
+	if (serves_callers (front) && (pending.callers || ingress_has_work (&front->callers)))
+		ingress_run (&front->callers);
+	if (serves_batches (front) && (pending.batches || ingress_has_work (&front->batches)))
+		ingress_run (&front->batches);
+	if (serves_callers (front) && (pending.balancer || ingress_has_work (&front->balancer)))
+		ingress_run (&front->balancer);
+	fetch_loop_clean (&front->fetches);
+	atomic_store (&front->connections, front->callers.connection_count);
+	atomic_store (&front->list_read_us, front->discovery.read_us);
+	atomic_store (&front->sharing_nodes, shares_count (&front->shares));
+	latency_observe (LATENCY_LOOP_ITERATION, front_now_us (front) - woken_us);
+}
+
+/*
+ * Answers every request that was read, and waits until the answers are written. The listening
+ * sockets are closed after that, so that callers whose request was not read reconnect elsewhere.
+ */
+static void
+end_requests (struct front *front)
+{
+	int64_t end_us = front_now_us (front) + DRAIN_FLUSH_US;
+	int ended = forward_end_all (front);
+	log_event (&front->log, EVENT_REQUESTS_ENDED, "%d requests", ended);
+	while (front->callers.request_count + front->batches.request_count > 0 &&
+		front_now_us (front) < end_us)
+		iterate (front);
+	ingress_stop (&front->callers);
+	ingress_stop (&front->batches);
+	ingress_stop (&front->balancer);
+}
+
 static void *
 run (void *arg)
 {
 	struct front *front = arg;
-	struct epoll_event events[EVENTS_PER_WAIT];
-	struct mail *mail;
 	rcu_register_thread ();
-	while (!atomic_load (&front->stop)) {
-		int count = epoll_wait (front->epoll_fd, events, EVENTS_PER_WAIT, wait_ms (front));
-		int64_t woken_us = front_now_us (front);
-		if (front->woken_us != 0 && woken_us > front->woken_us + FRONT_SUSPENDED_US)
-			front->resumed_us = woken_us;
-		front->woken_us = woken_us;
-		struct pending pending = handle_events (front, events, count);
-		if (pending.mail)
-			mailbox_clear (&front->mailbox);
-		while (pending.mail && (mail = mailbox_take (&front->mailbox)))
-			handle_mail (front, mail);
-		run_timers (front);
-		if (serves_callers (front) &&
-			(pending.callers || ingress_has_work (&front->callers)))
-			ingress_run (&front->callers);
-		if (serves_batches (front) &&
-			(pending.batches || ingress_has_work (&front->batches)))
-			ingress_run (&front->batches);
-		if (serves_callers (front) &&
-			(pending.balancer || ingress_has_work (&front->balancer)))
-			ingress_run (&front->balancer);
-		fetch_loop_clean (&front->fetches);
-		atomic_store (&front->connections, front->callers.connection_count);
-		atomic_store (&front->list_read_us, front->discovery.read_us);
-		atomic_store (&front->sharing_nodes, shares_count (&front->shares));
-		latency_observe (LATENCY_LOOP_ITERATION, front_now_us (front) - woken_us);
-	}
+	while (!atomic_load (&front->stop))
+		iterate (front);
+	if (serves_callers (front))
+		end_requests (front);
 	rcu_unregister_thread ();
 	return NULL;
 }
@@ -665,9 +703,23 @@
 	return true;
 }
 
+static void
+post_signal (struct front *front, enum front_mail kind)
+{
+	struct mail *mail = xcalloc (1, sizeof (*mail));
+	mail->kind = (int)kind;
+	mailbox_post (&front->mailbox, mail);
+}
+
+void
+front_refuse_unsent (struct front *front)
+{
+	post_signal (front, FRONT_REFUSE_UNSENT);
+}
+
 void
 front_stop (struct front *front)
 {
-	atomic_store (&front->stop, true);
+	post_signal (front, FRONT_STOP);
 	pthread_join (front->thread, NULL);
 }
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -18,21 +18,18 @@
 #include "net/fetch.h"
 #include "net/ingress.h"
 #include "net/mailbox.h"
+#include "query/drain.h"
 #include "query/scatter.h"
 
 #include <pthread.h>
 
 enum {
-	/** While a node stops, it refuses requests unless this many usual latencies remain. */
-	FRONT_STOP_LATENCY_FACTOR = 4,
 	/** A view that was not confirmed for this long may lack a recently added route. */
 	FRONT_VIEW_STALE_US = 2000000,
 	/** When all nodes start together, each has received its view within this time. */
 	FRONT_START_HOLD_US = 1200000,
 	/** Time until the target list shows which targets of a returned data centre are cold. */
 	FRONT_READMIT_DELAY_US = 1000000,
-	/** The load balancer probes once a second and acts on the second failed probe. */
-	FRONT_BALANCER_LAG_US = 2500000,
 	/** The loop waits less than this; a longer gap shows that the process was suspended. */
 	FRONT_SUSPENDED_US = 500000,
 	/** For this long after that, batches of other nodes may be outdated. */
@@ -43,7 +40,7 @@
 enum { FORWARD_TIMER = FETCH_TIMER_KIND_END, DISCOVERY_TIMER };
 
 /** Kinds of messages to the front's thread. */
-enum front_mail { FRONT_STATE, FRONT_ROSTER, FRONT_DUMP };
+enum front_mail { FRONT_STATE, FRONT_ROSTER, FRONT_DUMP, FRONT_REFUSE_UNSENT, FRONT_STOP };
 
 /** The part of the declared state that the front uses. */
 struct front_state {
@@ -111,9 +108,19 @@
 /** Starts the front's thread; messages may be posted from then on. */
 bool
 front_start (struct front *front, struct node *node, struct error *error);
+
+/** Refuses the requests of which nothing was sent to a target, so that they run elsewhere. */
+void
+front_refuse_unsent (struct front *front);
+
+/** Answers all requests that are still in flight, closes all connections and ends the thread. */
 void
 front_stop (struct front *front);
 
+/** The planned stop of this node, as the policy of query/drain.h sees it. */
+struct drain
+front_drain (const struct front *front);
+
 /** Posts a new declared state to the front. Control thread only. */
 void
 front_post_state (struct front *front, const struct state *state);
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -36,8 +36,6 @@
 	/* Each wait for requests in flight during a planned stop is at most this long. */
 	STOP_TIMEOUT_MS = 60000,
 	HANDOVER_TIMEOUT_MS = 8000, /* time for other nodes to take over the targets */
-	/* 5 s of service and this time fit into a grace period of 6 s. */
-	STOP_DRAIN_TIMEOUT_MS = 600,
 	/* Longest wait for the reply to a poll that announces the exit. */
 	EXIT_ACK_TIMEOUT_MS = 1000,
 	/* The same for nodes with a front, which use the grace period for callers. */
@@ -302,7 +300,7 @@
 is_front_drained (struct node *node)
 {
 	int64_t since_us = clock_now_us (&node->clock) - atomic_load (&node->front->stop_began_us);
-	return since_us >= FRONT_BALANCER_LAG_US && is_idle (node) &&
+	return since_us >= DRAIN_BALANCER_LAG_US && is_idle (node) &&
 	       atomic_load (&node->front->connections) == 0;
 }
 
@@ -313,7 +311,8 @@
 	atomic_store (&node->front->stop_began_us, clock_now_us (&node->clock));
 	wait_until (node, signals, is_front_drained, (int)node->options.front_stop_ms);
 	/* New requests are refused from now on; wait for those that were accepted before. */
-	wait_until (node, signals, is_idle, STOP_DRAIN_TIMEOUT_MS);
+	front_refuse_unsent (node->front);
+	wait_until (node, signals, is_idle, DRAIN_END_MS);
 	front_stop (node->front);
 }
 
--- a/query/scatter.c
+++ b/query/scatter.c
@@ -110,8 +110,8 @@
 	scatter->hooks->deliver (scatter);
 }
 
-static bool
-may_have_run (const struct scatter *scatter)
+bool
+scatter_may_have_run (const struct scatter *scatter)
 {
 	for (int i = 0; i < scatter->shard_count; i++) {
 		const struct scatter_shard *shard = &scatter->shards[i];
@@ -136,7 +136,7 @@
 		end_with (scatter, SCATTER_REPLY);
 		return;
 	}
-	if (!may_have_run (scatter)) {
+	if (!scatter_may_have_run (scatter)) {
 		scatter->retry_after_ms = SCATTER_RETRY_AFTER_MS;
 		end_with (scatter, SCATTER_REFUSED);
 		return;
@@ -181,6 +181,17 @@
 		end_without_answer (scatter, late);
 }
 
+void
+scatter_end (struct scatter *scatter)
+{
+	if (scatter->phase == SCATTER_DONE)
+		return;
+	if (is_fan_out (scatter) && scatter->answered >= scatter->min_shards)
+		end_with (scatter, SCATTER_MERGED);
+	else
+		end_without_answer (scatter, true);
+}
+
 const char *
 scatter_give_up_name (enum give_up reason)
 {
--- a/query/scatter.h
+++ b/query/scatter.h
@@ -211,6 +211,14 @@
 void
 scatter_start (struct scatter *scatter, int64_t now_us);
 
+/** Ends a request that this node cannot wait for any longer, with the best result so far. */
+void
+scatter_end (struct scatter *scatter);
+
+/** False when no sub-request was sent, or all of them are known not to have run. */
+bool
+scatter_may_have_run (const struct scatter *scatter);
+
 /** To be called when a sub-request has ended, after replica_end. */
 void
 scatter_sub_ended (struct scatter *scatter, int shard_index, enum sub_end end,
--- a/test/platform.c
+++ b/test/platform.c
@@ -8,6 +8,7 @@
  *
  *   GET  /instances             the list in pages, each with an entry that cannot be decoded
  *   POST /set/FAULT/TARGET/ON   FAULT: draining unlisted shed fail slow silent mismatch cold
+ *                               stuck
  *   GET  /worked/ID             longest time in ms that a target worked on the request with this id
  *   GET  /runs/ID               how often the request with this id ran, over all targets
  *   GET  /arrivals/TARGET       how many requests reached a target
@@ -28,6 +29,7 @@
 	PAGE_ENTRIES = 5,
 	SLOW_MS = 400,
 	SILENT_MS = 3000, /* longer than any caller waits */
+	STUCK_MS = 20000, /* longer than a planned stop takes */
 	WORK_STEP_MS = 20
 };
 
@@ -40,11 +42,12 @@
 	FAULT_SILENT,
 	FAULT_MISMATCH, /* the reply carries the id of another request */
 	FAULT_COLD,
+	FAULT_STUCK,
 	FAULT_COUNT,
 };
 
 static const char *const fault_names[FAULT_COUNT] = {
-	"draining", "unlisted", "shed", "fail", "slow", "silent", "mismatch", "cold"};
+	"draining", "unlisted", "shed", "fail", "slow", "silent", "mismatch", "cold", "stuck"};
 
 struct target {
 	int number;
@@ -247,6 +250,7 @@
 	bool mismatch = target->faults[FAULT_MISMATCH];
 	int duration_ms = target->faults[FAULT_SLOW]     ? SLOW_MS
 			  : target->faults[FAULT_SILENT] ? SILENT_MS
+			  : target->faults[FAULT_STUCK]  ? STUCK_MS
 							 : work_ms;
 	if (id[0] == '\0' || header (connection, "Oleanderstile-Deadline-Ms")[0] == '\0')
 		status = 400;
--- a/test/platform.sh
+++ b/test/platform.sh
@@ -317,6 +317,27 @@
 expect "the accepted manifest has survived" "$(cat "$RUN/answer")" '"version":9'
 
 echo "a planned stop:"
+long='{"name":"long","host":"site.example","path_prefix":"/long/","route_type":"non_idempotent","timeout_ms":15000,"target_latency_ms":200,"max_attempts":2,"service":"s3"}'
+expect "a route of long requests" "$(order 1 POST /config/replace "$(manifest 10 "$extra,$long")")" '^200'
+sleep 1.5
+# send_kept FD ID: sends a request on a connection that its caller keeps open.
+send_kept () {
+	printf 'POST /long/x HTTP/1.1\r\nHost: site.example\r\nOleanderstile-Attempt-Id: %s\r\nOleanderstile-Deadline-Ms: 14000\r\nContent-Length: 1\r\n\r\nx' "$2" >&"$1"
+}
+# late_request FD ID DELAY: sends a request on a kept connection after a delay in seconds and
+# records what the node answers until it closes the connection.
+late_request () {
+	sleep "$3"
+	send_kept "$1" "$2"
+	timeout 7 cat <&"$1" | tr -d '\r' > "$RUN/$2"
+}
+exec {kept0}<> "/dev/tcp/127.0.0.1/$((BASE + 5))"
+exec {kept1}<> "/dev/tcp/127.0.0.1/$((BASE + 5))"
+exec {kept2}<> "/dev/tcp/127.0.0.1/$((BASE + 5))"
+for fd in $kept0 $kept1 $kept2; do
+	send_kept $fd "v$fd"
+	expect "a kept connection" "$(timeout 2 head -n 1 <&$fd)" '^HTTP/1.1 200'
+done
 exec 9<> "/dev/tcp/127.0.0.1/$((BASE + 5))" # a connection that its caller keeps open
 for t in 9 10 11; do set_fault slow $t 1; done
 stopping_ms=$(date +%s%3N)
@@ -326,6 +347,15 @@
 kill -TERM "${PIDS[n5]}"
 sleep 0.1
 is_ready 5 > "$RUN/x" && fail "a stopping entry node reports that it is ready"
+wait $last
+expect "a request accepted before the stop is answered" "$(cat "$RUN/last")" '^last'
+for t in 9 10 11; do set_fault slow $t 0; set_fault stuck $t 1; done
+late_request "$kept0" late0 0 &
+late=($!)
+late_request "$kept1" late1 2.5 &
+late+=($!)
+late_request "$kept2" late2 3.2 &
+late+=($!)
 # For 5 s the stopping node still serves batches or refuses them.
 for i in $(seq 1 12); do
 	answer=$(send_request 4 "u$i" /all/x)
@@ -333,12 +363,20 @@
 	expect "no shard is missing" "$answer" '^Oleanderstile-Missing-Parts: 0'
 	sleep 0.4
 done
-wait $last
-expect "a request accepted before the stop is answered" "$(cat "$RUN/last")" '^last'
 wait "${PIDS[n5]}" || fail "entry node 5 exited with $?"
 stopped_ms=$(($(date +%s%3N) - stopping_ms))
 [ "$stopped_ms" -lt 6000 ] || fail "the stop took $stopped_ms ms, more than the grace period of 6 s"
 unset "PIDS[n5]"
+wait "${late[@]}"
+exec {kept0}>&- {kept1}>&- {kept2}>&-
+expect "a request that ran when the stop ended gets a last answer" "$(cat "$RUN/late0")" '^HTTP/1.1 504'
+for id in late1 late2; do
+	expect "a late request that may not end before the stop is refused" "$(cat "$RUN/$id")" '^HTTP/1.1 503'
+	expect "the answer closes the connection" "$(cat "$RUN/$id")" '^Connection: close'
+	expect "and other nodes can be reached at once" "$(cat "$RUN/$id")" '^Retry-After: 0.000'
+	expect "the late request does not run" "$(runs $id)" '^0$'
+done
+for t in 9 10 11; do set_fault stuck $t 0; done
 
 echo "routings with new services while the removal of a node settles:"
 for v in $(seq 30 69); do
--- a/test/routes.c
+++ b/test/routes.c
@@ -9,6 +9,7 @@
 #include "platform/manifest.h"
 #include "platform/orders.h"
 #include "platform/replies.h"
+#include "query/drain.h"
 #include "query/scatter.h"
 #include "test/suite.h"
 
@@ -407,6 +408,68 @@
 	testbed_finish (&testbed, &scatter);
 }
 
+/* Guards against requests that a stopping node accepts and cuts without an answer. */
+static void
+test_stopping_node_accepts_only_what_ends_in_time (void)
+{
+	struct drain drain = {.began_us = 0, .stop_us = 5000 * MS};
+	int64_t start_us = 100000 * MS;
+	CU_ASSERT_TRUE (drain_accepts (&drain, 10 * MS, INT64_MAX, start_us));
+	drain.began_us = start_us;
+	drain.stop_us = start_us + 5000 * MS;
+	/* Requests arrive every 20 ms on kept connections; a few take 15 s, usually all take 10 ms.
+	 */
+	for (int64_t at_us = start_us; at_us < start_us + 6000 * MS; at_us += 20 * MS) {
+		bool closing = at_us >= start_us + DRAIN_BALANCER_LAG_US;
+		bool accepted = drain_accepts (&drain, 10 * MS, at_us + 15000 * MS, at_us);
+		CU_ASSERT_EQUAL (accepted, !closing);
+		bool accepted_short = drain_accepts (&drain, 10 * MS, at_us + 400 * MS, at_us);
+		CU_ASSERT_EQUAL (accepted_short, at_us + 400 * MS <= drain.stop_us);
+		CU_ASSERT_EQUAL (drain_closes_connections (&drain, at_us), closing);
+		CU_ASSERT_EQUAL (drain_retry_after_us (&drain, at_us) > 0, !closing);
+	}
+	/* A slow route is refused while other nodes may not be reachable yet. */
+	CU_ASSERT_FALSE (drain_accepts (&drain, 1000 * MS, INT64_MAX, start_us + 1100 * MS));
+	CU_ASSERT_EQUAL (drain_retry_after_us (&drain, start_us + 1100 * MS), 1400 * MS);
+}
+
+/* Guards against requests that a stopping node ends without a truthful last answer. */
+static void
+test_end_of_a_stop_tells_what_may_have_run (void)
+{
+	struct testbed testbed;
+	struct scatter running[3];
+	struct scatter queued;
+	testbed_init (&testbed, 1, "non_idempotent", 2);
+	testbed.sets[0].connections = 1;
+	for (int i = 0; i < 3; i++)
+		testbed_start (&testbed, &running[i], "one");
+	testbed_start (&testbed, &queued, "one");
+	CU_ASSERT_EQUAL (send_count, 3);
+	CU_ASSERT_FALSE (scatter_may_have_run (&queued));
+	scatter_end (&queued);
+	CU_ASSERT_EQUAL (queued.result, SCATTER_REFUSED);
+	CU_ASSERT_EQUAL (testbed.sets[0].waiting_count, 0);
+	CU_ASSERT_TRUE (scatter_may_have_run (&running[0]));
+	scatter_end (&running[0]);
+	CU_ASSERT_EQUAL (running[0].result, SCATTER_TIMEOUT);
+	CU_ASSERT_EQUAL (delivered, 2);
+	scatter_end (&running[0]);
+	CU_ASSERT_EQUAL (delivered, 2);
+	scatter_finish (&running[1]);
+	scatter_finish (&running[2]);
+	scatter_finish (&queued);
+	testbed_finish (&testbed, &running[0]);
+	testbed_init (&testbed, 4, "idempotent", 1);
+	testbed_start (&testbed, &queued, "all");
+	for (int i = 0; i < 3; i++)
+		end_sub_request (&queued, i, SUB_END_ANSWERED, "");
+	scatter_end (&queued);
+	CU_ASSERT_EQUAL (queued.result, SCATTER_MERGED);
+	CU_ASSERT_EQUAL (queued.answered, 3);
+	testbed_finish (&testbed, &queued);
+}
+
 static void
 test_error_reply_of_the_target_is_forwarded (void)
 {
@@ -897,6 +960,8 @@
 		TEST (budget_refilled_by_time),
 		TEST (refusal_uses_up_no_attempt),
 		TEST (non_idempotent_request_runs_at_most_once),
+		TEST (stopping_node_accepts_only_what_ends_in_time),
+		TEST (end_of_a_stop_tells_what_may_have_run),
 		TEST (error_reply_of_the_target_is_forwarded),
 		TEST (queue_is_ordered_by_priority),
 		TEST (request_without_usable_target_is_refused),
