--- a/net/fetch.c
+++ b/net/fetch.c
@@ -1,8 +1,9 @@
 #include "net/fetch.h"
 
+#include "net/response.h"
+
 #include <arpa/inet.h>
 #include <errno.h>
-#include <http_parser.h>
 #include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -15,7 +16,6 @@
 enum {
 	FD_TABLE_STEP = 64,
 	READ_BUFFER_BYTES = 65536,
-	HEADER_LINE_MAX_BYTES = 16384, /* longer header lines are rejected */
 	/* Reuse ends this long before the peer may close, so that no request crosses the close. */
 	KEEP_ALIVE_MARGIN_US = 300000,
 };
@@ -30,13 +30,8 @@
 	enum conn_state state;
 	struct fetch *fetch; /**< the current request; NULL while idle */
 	size_t written;      /**< bytes of the request that were written */
-	http_parser parser;
-	struct buf line; /**< the header line being received */
-	bool in_value;   /**< the value of the line is being received */
-	bool complete;   /**< the reply was received completely */
-	bool refused;    /**< on_header_line returned false */
-	bool too_large;
-	bool closing;          /**< the peer will close the connection after the reply */
+	struct response_parser response;
+	bool too_large;        /**< the body exceeds a limit */
 	int64_t keep_until_us; /**< not reused after this time */
 };
 
@@ -85,7 +80,7 @@
 	struct fetch_conn *next;
 	cds_list_for_each_entry_safe (conn, next, &loop->closed, node) {
 		cds_list_del (&conn->node);
-		buf_finish (&conn->line);
+		response_finish (&conn->response);
 		free (conn);
 	}
 }
@@ -211,7 +206,6 @@
 	conn->fd = fd;
 	conn->state = CONN_CONNECTING;
 	conn->keep_until_us = INT64_MAX;
-	buf_init (&conn->line);
 	if (fd >= loop->fd_count) {
 		int count = fd + FD_TABLE_STEP;
 		loop->by_fd = xrealloc (loop->by_fd, (size_t)count * sizeof (struct fetch_conn *));
@@ -228,14 +222,41 @@
 	return conn;
 }
 
+static bool
+deliver_line (void *user, const char *line, size_t len)
+{
+	struct fetch *fetch = ((struct fetch_conn *)user)->fetch;
+	if (fetch->on_header_line)
+		return fetch->on_header_line (fetch, line, len);
+	reply_parse_header_line (&fetch->headers, line, len);
+	return true;
+}
+
+static bool
+store_body (void *user, const char *data, size_t len)
+{
+	struct fetch_conn *conn = user;
+	struct fetch *fetch = conn->fetch;
+	struct fetch_loop *loop = fetch->loop;
+	if (fetch->body.len + len > fetch->body_max_bytes ||
+		loop->body_bytes + len > loop->body_bytes_max) {
+		conn->too_large = true;
+		return false;
+	}
+	loop->body_bytes += len;
+	buf_add (&fetch->body, data, len);
+	return true;
+}
+
+static const struct response_hooks response_hooks = {deliver_line, store_body};
+
 static void
-begin_reply (struct fetch_conn *conn)
+begin_response (struct fetch_conn *conn)
 {
-	http_parser_init (&conn->parser, HTTP_RESPONSE);
-	conn->parser.data = conn;
+	response_finish (&conn->response);
+	response_init (&conn->response, conn->fetch->head_only, &response_hooks, conn);
 	conn->written = 0;
-	conn->in_value = conn->complete = conn->refused = conn->too_large = false;
-	buf_reset (&conn->line);
+	conn->too_large = false;
 }
 
 /* Writes as much as the socket accepts; returns false if the connection failed. */
@@ -263,7 +284,7 @@
 	conn->fetch = fetch;
 	cds_list_del (&fetch->node);
 	cds_list_add (&fetch->node, &fetch->pool->running);
-	begin_reply (conn);
+	begin_response (conn);
 }
 
 /* Writes a request to a usable idle connection; returns false if there is none. */
@@ -467,116 +488,6 @@
 	fetch->done (fetch, end);
 }
 
-static bool
-deliver_header_line (struct fetch_conn *conn, const char *line, size_t len)
-{
-	struct fetch *fetch = conn->fetch;
-	if (fetch->on_header_line)
-		return fetch->on_header_line (fetch, line, len);
-	reply_parse_header_line (&fetch->headers, line, len);
-	return true;
-}
-
-static void
-parse_keep_alive (struct fetch_conn *conn)
-{
-	static const char name[] = "Keep-Alive:";
-	const char *timeout = NULL;
-	if (conn->line.len >= sizeof (name) &&
-		strncasecmp (conn->line.data, name, sizeof (name) - 1) == 0)
-		timeout = strstr (conn->line.data, "timeout=");
-	if (timeout)
-		conn->keep_until_us = loop_now_us (conn->pool->loop) +
-				      strtol (timeout + 8, NULL, 10) * US_PER_S -
-				      KEEP_ALIVE_MARGIN_US;
-}
-
-static int
-finish_header_line (struct fetch_conn *conn)
-{
-	if (conn->line.len == 0)
-		return 0;
-	parse_keep_alive (conn);
-	conn->refused = !deliver_header_line (conn, conn->line.data, conn->line.len);
-	buf_reset (&conn->line);
-	return conn->refused;
-}
-
-static int
-on_header_field (http_parser *parser, const char *at, size_t len)
-{
-	struct fetch_conn *conn = parser->data;
-	if (conn->in_value && finish_header_line (conn) != 0)
-		return 1;
-	conn->in_value = false;
-	buf_add (&conn->line, at, len);
-	return conn->line.len > HEADER_LINE_MAX_BYTES;
-}
-
-static int
-on_header_value (http_parser *parser, const char *at, size_t len)
-{
-	struct fetch_conn *conn = parser->data;
-	if (!conn->in_value)
-		buf_add (&conn->line, ": ", 2);
-	conn->in_value = true;
-	buf_add (&conn->line, at, len);
-	return conn->line.len > HEADER_LINE_MAX_BYTES;
-}
-
-static int
-on_headers (http_parser *parser)
-{
-	struct fetch_conn *conn = parser->data;
-	struct fetch *fetch = conn->fetch;
-	if (finish_header_line (conn) != 0)
-		return -1;
-	conn->in_value = false;
-	if (parser->status_code < 200)
-		return 0;
-	fetch->status = parser->status_code;
-	conn->refused = !deliver_header_line (conn, "\r\n", 2);
-	if (conn->refused)
-		return -1;
-	return fetch->head_only ? 1 : 0;
-}
-
-static int
-on_body (http_parser *parser, const char *at, size_t len)
-{
-	struct fetch_conn *conn = parser->data;
-	struct fetch *fetch = conn->fetch;
-	struct fetch_loop *loop = fetch->loop;
-	if (fetch->body.len + len > fetch->body_max_bytes ||
-		loop->body_bytes + len > loop->body_bytes_max) {
-		conn->too_large = true;
-		return 1;
-	}
-	loop->body_bytes += len;
-	buf_add (&fetch->body, at, len);
-	return 0;
-}
-
-static int
-on_complete (http_parser *parser)
-{
-	struct fetch_conn *conn = parser->data;
-	if (parser->status_code < 200)
-		return 0;
-	conn->complete = true;
-	conn->closing = !http_should_keep_alive (parser);
-	http_parser_pause (parser, 1);
-	return 0;
-}
-
-static const http_parser_settings parser_settings = {
-	.on_header_field = on_header_field,
-	.on_header_value = on_header_value,
-	.on_headers_complete = on_headers,
-	.on_body = on_body,
-	.on_message_complete = on_complete,
-};
-
 /* Data or a close on an idle connection means that it cannot be used any more. */
 static void
 handle_idle_event (struct fetch_conn *conn)
@@ -593,19 +504,28 @@
 parse_bytes (struct fetch_conn *conn, const char *data, size_t len)
 {
 	struct fetch *fetch = conn->fetch;
-	size_t used = http_parser_execute (&conn->parser, &parser_settings, data, len);
-	if (conn->complete) {
-		/* Bytes after the reply belong to no request, so the connection is closed. */
-		bool reusable =
-			!conn->closing && used == len && conn->written == fetch->out.len && len > 0;
+	struct response_parser *response = &conn->response;
+	size_t used = 0;
+	enum response_state state = response_parse (response, data, len, &used);
+	fetch->status = response->status;
+	switch (state) {
+	case RESPONSE_PARTIAL:
+		return true;
+	case RESPONSE_COMPLETE: {
+		if (response->keep_alive_us >= 0)
+			conn->keep_until_us = loop_now_us (conn->pool->loop) +
+					      response->keep_alive_us - KEEP_ALIVE_MARGIN_US;
+		/* Bytes after the response belong to no request, so the connection is closed. */
+		bool reusable = !response->closing && used == len &&
+				conn->written == fetch->out.len && len > 0;
 		end_fetch (fetch, FETCH_OK, reusable);
 		return false;
 	}
-	if (HTTP_PARSER_ERRNO (&conn->parser) != HPE_OK || len == 0) {
+	case RESPONSE_INVALID:
 		end_fetch (fetch, conn->too_large ? FETCH_TOO_LARGE : FETCH_FAILED, false);
 		return false;
 	}
-	return true;
+	return false;
 }
 
 static void
--- /dev/null
+++ b/net/response.h
@@ -0,0 +1,57 @@
+/**
+ * @file response.h
+ * Parses one HTTP response from a stream of received bytes, with http_parser. No I/O.
+ */
+#pragma once
+
+#include "core/buf.h"
+
+#include <http_parser.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+enum response_state {
+	RESPONSE_PARTIAL,
+	RESPONSE_COMPLETE,
+	RESPONSE_INVALID, /**< not a response, cut off, or a hook returned false */
+};
+
+/** Callbacks; each returns false to reject the response. */
+struct response_hooks {
+	/** Gets each header line, and "\r\n" after the last one. */
+	bool (*line) (void *user, const char *line, size_t len);
+	/** Gets parts of the body. */
+	bool (*body) (void *user, const char *data, size_t len);
+};
+
+struct response_parser {
+	http_parser http;
+	const struct response_hooks *hooks;
+	void *user;
+	bool head_only;
+	struct buf line; /**< the header line being received */
+	bool in_value;   /**< the value of the line is being received */
+	bool complete;
+	int status;            /**< of the response; 0: not received yet */
+	bool closing;          /**< the peer will close the connection after the response */
+	int64_t keep_alive_us; /**< how long the peer keeps the connection; -1: unknown */
+};
+
+/**
+ * Prepares the parser of a response.
+ * @param head_only it has no body, whatever its headers say
+ */
+void
+response_init (struct response_parser *parser, bool head_only, const struct response_hooks *hooks,
+	void *user);
+void
+response_finish (struct response_parser *parser);
+
+/**
+ * Parses received bytes.
+ * @param len 0: the peer has closed the connection
+ * @param used the number of bytes that belong to the response
+ */
+enum response_state
+response_parse (struct response_parser *parser, const char *data, size_t len, size_t *used);
