net: a response ends at its first impossible byte

Cause: http_parser reads a body of any status that announces one, and the client collected all bodies and header lines until a status of 200 or more. In the same way a header line of an interim response counted as the answer's, among them the one that says that a request did not run.

An interim response that announces a body is now rejected, and its header lines and those of trailers are not delivered. So are all forms found by the test that http_parser accepts and a strict reader does not: line ends before a response, other versions, impossible status codes, a space before a colon, transfer codings other than chunked, a length beside a coding, bodies of 204.

--- a/net/response.c
+++ b/net/response.c
@@ -6,7 +6,7 @@
 #include <string.h>
 #include <strings.h>
 
-enum { LINE_MAX_BYTES = 16384 };
+enum { LINE_MAX_BYTES = 16384, LENGTH_MAX_DIGITS = 18 };
 
 void
 response_init (struct response_parser *parser, bool head_only, const struct response_hooks *hooks,
@@ -28,30 +28,119 @@
 	buf_finish (&parser->line);
 }
 
+/** A header line, split; not terminated. */
+struct header {
+	const char *name;
+	size_t name_len;
+	const char *value;
+	size_t value_len;
+};
+
+/* The parser's hooks write each line as "Name: value", without its line end. */
+static struct header
+split_line (const struct buf *line)
+{
+	const char *colon = memchr (line->data, ':', line->len);
+	struct header header = {.name = line->data, .name_len = line->len, .value = ""};
+	if (!colon)
+		return header;
+	header.name_len = (size_t)(colon - line->data);
+	header.value = colon + 2;
+	header.value_len = line->len - header.name_len - 2;
+	while (header.value_len > 0 && strchr (" \t", header.value[header.value_len - 1]))
+		header.value_len--;
+	return header;
+}
+
+static bool
+is_named (const struct header *header, const char *name)
+{
+	return header->name_len == strlen (name) &&
+	       strncasecmp (header->name, name, header->name_len) == 0;
+}
+
+static bool
+is_length (const struct header *header)
+{
+	for (size_t i = 0; i < header->value_len; i++) {
+		if (header->value[i] < '0' || header->value[i] > '9')
+			return false;
+	}
+	return header->value_len > 0 && header->value_len <= LENGTH_MAX_DIGITS;
+}
+
+/* Whether a line is valid and frames the response in the only ways that a target may use. */
+static bool
+check_framing (struct response_parser *parser, const struct header *header)
+{
+	bool is_name = !memchr (header->name, ' ', header->name_len) &&
+		       !memchr (header->name, '\t', header->name_len);
+	if (!is_name || memchr (header->value, '\0', header->value_len))
+		return false;
+	if (is_named (header, "Content-Length")) {
+		if (parser->has_length || !is_length (header))
+			return false;
+		parser->has_length = true;
+	} else if (is_named (header, "Transfer-Encoding")) {
+		bool is_chunked = header->value_len == strlen ("chunked") &&
+				  strncasecmp (header->value, "chunked", header->value_len) == 0;
+		if (parser->has_coding || !is_chunked)
+			return false;
+		parser->has_coding = true;
+	}
+	return true;
+}
+
 static void
-parse_keep_alive (struct response_parser *parser)
+parse_keep_alive (struct response_parser *parser, const struct header *header)
 {
-	static const char name[] = "Keep-Alive:";
-	const char *timeout = NULL;
-	if (parser->line.len >= sizeof (name) &&
-		strncasecmp (parser->line.data, name, sizeof (name) - 1) == 0)
-		timeout = strstr (parser->line.data, "timeout=");
+	const char *timeout =
+		is_named (header, "Keep-Alive") ? strstr (header->value, "timeout=") : NULL;
 	if (timeout)
 		parser->keep_alive_us = strtol (timeout + 8, NULL, 10) * US_PER_S;
 }
 
+static bool
+is_interim (const struct response_parser *parser)
+{
+	return parser->http.status_code < 200;
+}
+
 /* Returns 0 or, to stop http_parser, 1. */
 static int
 finish_line (struct response_parser *parser)
 {
+	bool is_trailer = parser->status != 0;
+	bool accepted = true;
 	if (parser->line.len == 0)
 		return 0;
-	parse_keep_alive (parser);
-	bool accepted = parser->hooks->line (parser->user, parser->line.data, parser->line.len);
+	struct header header = split_line (&parser->line);
+	if (!is_trailer)
+		accepted = check_framing (parser, &header);
+	if (accepted && !is_trailer && !is_interim (parser)) {
+		parse_keep_alive (parser, &header);
+		accepted = parser->hooks->line (parser->user, parser->line.data, parser->line.len);
+	}
 	buf_reset (&parser->line);
 	return accepted ? 0 : 1;
 }
 
+/* An interim response has no body, and "101 Switching Protocols" was not asked for. */
+static bool
+check_head (const struct response_parser *parser)
+{
+	const http_parser *http = &parser->http;
+	if (http->http_major != 1 || http->status_code < 100 || http->status_code > 599)
+		return false;
+	if (parser->has_length && parser->has_coding)
+		return false;
+	if (is_interim (parser))
+		return http->status_code != 101 && !parser->has_length && !parser->has_coding;
+	if (http->status_code == 204)
+		return !parser->has_coding && (!parser->has_length || http->content_length == 0);
+	return true;
+}
+
 static int
 on_header_field (http_parser *http, const char *at, size_t len)
 {
@@ -81,12 +170,14 @@
 	if (finish_line (parser) != 0)
 		return -1;
 	parser->in_value = false;
-	if (http->status_code < 200)
+	if (!check_head (parser))
+		return -1;
+	if (is_interim (parser))
 		return 0;
 	parser->status = http->status_code;
 	if (!parser->hooks->line (parser->user, "\r\n", 2))
 		return -1;
-	return parser->head_only ? 1 : 0;
+	return parser->head_only || parser->status == 304 ? 1 : 0;
 }
 
 static int
@@ -96,12 +187,24 @@
 	return parser->hooks->body (parser->user, at, len) ? 0 : 1;
 }
 
+/* http_parser skips line ends before a response, which belong to no request. */
+static int
+on_begin (http_parser *http)
+{
+	struct response_parser *parser = http->data;
+	parser->in_message = true;
+	return 0;
+}
+
 static int
 on_complete (http_parser *http)
 {
 	struct response_parser *parser = http->data;
-	if (http->status_code < 200)
+	if (is_interim (parser)) {
+		parser->in_message = false;
+		http_parser_pause (http, 1);
 		return 0;
+	}
 	parser->complete = true;
 	parser->closing = !http_should_keep_alive (http);
 	http_parser_pause (http, 1);
@@ -112,16 +215,25 @@
 response_parse (struct response_parser *parser, const char *data, size_t len, size_t *used)
 {
 	static const http_parser_settings settings = {
+		.on_message_begin = on_begin,
 		.on_header_field = on_header_field,
 		.on_header_value = on_header_value,
 		.on_headers_complete = on_headers,
 		.on_body = on_body,
 		.on_message_complete = on_complete,
 	};
-	*used = http_parser_execute (&parser->http, &settings, data, len);
-	if (parser->complete)
-		return RESPONSE_COMPLETE;
-	if (HTTP_PARSER_ERRNO (&parser->http) != HPE_OK || len == 0)
-		return RESPONSE_INVALID;
-	return RESPONSE_PARTIAL;
+	for (*used = 0;;) {
+		if (!parser->in_message && *used < len && data[*used] != 'H')
+			return RESPONSE_INVALID;
+		*used += http_parser_execute (&parser->http, &settings, data + *used, len - *used);
+		if (parser->complete)
+			return RESPONSE_COMPLETE;
+		bool is_between = HTTP_PARSER_ERRNO (&parser->http) == HPE_PAUSED;
+		if (is_between)
+			http_parser_pause (&parser->http, 0);
+		if (HTTP_PARSER_ERRNO (&parser->http) != HPE_OK || len == 0)
+			return RESPONSE_INVALID;
+		if (!is_between || *used == len)
+			return RESPONSE_PARTIAL;
+	}
 }
--- a/net/response.h
+++ b/net/response.h
@@ -1,6 +1,11 @@
 /**
  * @file response.h
  * Parses one HTTP response from a stream of received bytes, with http_parser. No I/O.
+ *
+ * A target that fails may send any bytes. http_parser is lenient, so the rules of RFC 9112 that
+ * decide where a response begins and ends are checked here in addition: a response is rejected at
+ * the first byte that a strict reader would reject. Header lines of interim responses and of
+ * trailers are not delivered.
  */
 #pragma once
 
@@ -19,7 +24,7 @@
 
 /** Callbacks; each returns false to reject the response. */
 struct response_hooks {
-	/** Gets each header line, and "\r\n" after the last one. */
+	/** Gets each header line of the final response, and "\r\n" after the last one. */
 	bool (*line) (void *user, const char *line, size_t len);
 	/** Gets parts of the body. */
 	bool (*body) (void *user, const char *data, size_t len);
@@ -32,6 +37,9 @@
 	bool head_only;
 	struct buf line; /**< the header line being received */
 	bool in_value;   /**< the value of the line is being received */
+	bool in_message; /**< the first byte of the current response was received */
+	bool has_length; /**< Content-Length was received */
+	bool has_coding; /**< Transfer-Encoding was received */
 	bool complete;
 	int status;            /**< of the response; 0: not received yet */
 	bool closing;          /**< the peer will close the connection after the response */
--- a/test/fetch.c
+++ b/test/fetch.c
@@ -223,6 +223,27 @@
 	}
 }
 
+/* Guards against answers that begin with the body of an interim response. */
+static void
+test_interim_response_with_a_body_ends_the_fetch (void)
+{
+	struct fetch_fixture fixture;
+	struct fetch_result result;
+	char request[1024];
+	fixture_init (&fixture, 1);
+	start_fetch (&fixture, &result, NULL, NULL, false);
+	int fd = read_request (&fixture, -1, request, sizeof (request));
+	send_reply (&fixture, fd, "HTTP/1.1 100 Continue\r\nContent-Length: 5\r\n\r\n");
+	run_until_done (&fixture, &result);
+	CU_ASSERT_EQUAL (result.end, FETCH_FAILED);
+	CU_ASSERT_EQUAL (result.fetch.status, 0);
+	CU_ASSERT_EQUAL (result.fetch.body.len, 0);
+	CU_ASSERT_EQUAL (fixture.pool->conn_count, 0);
+	fetch_finish (&result.fetch);
+	close (fd);
+	fixture_finish (&fixture);
+}
+
 static void
 test_extra_bytes_close_the_connection (void)
 {
@@ -502,6 +523,7 @@
 	static const struct suite_test tests[] = {
 		TEST (partial_reads_and_connection_reuse),
 		TEST (replies_ended_by_close_or_reset),
+		TEST (interim_response_with_a_body_ends_the_fetch),
 		TEST (extra_bytes_close_the_connection),
 		TEST (reset_idle_connection_is_not_used),
 		TEST (request_is_not_resent),
