net, daemon: a stop wakes the threads that it waits for

test/platform.sh failed in 1 run of 6: a planned stop took 6.0 s, counted from 0.1 s before SIGTERM, as long as the grace period. Callers had their answers by then.

Cause: the threads of peer messages and of control see the flag to stop when their polls time out, after 200 ms for peers. From the last answers to the end of the process passed 286 ms.

Both threads are woken.

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -501,6 +501,7 @@
 control_stop (struct control *control)
 {
 	atomic_store (&control->stop, true);
+	mailbox_wake (&control->mailbox);
 	pthread_join (control->thread, NULL);
 	follower_finish (&control->follower);
 	if (control->has_voter) {
--- a/net/mailbox.c
+++ b/net/mailbox.c
@@ -19,15 +19,22 @@
 	cds_wfcq_destroy (&mailbox->head, &mailbox->tail);
 }
 
+void
+mailbox_wake (struct mailbox *mailbox)
+{
+	uint64_t one = 1;
+	if (write (mailbox->event_fd, &one, sizeof (one)) < 0)
+		return;
+}
+
 void
 mailbox_post (struct mailbox *mailbox, struct mail *mail)
 {
 	cds_wfcq_node_init (&mail->node);
 	bool was_nonempty = cds_wfcq_enqueue (&mailbox->head, &mailbox->tail, &mail->node);
-	uint64_t one = 1;
 	/* The receiver empties the queue after each wake-up, so only the first post wakes it. */
-	if (!was_nonempty && write (mailbox->event_fd, &one, sizeof (one)) < 0)
-		return;
+	if (!was_nonempty)
+		mailbox_wake (mailbox);
 }
 
 void
--- a/net/mailbox.h
+++ b/net/mailbox.h
@@ -28,6 +28,10 @@
 void
 mailbox_post (struct mailbox *mailbox, struct mail *mail);
 
+/** Wakes the receiving thread without mail, so that it sees a flag. */
+void
+mailbox_wake (struct mailbox *mailbox);
+
 /** Resets the descriptor. Call it before mailbox_take; otherwise a wake-up may be lost. */
 void
 mailbox_clear (struct mailbox *mailbox);
--- a/net/peer.c
+++ b/net/peer.c
@@ -286,6 +286,7 @@
 peer_stop (struct peer *peer)
 {
 	atomic_store (&peer->stop, true);
+	mailbox_wake (&peer->outgoing);
 	pthread_join (peer->thread, NULL);
 	zmq_close (peer->socket);
 	zmq_ctx_term (peer->context);
