control, daemon: an order that is read late has no effect

Cause: a control node that stands still reads an order after its operator has closed the connection and sent it to another node. It proposed whatever it read, and the log applied whatever came last. Ruled out: old views, the order of the log, links between nodes.

An order about a data centre now carries the revision that its node had applied while the operator was still connected, and the log applies it only if no order about a data centre was applied after that revision, or if it changes nothing. The same holds for proposals that are late or doubled between nodes. The orders' server uses libmicrohttpd, since CivetWeb hides the socket of a connection.

--- a/control/command.c
+++ b/control/command.c
@@ -67,9 +67,10 @@
 static void
 write_leaving (struct pack_writer *writer, const struct command_data_centre_leaving *leaving)
 {
-	pack_array (writer, 2);
+	pack_array (writer, 3);
 	pack_str (writer, leaving->data_centre);
 	pack_bool (writer, leaving->leaving);
+	pack_u64 (writer, leaving->revision);
 }
 
 void *
@@ -184,6 +185,8 @@
 {
 	read_string (node, 0, leaving->data_centre, sizeof (leaving->data_centre));
 	leaving->leaving = pack_get_bool (pack_at (node, 1));
+	/* Logs of earlier builds lack the revision. */
+	leaving->revision = pack_length (node) > 2 ? pack_get_u64 (pack_at (node, 2)) : 0;
 }
 
 void *
--- a/control/command.h
+++ b/control/command.h
@@ -46,10 +46,16 @@
 	size_t len;
 };
 
-/** Marks a data centre as leaving or returned, whatever the version of its document. */
+/**
+ * Marks a data centre as leaving or returned, whatever the version of its document. Operators send
+ * the order to several nodes until one confirms it, so one of them may read it after newer orders
+ * were confirmed. Such an order has no effect: its revision is older than that of a newer order.
+ */
 struct command_data_centre_leaving {
 	char data_centre[RESOURCE_NAME_MAX + 1];
 	bool leaving;
+	/** What had been applied while the operator still waited; 0: unknown, always applied. */
+	uint64_t revision;
 };
 
 /** One command; @c kind selects the member of the union. */
--- a/control/resources.c
+++ b/control/resources.c
@@ -242,6 +242,16 @@
 	return &returned;
 }
 
+bool
+resources_is_leaving (const struct resources *resources, enum resource_kind kind, const char *name)
+{
+	const struct resource *item = find_item (resources, kind, name);
+	json_t *spec = item ? json_loads (item->spec, 0, NULL) : NULL;
+	bool leaving = json_is_true (json_object_get (spec, "leaving"));
+	json_decref (spec);
+	return leaving;
+}
+
 bool
 resources_set_leaving (struct resources *resources, enum resource_kind kind, const char *name,
 	bool leaving, uint64_t index)
--- a/control/resources.h
+++ b/control/resources.h
@@ -103,6 +103,10 @@
 const struct change_result *
 resources_apply (struct resources *resources, const struct change *change, uint64_t index);
 
+/** True when the document exists and its field "leaving" is set. */
+bool
+resources_is_leaving (const struct resources *resources, enum resource_kind kind, const char *name);
+
 /**
  * Sets the field "leaving" of a document at a log index, without a check of its version. Creates
  * the document if it does not exist.
--- a/control/state.c
+++ b/control/state.c
@@ -47,6 +47,26 @@
 	return true;
 }
 
+/* An order that changes nothing is not refused, since its operator may have sent it twice. */
+static void
+apply_leaving (struct state *state, uint64_t index,
+	const struct command_data_centre_leaving *command, struct state_result *result)
+{
+	bool is_late = command->revision != 0 && state->last_order > command->revision;
+	if (is_late && resources_is_leaving (&state->resources, RESOURCE_DATA_CENTRE,
+			       command->data_centre) != command->leaving) {
+		result->change.version = state->last_order;
+		return;
+	}
+	result->ok = true;
+	if (is_late)
+		return;
+	state->last_order = index;
+	if (resources_set_leaving (&state->resources, RESOURCE_DATA_CENTRE, command->data_centre,
+		    command->leaving, index))
+		state->epoch = index;
+}
+
 static void
 apply_command (struct state *state, uint64_t index, const struct command *command,
 	struct state_result *result)
@@ -86,10 +106,7 @@
 			state->epoch = index;
 		return;
 	case COMMAND_DATA_CENTRE_LEAVING:
-		result->ok = true;
-		if (resources_set_leaving (&state->resources, RESOURCE_DATA_CENTRE,
-			    command->u.leaving.data_centre, command->u.leaving.leaving, index))
-			state->epoch = index;
+		apply_leaving (state, index, &command->u.leaving, result);
 		return;
 	case COMMAND_KIND_COUNT:
 		return;
@@ -120,7 +137,7 @@
 {
 	struct pack_writer writer;
 	pack_start (&writer);
-	pack_array (&writer, 8);
+	pack_array (&writer, 9);
 	pack_u64 (&writer, state->applied);
 	pack_u64 (&writer, state->epoch);
 	pack_i64 (&writer, state->log_time_ms);
@@ -134,6 +151,7 @@
 	pack_u64 (&writer, state->routing.version);
 	pack_bytes (&writer, state->routing.document ? state->routing.document : "",
 		state->routing.len);
+	pack_u64 (&writer, state->last_order);
 	return pack_end (&writer, len);
 }
 
@@ -151,6 +169,8 @@
 	size_t routing_len = 0;
 	uint64_t version = pack_get_u64 (pack_at (root, 6));
 	const char *document = pack_get_bytes (pack_at (root, 7), &routing_len);
+	/* Snapshots of earlier builds lack the last item. */
+	state->last_order = pack_length (root) > 8 ? pack_get_u64 (pack_at (root, 8)) : 0;
 	state->routing.version = 0;
 	if (ok && version > 0)
 		set_routing (&state->routing, version, document, routing_len);
--- a/control/state.h
+++ b/control/state.h
@@ -13,9 +13,11 @@
 /** The result of applying a command. */
 struct state_result {
 	enum command_kind kind;
-	struct change_result change; /**< COMMAND_CHANGE */
-	enum claim_verdict verdict;  /**< COMMAND_CLAIM */
-	struct claim claim;          /**< COMMAND_CLAIM: copy of the claim; its body is not owned */
+	/** COMMAND_CHANGE; of a superseded COMMAND_DATA_CENTRE_LEAVING, version is the newer order
+	 */
+	struct change_result change;
+	enum claim_verdict verdict; /**< COMMAND_CLAIM */
+	struct claim claim;         /**< COMMAND_CLAIM: copy of the claim; its body is not owned */
 	bool ok; /**< accepted; of a member: it changed; not set for COMMAND_CLAIM */
 };
 
@@ -32,6 +34,7 @@
 	struct ledger ledger;
 	struct state_routing routing;
 	uint64_t applied;    /**< newest applied log index */
+	uint64_t last_order; /**< log index of the newest order about a data centre */
 	uint64_t epoch;      /**< newest log index that may have changed the owner of a target */
 	int64_t log_time_ms; /**< newest time stamp of an applied command; never decreases */
 };
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -436,17 +436,44 @@
 		"the same change id");
 }
 
-bool
-control_order (struct control *control, struct command *command, struct error *error)
+enum control_order_end
+control_order (
+	struct control *control, struct command *command, int64_t timeout_us, struct error *error)
 {
 	struct propose_reply reply = {0};
-	bool accepted = wait_for_change (control, command, CONTROL_ORDER_TIMEOUT_US, &reply);
+	bool applied = wait_for_change (control, command, timeout_us, &reply);
 	free (reply.body);
-	if (accepted)
-		return true;
-	return error_set (error, ERROR_UNAVAILABLE,
+	if (applied && reply.result.ok)
+		return CONTROL_ORDER_ACCEPTED;
+	error_set (error, ERROR_UNAVAILABLE,
 		"no majority confirmed the order in time; it may have been accepted: send it "
 		"again, to any node");
+	if (!applied || command->kind != COMMAND_DATA_CENTRE_LEAVING)
+		return CONTROL_ORDER_UNCONFIRMED;
+	command->u.leaving.revision = reply.result.change.version - 1;
+	return CONTROL_ORDER_SUPERSEDED;
+}
+
+struct revision_call {
+	uint64_t at_least;
+	uint64_t applied;
+};
+
+static void
+read_revision (struct control *control, void *arg)
+{
+	struct revision_call *call = arg;
+	call->applied = control->follower.state.applied;
+	if (call->applied < call->at_least)
+		follower_poll_soon (&control->follower, control_now_us (control));
+}
+
+uint64_t
+control_revision (struct control *control, uint64_t at_least)
+{
+	struct revision_call call = {.at_least = at_least};
+	control_call (control, read_revision, &call);
+	return call.applied;
 }
 
 bool
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -113,12 +113,27 @@
 control_change (struct control *control, struct command *command, struct propose_reply *reply,
 	struct error *error);
 
+/** What became of an order. */
+enum control_order_end {
+	CONTROL_ORDER_ACCEPTED,
+	CONTROL_ORDER_UNCONFIRMED, /**< with ERROR_UNAVAILABLE; it may have been accepted */
+	CONTROL_ORDER_SUPERSEDED,  /**< with ERROR_UNAVAILABLE; a newer one was applied before */
+};
+
 /**
- * Proposes an operator's order and waits until it is accepted.
- * @return false with ERROR_UNAVAILABLE when it is not known whether the order was accepted.
+ * Proposes an operator's order and waits until it is accepted. When it is superseded, its revision
+ * is set to the one before the newer order was applied.
  */
-bool
-control_order (struct control *control, struct command *command, struct error *error);
+enum control_order_end
+control_order (
+	struct control *control, struct command *command, int64_t timeout_us, struct error *error);
+
+/**
+ * The newest revision that this node has applied; 0: none. If it is older than @p at_least, the
+ * node also asks for a newer one.
+ */
+uint64_t
+control_revision (struct control *control, uint64_t at_least);
 
 /**
  * Reads the newest accepted routing, confirmed by a majority after the call began.
--- a/daemon/http.c
+++ b/daemon/http.c
@@ -7,8 +7,6 @@
 #include <string.h>
 #include <urcu.h>
 
-enum { RETRY_AFTER_S = 1 };
-
 static void *
 on_thread_start (const struct mg_context *context, int type)
 {
@@ -79,23 +77,28 @@
 	buf_finish (&out);
 }
 
-void
-http_send_error (struct mg_connection *connection, const struct error *error)
+char *
+http_error_text (const struct error *error)
 {
-	int status = error_http_status (error->kind);
 	json_t *body =
 		json_pack ("{s:{s:s,s:s},s:s}", "error", "kind", error_kind_name (error->kind),
 			"message", error->message, "ran", error_request_ran (error->kind));
 	char *text = json_dumps (body, JSON_COMPACT);
-	char retry[32] = "";
-	if (status == 503)
-		snprintf (retry, sizeof (retry), "Retry-After: %d\r\n", RETRY_AFTER_S);
+	json_decref (body);
+	return text;
+}
+
+void
+http_send_error (struct mg_connection *connection, const struct error *error)
+{
+	int status = error_http_status (error->kind);
+	char *text = http_error_text (error);
+	const char *retry = status == 503 ? "Retry-After: " HTTP_RETRY_AFTER_S "\r\n" : "";
 	mg_printf (connection,
 		"HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n%sContent-Length: "
 		"%zu\r\n\r\n%s",
 		status, reason_phrase (status), retry, strlen (text), text);
 	free (text);
-	json_decref (body);
 }
 
 bool
--- a/daemon/http.h
+++ b/daemon/http.h
@@ -17,6 +17,13 @@
 http_start (
 	struct node *node, const char *address, int threads, bool keep_alive, struct error *error);
 
+/** Seconds after which a request refused with 503 may be sent again. */
+#define HTTP_RETRY_AFTER_S "1"
+
+/** The JSON text that reports an error; the caller frees it. */
+char *
+http_error_text (const struct error *error);
+
 /** Sends a JSON text with an HTTP status. */
 void
 http_send_json (struct mg_connection *connection, int status, const char *text, size_t len);
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -46,7 +46,7 @@
 struct servers {
 	struct mg_context *callers;
 	struct mg_context *operators;
-	struct mg_context *orders;
+	struct orders orders;
 	struct mg_context *metrics;
 };
 
@@ -335,7 +335,7 @@
  * targets while this node still serves; then requests in flight end; then the addresses close.
  */
 static void
-stop_node (struct node *node, const struct servers *servers, const sigset_t *signals)
+stop_node (struct node *node, struct servers *servers, const sigset_t *signals)
 {
 	log_event (&node->log, EVENT_NODE_STOPPING, "%d requests in flight",
 		atomic_load (&node->admission.in_flight));
@@ -350,8 +350,7 @@
 	control_set_leaving (node->control, true);
 	wait_until (node, signals, is_exit_acknowledged,
 		node->front ? EXIT_ACK_FRONT_TIMEOUT_MS : EXIT_ACK_TIMEOUT_MS);
-	if (servers->orders)
-		mg_stop (servers->orders);
+	orders_stop (&servers->orders);
 	for (int i = 0; i < node->worker_count; i++)
 		worker_stop (&node->workers[i]);
 	control_stop (node->control);
@@ -436,12 +435,7 @@
 		if (!servers->metrics)
 			return false;
 	}
-	if (options->control_orders_address[0]) {
-		servers->orders = orders_start (node, error);
-		if (!servers->orders)
-			return false;
-	}
-	return true;
+	return !options->control_orders_address[0] || orders_start (&servers->orders, node, error);
 }
 
 static int
--- a/daemon/orders.c
+++ b/daemon/orders.c
@@ -2,117 +2,290 @@
 
 #include "core/packed.h"
 #include "daemon/control.h"
+#include "daemon/http.h"
+#include "net/ingress.h"
 #include "platform/manifest.h"
 #include "platform/orders.h"
 
+#include <errno.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
 
 enum {
-	ORDER_THREADS = 12,
+	ORDER_MAX_CONNECTIONS = 64,
 	ORDER_MAX_BYTES = 8 * 1024 * 1024, /* thousands of routes fit */
+	ORDER_IDLE_TIMEOUT_S = 30,
+	ORDER_POLL_MS = 10,
+	/* Orders in progress end after their own timeout; this also covers writing the answers. */
+	ORDER_STOP_TIMEOUT_MS = 1500,
 };
 
+/** A call while it is received and handled. */
+struct order_call {
+	struct buf body;
+	bool too_large;
+	bool counted; /* in orders.in_progress */
+};
+
+static void
+sleep_ms (long ms)
+{
+	struct timespec ts = {.tv_sec = ms / 1000, .tv_nsec = ms % 1000 * 1000000};
+	nanosleep (&ts, NULL);
+}
+
 static bool
-put_routing (struct node *node, struct mg_connection *connection, struct error *error)
+put_routing (struct orders *orders, const struct order_call *call, struct error *error)
 {
-	struct buf body;
-	buf_init (&body);
 	struct command command = {.kind = COMMAND_ROUTING};
-	bool ok = http_read_body (connection, ORDER_MAX_BYTES, &body, error);
-	struct routing *routing = ok ? manifest_decode (body.data, body.len, error) : NULL;
-	if (routing) {
-		command.u.routing.version = routing->version;
-		char *packed = packed_make (body.data, body.len, &command.u.routing.len);
-		command.u.routing.document = packed;
-		ok = control_order (node->control, &command, error);
-		free (packed);
-		log_event (&node->log, ok ? EVENT_ORDER_ACCEPTED : EVENT_ORDER_UNCONFIRMED,
-			"routing version %llu, %d routes, %zu bytes",
-			(unsigned long long)routing->version, routing->rule_count, body.len);
-	} else {
-		log_event (&node->log, EVENT_ORDER_REFUSED, "routing: %s", error->message);
+	struct routing *routing =
+		manifest_decode (call->body.len ? call->body.data : "", call->body.len, error);
+	bool ok = false;
+	if (!routing) {
+		log_event (&orders->log, EVENT_ORDER_REFUSED, "routing: %s", error->message);
+		return false;
 	}
+	command.u.routing.version = routing->version;
+	char *packed = packed_make (call->body.data, call->body.len, &command.u.routing.len);
+	command.u.routing.document = packed;
+	ok = control_order (orders->node->control, &command, CONTROL_ORDER_TIMEOUT_US, error) ==
+	     CONTROL_ORDER_ACCEPTED;
+	free (packed);
+	log_event (&orders->log, ok ? EVENT_ORDER_ACCEPTED : EVENT_ORDER_UNCONFIRMED,
+		"routing version %llu, %d routes, %zu bytes", (unsigned long long)routing->version,
+		routing->rule_count, call->body.len);
 	routing_unref (routing);
-	buf_finish (&body);
-	return routing && ok;
+	return ok;
 }
 
 static bool
-set_leaving (struct node *node, const struct order *order, struct error *error)
+operator_has_left (struct MHD_Connection *connection)
 {
-	struct command command = {.kind = COMMAND_DATA_CENTRE_LEAVING};
-	str_copy (command.u.leaving.data_centre, sizeof (command.u.leaving.data_centre),
-		order->data_centre);
-	command.u.leaving.leaving = order->kind == ORDER_LEAVE;
-	bool ok = control_order (node->control, &command, error);
-	log_event (&node->log, ok ? EVENT_ORDER_ACCEPTED : EVENT_ORDER_UNCONFIRMED,
-		"data centre %s %s", order->data_centre,
-		command.u.leaving.leaving ? "leaves" : "returns");
-	return ok;
+	char byte = 0;
+	struct pollfd pollfd = {.events = POLLIN | POLLRDHUP};
+	pollfd.fd =
+		MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+	if (poll (&pollfd, 1, 0) > 0 && pollfd.revents & (POLLRDHUP | POLLHUP | POLLERR))
+		return true;
+	ssize_t n = recv (pollfd.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+/* Waits until this node has applied a revision, or until the time is up. */
+static void
+wait_for_revision (struct node *node, uint64_t revision, int64_t end_us)
+{
+	while (control_revision (node->control, revision) < revision &&
+		clock_now_us (&node->clock) < end_us)
+		sleep_ms (ORDER_POLL_MS);
 }
 
+/*
+ * The revision is read before the check that the operator is connected: an order that the operator
+ * gives after this one then has a newer revision.
+ */
 static bool
-get_routing (struct node *node, struct mg_connection *connection, struct error *error)
+set_leaving (struct orders *orders, struct MHD_Connection *connection, const struct order *order,
+	struct error *error)
+{
+	struct node *node = orders->node;
+	struct command command = {.kind = COMMAND_DATA_CENTRE_LEAVING};
+	struct command_data_centre_leaving *leaving = &command.u.leaving;
+	const char *action = order->kind == ORDER_LEAVE ? "leaves" : "returns";
+	int64_t end_us = clock_now_us (&node->clock) + CONTROL_ORDER_TIMEOUT_US;
+	int64_t left_us = CONTROL_ORDER_TIMEOUT_US;
+	str_copy (leaving->data_centre, sizeof (leaving->data_centre), order->data_centre);
+	leaving->leaving = order->kind == ORDER_LEAVE;
+	while (left_us > 0) {
+		leaving->revision = control_revision (node->control, 0);
+		if (operator_has_left (connection)) {
+			log_event (&orders->log, EVENT_ORDER_STALE,
+				"data centre %s %s: the operator has left, revision %llu",
+				order->data_centre, action, (unsigned long long)leaving->revision);
+			return error_set (error, ERROR_UNAVAILABLE,
+				"the connection was closed before the order was read");
+		}
+		if (leaving->revision == 0)
+			return error_set (error, ERROR_UNAVAILABLE,
+				"this node has just started; send the order again, to any node");
+		switch (control_order (node->control, &command, left_us, error)) {
+		case CONTROL_ORDER_ACCEPTED:
+			log_event (&orders->log, EVENT_ORDER_ACCEPTED, "data centre %s %s",
+				order->data_centre, action);
+			return true;
+		case CONTROL_ORDER_UNCONFIRMED:
+			left_us = 0;
+			break;
+		case CONTROL_ORDER_SUPERSEDED:
+			/* This node lagged behind a newer order; the operator waits for this one.
+			 */
+			wait_for_revision (node, leaving->revision + 1, end_us);
+			left_us = end_us - clock_now_us (&node->clock);
+			break;
+		}
+	}
+	log_event (&orders->log, EVENT_ORDER_UNCONFIRMED, "data centre %s %s", order->data_centre,
+		action);
+	return false;
+}
+
+static enum MHD_Result
+answer (struct MHD_Connection *connection, int status, char *text, size_t len)
+{
+	struct MHD_Response *response =
+		MHD_create_response_from_buffer (len, text, MHD_RESPMEM_MUST_FREE);
+	if (!response)
+		return MHD_NO;
+	MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE, "application/json");
+	/* A connection that an operator leaves open would occupy a thread. */
+	MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
+	if (status == MHD_HTTP_SERVICE_UNAVAILABLE)
+		MHD_add_response_header (response, MHD_HTTP_HEADER_RETRY_AFTER, HTTP_RETRY_AFTER_S);
+	enum MHD_Result result = MHD_queue_response (connection, (unsigned)status, response);
+	MHD_destroy_response (response);
+	return result;
+}
+
+static enum MHD_Result
+answer_error (struct MHD_Connection *connection, const struct error *error)
+{
+	char *text = http_error_text (error);
+	return answer (connection, error_http_status (error->kind), text, strlen (text));
+}
+
+static enum MHD_Result
+get_routing (struct orders *orders, struct MHD_Connection *connection)
 {
 	struct state_routing routing = {0};
-	if (!control_read_routing (node->control, &routing, error))
-		return false;
-	if (routing.version == 0)
-		return error_set (error, ERROR_UNAVAILABLE,
-			"no routing has been accepted yet; send one first");
+	struct error error = {0};
 	size_t len = 0;
+	if (!control_read_routing (orders->node->control, &routing, &error))
+		return answer_error (connection, &error);
+	if (routing.version == 0) {
+		error_set (&error, ERROR_UNAVAILABLE,
+			"no routing has been accepted yet; send one first");
+		return answer_error (connection, &error);
+	}
 	char *document = packed_open (routing.document, routing.len, &len);
 	free (routing.document);
-	if (!document)
-		return error_set (error, ERROR_DAMAGED,
-			"the accepted routing cannot be decompressed; "
-			"ask another node and report it");
-	http_send_json (connection, 200, document, len);
-	free (document);
-	return true;
+	if (document)
+		return answer (connection, MHD_HTTP_OK, document, len);
+	error_set (&error, ERROR_DAMAGED,
+		"the accepted routing cannot be decompressed; ask another node and report it");
+	return answer_error (connection, &error);
 }
 
-static int
-handle (struct mg_connection *connection, void *user)
+static enum MHD_Result
+handle (struct orders *orders, struct MHD_Connection *connection, const char *path,
+	const char *method, const struct order_call *call)
 {
-	struct node *node = user;
-	const struct mg_request_info *info = mg_get_request_info (connection);
 	struct order order;
 	struct error error = {0};
 	bool ok = false;
-	order_decode (&order, info->request_method, info->local_uri);
+	order_decode (&order, method, path);
+	if (call->too_large) {
+		error_set (&error, ERROR_TOO_LARGE, "the body is larger than %d bytes; send less",
+			ORDER_MAX_BYTES);
+		return answer_error (connection, &error);
+	}
 	switch (order.kind) {
 	case ORDER_PUT_ROUTING:
-		ok = put_routing (node, connection, &error);
+		ok = put_routing (orders, call, &error);
 		break;
 	case ORDER_GET_ROUTING:
-		ok = get_routing (node, connection, &error);
-		if (ok)
-			return 1;
-		break;
+		return get_routing (orders, connection);
 	case ORDER_LEAVE:
 	case ORDER_RETURN:
-		ok = set_leaving (node, &order, &error);
+		ok = set_leaving (orders, connection, &order, &error);
 		break;
 	case ORDER_UNKNOWN:
 		error_set (&error, ERROR_NOT_FOUND, "no such order; see docs/interface.md");
 		break;
 	}
-	if (ok)
-		http_send_json (connection, 200, "{}", 2);
-	else
-		http_send_error (connection, &error);
-	return 1;
+	return ok ? answer (connection, MHD_HTTP_OK, xstrdup ("{}"), 2)
+		  : answer_error (connection, &error);
+}
+
+static enum MHD_Result
+on_request (void *user, struct MHD_Connection *connection, const char *path, const char *method,
+	const char *version, const char *data, size_t *len, void **context)
+{
+	struct orders *orders = user;
+	struct order_call *call = *context;
+	(void)version;
+	if (!call) {
+		call = xcalloc (1, sizeof (*call));
+		buf_init (&call->body);
+		*context = call;
+		return MHD_YES;
+	}
+	if (*len > 0) {
+		call->too_large = call->too_large || call->body.len + *len > ORDER_MAX_BYTES;
+		if (!call->too_large)
+			buf_add (&call->body, data, *len);
+		*len = 0;
+		return MHD_YES;
+	}
+	call->counted = true;
+	atomic_fetch_add (&orders->in_progress, 1);
+	return handle (orders, connection, path, method, call);
+}
+
+static void
+on_completed (void *user, struct MHD_Connection *connection, void **context,
+	enum MHD_RequestTerminationCode code)
+{
+	struct orders *orders = user;
+	struct order_call *call = *context;
+	(void)connection;
+	(void)code;
+	if (!call)
+		return;
+	if (call->counted)
+		atomic_fetch_sub (&orders->in_progress, 1);
+	buf_finish (&call->body);
+	free (call);
+	*context = NULL;
+}
+
+bool
+orders_start (struct orders *orders, struct node *node, struct error *error)
+{
+	struct sockaddr_in address;
+	const char *text = node->options.control_orders_address;
+	orders->node = node;
+	orders->log = node->log;
+	if (ingress_parse_address (text, &address))
+		orders->daemon = MHD_start_daemon (
+			MHD_USE_POLL_INTERNAL_THREAD | MHD_USE_THREAD_PER_CONNECTION | MHD_USE_ITC,
+			0, NULL, NULL, on_request, orders, MHD_OPTION_SOCK_ADDR, &address,
+			MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_NOTIFY_COMPLETED,
+			on_completed, orders, MHD_OPTION_CONNECTION_LIMIT,
+			(unsigned)ORDER_MAX_CONNECTIONS, MHD_OPTION_CONNECTION_TIMEOUT,
+			(unsigned)ORDER_IDLE_TIMEOUT_S, MHD_OPTION_END);
+	if (orders->daemon)
+		return true;
+	return error_set (
+		error, ERROR_IO, "cannot listen on %s; correct the address or free the port", text);
 }
 
-struct mg_context *
-orders_start (struct node *node, struct error *error)
+void
+orders_stop (struct orders *orders)
 {
-	/* No keep-alive: a connection that an operator leaves open would occupy a thread. */
-	struct mg_context *context = http_start (
-		node, node->options.control_orders_address, ORDER_THREADS, false, error);
-	if (context)
-		mg_set_request_handler (context, "/", handle, node);
-	return context;
+	if (!orders->daemon)
+		return;
+	int fd = MHD_quiesce_daemon (orders->daemon);
+	if (fd >= 0)
+		close (fd);
+	/* MHD_stop_daemon closes all connections, also those of orders in progress. */
+	for (int waited_ms = 0;
+		atomic_load (&orders->in_progress) > 0 && waited_ms < ORDER_STOP_TIMEOUT_MS;
+		waited_ms += ORDER_POLL_MS)
+		sleep_ms (ORDER_POLL_MS);
+	MHD_stop_daemon (orders->daemon);
+	orders->daemon = NULL;
 }
--- a/net/ingress.c
+++ b/net/ingress.c
@@ -199,8 +199,8 @@
 	return MHD_YES;
 }
 
-static bool
-parse_address (const char *address, struct sockaddr_in *out)
+bool
+ingress_parse_address (const char *address, struct sockaddr_in *out)
 {
 	char host[64];
 	const char *colon = strrchr (address, ':');
@@ -224,7 +224,7 @@
 	ingress->epoll_fd = epoll_fd;
 	ingress->limits = *limits;
 	ingress->hooks = *hooks;
-	if (!parse_address (address, &socket_address))
+	if (!ingress_parse_address (address, &socket_address))
 		return error_set (
 			error, ERROR_CONFIG, "%s is not an IP:port address; correct it", address);
 	ingress->daemon = MHD_start_daemon (MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
--- a/net/ingress.h
+++ b/net/ingress.h
@@ -11,6 +11,7 @@
 #include "core/error.h"
 
 #include <microhttpd.h>
+#include <netinet/in.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -65,6 +66,10 @@
 	int client_count;
 };
 
+/** Parses an IP:port address. */
+bool
+ingress_parse_address (const char *text, struct sockaddr_in *address);
+
 /** Starts to listen on an IP:port. */
 bool
 ingress_start (struct ingress *ingress, const char *address, int epoll_fd, int max_connections,
--- a/test/control.c
+++ b/test/control.c
@@ -329,7 +329,7 @@
 apply_leaving (struct state *state, uint64_t index, bool leaving)
 {
 	struct command command = {
-		.kind = COMMAND_DATA_CENTRE_LEAVING, .u.leaving = {"west", leaving}};
+		.kind = COMMAND_DATA_CENTRE_LEAVING, .u.leaving = {"west", leaving, 0}};
 	struct state_result result;
 	size_t len = 0;
 	void *data = command_encode (&command, &len);
@@ -357,6 +357,62 @@
 	state_finish (&state);
 }
 
+static bool
+apply_order (struct state *state, uint64_t index, bool leaving, uint64_t revision)
+{
+	struct command command = {
+		.kind = COMMAND_DATA_CENTRE_LEAVING, .u.leaving = {"west", leaving, revision}};
+	struct state_result result;
+	size_t len = 0;
+	void *data = command_encode (&command, &len);
+	state_apply (state, index, data, len, &result);
+	free (data);
+	CU_ASSERT_EQUAL (result.ok || result.change.version > revision, true);
+	return result.ok;
+}
+
+static bool
+is_west_leaving (const struct state *state)
+{
+	return resources_is_leaving (&state->resources, RESOURCE_DATA_CENTRE, "west");
+}
+
+/* Guards against an order that is read or committed late and undoes a newer, confirmed one. */
+static void
+test_late_order_has_no_effect (void)
+{
+	struct state state;
+	state_init (&state);
+	CU_ASSERT_TRUE (apply_order (&state, 10, true, 9));
+	/* The end is sent to a node that stands still at revision 10, then to another one. */
+	CU_ASSERT_TRUE (apply_order (&state, 12, false, 11));
+	CU_ASSERT_TRUE (apply_order (&state, 14, true, 13));
+	CU_ASSERT_FALSE (apply_order (&state, 16, false, 10));
+	CU_ASSERT_TRUE (is_west_leaving (&state));
+	CU_ASSERT_EQUAL (state.epoch, 14);
+	/* A second copy of the newest order, or a late one with the same effect, is confirmed. */
+	CU_ASSERT_TRUE (apply_order (&state, 17, true, 15));
+	CU_ASSERT_TRUE (apply_order (&state, 18, true, 10));
+	CU_ASSERT_EQUAL (state.epoch, 14);
+	CU_ASSERT_TRUE (apply_order (&state, 20, false, 19));
+	CU_ASSERT_FALSE (is_west_leaving (&state));
+	/* A start that was given up comes late, after an end that changed nothing. */
+	CU_ASSERT_TRUE (apply_order (&state, 22, false, 21));
+	CU_ASSERT_FALSE (apply_order (&state, 23, true, 20));
+	CU_ASSERT_FALSE (is_west_leaving (&state));
+	/* The state that other voters get from a snapshot refuses it too. */
+	size_t len = 0;
+	void *data = state_encode (&state, true, &len);
+	struct state copy;
+	state_init (&copy);
+	CU_ASSERT_TRUE (state_decode (&copy, data, len));
+	CU_ASSERT_FALSE (apply_order (&copy, 24, true, 20));
+	CU_ASSERT_TRUE (apply_order (&copy, 25, true, 24));
+	free (data);
+	state_finish (&copy);
+	state_finish (&state);
+}
+
 static void
 test_second_disk_loss_after_a_repair (void)
 {
@@ -718,6 +774,7 @@
 		TEST (superseded_routings_are_dropped),
 		TEST (roster_update),
 		TEST (data_centre_leaves_and_returns),
+		TEST (late_order_has_no_effect),
 		TEST (second_disk_loss_after_a_repair),
 		TEST (late_reply_updates_the_state),
 		TEST (node_without_a_target_list_polls_faster),
--- a/test/platform.sh
+++ b/test/platform.sh
@@ -261,6 +261,26 @@
 expect "its targets get no requests" "$(arrivals 0)" "^$before\$"
 expect "the order to return is accepted" "$(order 3 POST /evacuation/z0/end)" '^200'
 
+# Guards against an order that a frozen node reads late and that undoes a newer, confirmed one.
+echo "a control node is frozen while an operator sends it an order:"
+confirmed () {
+	[ "$(order "$1" POST "$2")" = 200 ]
+}
+expect "the data centre leaves" "$(order 2 POST /evacuation/z0/start)" '^200'
+kill -STOP "${PIDS[n3]}"
+call -m 1 -X POST "http://127.0.0.1:$((BASE + 3))/evacuation/z0/end" && fail "a frozen node answered"
+wait_for 8 confirmed 1 /evacuation/z0/end || fail "the order to return was not confirmed"
+wait_for 8 confirmed 2 /evacuation/z0/start || fail "the second order to leave was not confirmed"
+kill -CONT "${PIDS[n3]}"
+sleep 2
+before=$(arrivals 0)
+for i in 1 2 3 4; do send_request 4 "ev$i" /all/x > "$RUN/x"; send_request 5 "ew$i" /all/x > "$RUN/x"; done
+expect "targets of the data centre get no requests" "$(arrivals 0)" "^$before\$"
+expect "the late order has no effect" "$("$BUILD/oleanderctl" -j -n "127.0.0.1:$((BASE + 101))" -k "$KEY" get DataCentre z0 | tr -d ' \n')" '"leaving":true'
+expect "and is logged" "$(grep -h ORDER_STALE "$RUN/n3.log")" 'data centre z0 returns: the operator has left'
+expect "a node that has just woken takes orders" "$(order 3 POST /evacuation/z0/end)" '^200'
+expect "and repeats of them" "$(order 1 POST /evacuation/z0/end)" '^200'
+
 echo "a new route is in use on all entry nodes within seconds:"
 extra='{"name":"new","host":"site.example","path_prefix":"/new/","route_type":"idempotent","timeout_ms":900,"max_attempts":2,"service":"s0"}'
 expect "the new manifest is accepted" "$(order 1 POST /config/replace "$(manifest 9 "$extra")")" '^200'
