net: one target's bytes no longer hold the loop

Cause: a connection was read until a read returned less than a whole buffer, so a target that sends as fast as the node parses kept the thread in one event, and no limit counted interim responses. Ruled out: long header lines and bodies, which have limits, and the callers' side.

Each iteration of the loop now reads at most four buffers of all connections together, in turn, and a response is rejected once what is not body exceeds 128 KB and eight times its body. The thread of peer messages gets a limit too.

--- a/daemon/front.c
+++ b/daemon/front.c
@@ -532,7 +532,7 @@
 	int wait = IDLE_WAIT_MS;
 	int64_t next_us = timers_next_us (&front->timers);
 	int64_t now_us = front_now_us (front);
-	if (next_us <= now_us)
+	if (next_us <= now_us || fetch_loop_has_unread (&front->fetches))
 		return 0;
 	if (next_us != INT64_MAX && (next_us - now_us) / US_PER_MS < wait)
 		wait = (int)((next_us - now_us + US_PER_MS - 1) / US_PER_MS);
@@ -597,6 +597,7 @@
 		mailbox_clear (&front->mailbox);
 	while (pending.mail && (mail = mailbox_take (&front->mailbox)))
 		handle_mail (front, mail);
+	fetch_loop_read (&front->fetches);
 	run_timers (front);
 	if (serves_callers (front) && (pending.callers || ingress_has_work (&front->callers)))
 		ingress_run (&front->callers);
--- a/daemon/worker.c
+++ b/daemon/worker.c
@@ -166,7 +166,7 @@
 {
 	int64_t next_us = timers_next_us (&worker->timers);
 	int64_t now_us = worker_now_us (worker);
-	if (next_us <= now_us)
+	if (next_us <= now_us || fetch_loop_has_unread (&worker->fetches))
 		return 0;
 	int64_t ms = (next_us - now_us + US_PER_MS - 1) / US_PER_MS;
 	return ms < MAX_WAIT_MS ? (int)ms : MAX_WAIT_MS;
@@ -191,6 +191,7 @@
 		struct mail *mail;
 		while ((mail = mailbox_take (&worker->mailbox)))
 			handle_mail (worker, mail);
+		fetch_loop_read (&worker->fetches);
 		run_timers (worker);
 		fetch_loop_clean (&worker->fetches);
 		owned_update_released (worker);
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -16,6 +16,7 @@
 enum {
 	FD_TABLE_STEP = 64,
 	READ_BUFFER_BYTES = 65536,
+	READ_BYTES_PER_ITERATION = 4 * READ_BUFFER_BYTES,
 	/* Reuse ends this long before the peer may close, so that no request crosses the close. */
 	KEEP_ALIVE_MARGIN_US = 300000,
 };
@@ -24,12 +25,15 @@
 
 /** A connection to a target. */
 struct fetch_conn {
-	struct cds_list_head node; /**< in its pool, or in loop.closed */
+	struct cds_list_head node;        /**< in its pool, or in loop.closed */
+	struct cds_list_head unread_node; /**< in loop.unread while is_unread */
 	struct fetch_pool *pool;
 	int fd;
 	enum conn_state state;
 	struct fetch *fetch; /**< the current request; NULL while idle */
 	size_t written;      /**< bytes of the request that were written */
+	bool is_unread;      /**< bytes or a close may wait to be read */
+	bool peer_closed;    /**< the close of the peer was reported */
 	struct response_parser response;
 	bool too_large;        /**< the body exceeds a limit */
 	int64_t keep_until_us; /**< not reused after this time */
@@ -51,10 +55,30 @@
 	CDS_INIT_LIST_HEAD (&loop->pools);
 	CDS_INIT_LIST_HEAD (&loop->retired);
 	CDS_INIT_LIST_HEAD (&loop->closed);
+	CDS_INIT_LIST_HEAD (&loop->unread);
+	loop->read_budget = READ_BYTES_PER_ITERATION;
 	loop->body_bytes_max = FETCH_BODY_BYTES_MAX;
 	loop->read_buffer = xmalloc (READ_BUFFER_BYTES);
 }
 
+/* The socket's events are edge-triggered, so a connection that is not read empty is noted here. */
+static void
+add_unread (struct fetch_conn *conn)
+{
+	if (conn->is_unread)
+		return;
+	conn->is_unread = true;
+	cds_list_add_tail (&conn->unread_node, &conn->pool->loop->unread);
+}
+
+static void
+remove_unread (struct fetch_conn *conn)
+{
+	if (conn->is_unread)
+		cds_list_del (&conn->unread_node);
+	conn->is_unread = false;
+}
+
 /* Freed at the end of the iteration, since events for the socket may still be pending. */
 static void
 close_conn (struct fetch_conn *conn)
@@ -63,6 +87,7 @@
 	if (conn->state == CONN_CLOSED)
 		return;
 	loop->by_fd[conn->fd] = NULL;
+	remove_unread (conn);
 	close (conn->fd);
 	conn->state = CONN_CLOSED;
 	conn->pool->conn_count--;
@@ -488,7 +513,6 @@
 	fetch->done (fetch, end);
 }
 
-/* Data or a close on an idle connection means that it cannot be used any more. */
 static void
 handle_idle_event (struct fetch_conn *conn)
 {
@@ -528,25 +552,65 @@
 	return false;
 }
 
+/* Returns the number of bytes, 0 after a close, or -1 if nothing was read or the fetch has ended.
+ */
+static ssize_t
+receive (struct fetch_conn *conn)
+{
+	ssize_t n = 0;
+	do
+		n = recv (conn->fd, conn->pool->loop->read_buffer, READ_BUFFER_BYTES, 0);
+	while (n < 0 && errno == EINTR);
+	if (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK)
+		end_fetch (conn->fetch, FETCH_FAILED, false);
+	return n;
+}
+
+/* Reads at most one buffer. */
 static void
 read_reply (struct fetch_conn *conn)
 {
-	char *data = conn->pool->loop->read_buffer;
-	for (;;) {
-		ssize_t n = recv (conn->fd, data, READ_BUFFER_BYTES, 0);
-		if (n < 0 && errno == EINTR)
-			continue;
-		if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
-			return;
-		if (n < 0) {
-			end_fetch (conn->fetch, FETCH_FAILED, false);
-			return;
-		}
-		if (!parse_bytes (conn, data, (size_t)n))
-			return;
-		if (n < READ_BUFFER_BYTES)
-			return;
+	struct fetch_loop *loop = conn->pool->loop;
+	if (loop->read_budget == 0) {
+		add_unread (conn);
+		return;
 	}
+	ssize_t n = receive (conn);
+	if (n < 0)
+		return;
+	size_t len = (size_t)n;
+	loop->read_budget -= len < loop->read_budget ? len : loop->read_budget;
+	if (parse_bytes (conn, loop->read_buffer, len) &&
+		(len == READ_BUFFER_BYTES || conn->peer_closed))
+		add_unread (conn);
+}
+
+/* Data or a close on an idle connection means that it cannot be used any more. */
+static void
+read_conn (struct fetch_conn *conn)
+{
+	remove_unread (conn);
+	if (conn->state == CONN_IDLE)
+		handle_idle_event (conn);
+	else if (conn->state == CONN_BUSY)
+		read_reply (conn);
+}
+
+void
+fetch_loop_read (struct fetch_loop *loop)
+{
+	while (loop->read_budget > 0 && !cds_list_empty (&loop->unread)) {
+		struct fetch_conn *conn =
+			cds_list_entry (loop->unread.next, struct fetch_conn, unread_node);
+		read_conn (conn);
+	}
+	loop->read_budget = READ_BYTES_PER_ITERATION;
+}
+
+bool
+fetch_loop_has_unread (const struct fetch_loop *loop)
+{
+	return loop->unread.next != &loop->unread;
 }
 
 static void
@@ -583,15 +647,12 @@
 	}
 	if (!(events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)))
 		return;
-	if (conn->state == CONN_IDLE)
+	conn->peer_closed = conn->peer_closed || (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
+	bool was_idle = conn->state == CONN_IDLE;
+	read_conn (conn);
+	/* A close that came with the last bytes is not reported again. */
+	if (!was_idle && conn->state == CONN_IDLE && conn->peer_closed)
 		handle_idle_event (conn);
-	else if (conn->state == CONN_BUSY)
-		read_reply (conn);
-	/* Edge-triggered: a close that came with the last bytes is not reported again. */
-	if (conn->state == CONN_IDLE && events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR))
-		handle_idle_event (conn);
-	else if (conn->state == CONN_BUSY && events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR))
-		read_reply (conn);
 }
 
 void
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -6,6 +6,10 @@
  * never sent again here, since it may have run; the code that started it decides that. If a
  * connection gets no reply in time, that code replaces the pool, so that no connection opened
  * before that is reused.
+ *
+ * For targets that send faster than this thread can parse: each iteration of the loop reads a
+ * limited number of bytes, of all connections together and in turn, so that timers and other
+ * sockets are served meanwhile.
  */
 #pragma once
 
@@ -100,6 +104,8 @@
 	int fd_count;
 	char *read_buffer;           /**< for received bytes; too large for the stacks of threads */
 	struct cds_list_head closed; /**< connections to free at the end of the iteration */
+	struct cds_list_head unread; /**< connections that may have bytes to read, in turn */
+	size_t read_budget;          /**< bytes that may still be read in this iteration */
 	size_t body_bytes;           /**< received bodies that are held */
 	size_t body_bytes_max;       /**< limit of all of them; more ends a fetch as too large */
 };
@@ -124,6 +130,14 @@
 void
 fetch_loop_finish (struct fetch_loop *loop);
 
+/** Reads what earlier events left unread; call once per loop iteration, after the events. */
+void
+fetch_loop_read (struct fetch_loop *loop);
+
+/** True if fetch_loop_read has work although no event is pending. */
+bool
+fetch_loop_has_unread (const struct fetch_loop *loop);
+
 /** Frees closed connections and empty retired pools; call once per loop iteration. */
 void
 fetch_loop_clean (struct fetch_loop *loop);
--- a/net/peer.c
+++ b/net/peer.c
@@ -10,7 +10,7 @@
 #include <xxhash.h>
 #include <zmq.h>
 
-enum { SWEEP_INTERVAL_US = 1000000, POLL_MS = 200, LINGER_MS = 500 };
+enum { SWEEP_INTERVAL_US = 1000000, POLL_MS = 200, LINGER_MS = 500, RECEIVE_MAX = 256 };
 
 /* Prefix: version, class, length of the key (1 byte each), incarnation (8); the key follows. */
 enum { PREFIX_BYTES = 11 };
@@ -197,7 +197,8 @@
 	while (!atomic_load (&peer->stop)) {
 		zmq_poll (items, 2, POLL_MS);
 		send_all (peer);
-		while (receive_one (peer))
+		/* A peer that sends without a pause must not keep this node from sending. */
+		for (int i = 0; i < RECEIVE_MAX && receive_one (peer); i++)
 			;
 		close_idle_links (peer, clock_now_us (peer->clock));
 	}
--- a/net/response.c
+++ b/net/response.c
@@ -6,7 +6,12 @@
 #include <string.h>
 #include <strings.h>
 
-enum { LINE_MAX_BYTES = 16384, LENGTH_MAX_DIGITS = 18 };
+enum {
+	LINE_MAX_BYTES = 16384,
+	LENGTH_MAX_DIGITS = 18,
+	OVERHEAD_MAX_BYTES = 131072,
+	CHUNK_OVERHEAD_MAX = 8, /* bytes that frame one byte of the body, in the shortest chunks */
+};
 
 void
 response_init (struct response_parser *parser, bool head_only, const struct response_hooks *hooks,
@@ -36,6 +41,12 @@
 	size_t value_len;
 };
 
+static bool
+is_blank (char c)
+{
+	return c == ' ' || c == '\t';
+}
+
 /* The parser's hooks write each line as "Name: value", without its line end. */
 static struct header
 split_line (const struct buf *line)
@@ -47,7 +58,7 @@
 	header.name_len = (size_t)(colon - line->data);
 	header.value = colon + 2;
 	header.value_len = line->len - header.name_len - 2;
-	while (header.value_len > 0 && strchr (" \t", header.value[header.value_len - 1]))
+	while (header.value_len > 0 && is_blank (header.value[header.value_len - 1]))
 		header.value_len--;
 	return header;
 }
@@ -184,6 +195,7 @@
 on_body (http_parser *http, const char *at, size_t len)
 {
 	struct response_parser *parser = http->data;
+	parser->body_bytes += len;
 	return parser->hooks->body (parser->user, at, len) ? 0 : 1;
 }
 
@@ -211,6 +223,13 @@
 	return 0;
 }
 
+static bool
+has_too_much_overhead (const struct response_parser *parser)
+{
+	size_t overhead = parser->received - parser->body_bytes;
+	return overhead > OVERHEAD_MAX_BYTES + parser->body_bytes * CHUNK_OVERHEAD_MAX;
+}
+
 enum response_state
 response_parse (struct response_parser *parser, const char *data, size_t len, size_t *used)
 {
@@ -225,13 +244,17 @@
 	for (*used = 0;;) {
 		if (!parser->in_message && *used < len && data[*used] != 'H')
 			return RESPONSE_INVALID;
-		*used += http_parser_execute (&parser->http, &settings, data + *used, len - *used);
+		size_t n =
+			http_parser_execute (&parser->http, &settings, data + *used, len - *used);
+		*used += n;
+		parser->received += n;
 		if (parser->complete)
 			return RESPONSE_COMPLETE;
 		bool is_between = HTTP_PARSER_ERRNO (&parser->http) == HPE_PAUSED;
 		if (is_between)
 			http_parser_pause (&parser->http, 0);
-		if (HTTP_PARSER_ERRNO (&parser->http) != HPE_OK || len == 0)
+		if (HTTP_PARSER_ERRNO (&parser->http) != HPE_OK || len == 0 ||
+			has_too_much_overhead (parser))
 			return RESPONSE_INVALID;
 		if (!is_between || *used == len)
 			return RESPONSE_PARTIAL;
--- a/net/response.h
+++ b/net/response.h
@@ -6,6 +6,9 @@
  * decide where a response begins and ends are checked here in addition: a response is rejected at
  * the first byte that a strict reader would reject. Header lines of interim responses and of
  * trailers are not delivered.
+ *
+ * A target may also send without end. The bytes that are not body are limited: heads of interim
+ * responses, header lines, chunk sizes and their extensions, trailers.
  */
 #pragma once
 
@@ -43,6 +46,8 @@
 	bool complete;
 	int status;            /**< of the response; 0: not received yet */
 	bool closing;          /**< the peer will close the connection after the response */
+	size_t received;       /**< bytes parsed */
+	size_t body_bytes;     /**< of these, bytes of the body */
 	int64_t keep_alive_us; /**< how long the peer keeps the connection; -1: unknown */
 };
 
--- a/test/fetch.c
+++ b/test/fetch.c
@@ -6,6 +6,7 @@
 #include "test/suite.h"
 
 #include <arpa/inet.h>
+#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -93,6 +94,7 @@
 	int count = epoll_wait (fixture->epoll_fd, events, 8, 5);
 	for (int i = 0; i < count; i++)
 		fetch_socket_event (&fixture->loop, events[i].data.fd, events[i].events);
+	fetch_loop_read (&fixture->loop);
 	while ((timer = timers_pop_due (&fixture->timers, clock_now_us (&fixture->clock))))
 		fetch_timer_due (timer);
 	fetch_loop_clean (&fixture->loop);
@@ -457,6 +459,112 @@
 	}
 }
 
+enum { FLOOD_CHUNK_BYTES = 6, FLOOD_MAX_BYTES = 64 * 1024 * 1024 };
+
+/* Sends chunks of one byte as fast as they are read, until the socket is closed. */
+static void *
+send_chunks (void *user)
+{
+	const int *fd = user;
+	char block[FLOOD_CHUNK_BYTES * 10000];
+	ssize_t n = 0;
+	for (size_t at = 0; at < sizeof (block); at += FLOOD_CHUNK_BYTES)
+		memcpy (block + at, "1\r\nx\r\n", FLOOD_CHUNK_BYTES);
+	for (size_t sent = 0; n >= 0 && sent < FLOOD_MAX_BYTES;) {
+		for (size_t at = 0; n >= 0 && at < sizeof (block);) {
+			n = send (*fd, block + at, sizeof (block) - at, MSG_NOSIGNAL);
+			at += n > 0 ? (size_t)n : 0;
+			sent += n > 0 ? (size_t)n : 0;
+		}
+	}
+	return NULL;
+}
+
+/* Reads fill a whole buffer only if more than one fits into the socket. */
+static void
+grow_receive_buffers (const struct fetch_fixture *fixture)
+{
+	int size = 1048576;
+	for (int fd = 0; fd < fixture->loop.fd_count; fd++) {
+		if (fixture->loop.by_fd[fd])
+			setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof (size));
+	}
+}
+
+/* Guards against a target that sends as fast as the loop parses and keeps it from other work. */
+static void
+test_a_flood_leaves_the_loop_to_others (void)
+{
+	enum { READ_MAX = 1048576 };
+	struct fetch_fixture fixture;
+	struct fetch_result flooded;
+	struct fetch_result sound;
+	char request[1024];
+	pthread_t thread;
+	fixture_init (&fixture, 2);
+	start_fetch (&fixture, &flooded, "GET", NULL, false);
+	flooded.fetch.body_max_bytes = FLOOD_MAX_BYTES;
+	int fd = read_request (&fixture, -1, request, sizeof (request));
+	start_fetch (&fixture, &sound, "GET", NULL, false);
+	int sound_fd = read_request (&fixture, -1, request, sizeof (request));
+	send_reply (&fixture, fd, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+	grow_receive_buffers (&fixture);
+	CU_ASSERT_EQUAL_FATAL (pthread_create (&thread, NULL, send_chunks, &fd), 0);
+	for (int i = 0; i < 20; i++) {
+		size_t before = flooded.fetch.body.len;
+		if (i == 10)
+			send_reply (&fixture, sound_fd,
+				"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+		else
+			run_loop_once (&fixture);
+		size_t read = (flooded.fetch.body.len - before) * FLOOD_CHUNK_BYTES;
+		CU_ASSERT_TRUE (read <= READ_MAX);
+		CU_ASSERT_FALSE (flooded.done);
+	}
+	CU_ASSERT_TRUE (sound.done);
+	CU_ASSERT_TRUE (flooded.fetch.body.len > 0);
+	clock_advance (&fixture.clock, TIMEOUT_US);
+	run_loop_once (&fixture);
+	CU_ASSERT_TRUE (flooded.done);
+	CU_ASSERT_FALSE (fetch_loop_has_unread (&fixture.loop));
+	pthread_join (thread, NULL);
+	fetch_finish (&flooded.fetch);
+	fetch_finish (&sound.fetch);
+	close (fd);
+	close (sound_fd);
+	fixture_finish (&fixture);
+}
+
+static void
+test_unread_bytes_and_a_close_are_read_later (void)
+{
+	enum { LEN = 1000000 };
+	struct fetch_fixture fixture;
+	struct fetch_result result;
+	char request[1024];
+	char *body = xcalloc (1, LEN);
+	fixture_init (&fixture, 1);
+	start_fetch (&fixture, &result, "GET", NULL, false);
+	result.fetch.body_max_bytes = LEN;
+	int fd = read_request (&fixture, -1, request, sizeof (request));
+	static const char head[] = "HTTP/1.1 200 OK\r\n\r\n";
+	send (fd, head, strlen (head), MSG_NOSIGNAL);
+	for (size_t at = 0; at < LEN;) {
+		ssize_t n = send (fd, body + at, LEN - at, MSG_NOSIGNAL | MSG_DONTWAIT);
+		if (n > 0)
+			at += (size_t)n;
+		else
+			run_loop_once (&fixture);
+	}
+	close (fd);
+	run_until_done (&fixture, &result);
+	CU_ASSERT_EQUAL (result.end, FETCH_OK);
+	CU_ASSERT_EQUAL (result.fetch.body.len, LEN);
+	fetch_finish (&result.fetch);
+	free (body);
+	fixture_finish (&fixture);
+}
+
 static void
 test_endless_interim_replies_end_with_the_deadline (void)
 {
@@ -532,6 +640,8 @@
 		TEST (deadline_and_cancel),
 		TEST (keep_alive_timeout_and_early_close),
 		TEST (endless_head_ends_the_fetch),
+		TEST (a_flood_leaves_the_loop_to_others),
+		TEST (unread_bytes_and_a_close_are_read_later),
 		TEST (endless_interim_replies_end_with_the_deadline),
 		TEST (endless_bodies_share_one_bound),
 	};
--- a/test/response.c
+++ b/test/response.c
@@ -162,11 +162,15 @@
 			received_finish (&received);
 		}
 	}
-	struct received received;
 	static const char nul[] = "HTTP/1.1 200 OK\r\nA: b\0c\r\nContent-Length: 0\r\n\r\n";
+	static const char last_nul[] = "HTTP/1.1 200 OK\r\nA: b\0\r\nContent-Length: 0\r\n\r\n";
+	struct received received;
 	receive (&received, nul, sizeof (nul) - 1, sizeof (nul), true);
 	CU_ASSERT_EQUAL (received.state, RESPONSE_INVALID);
 	received_finish (&received);
+	receive (&received, last_nul, sizeof (last_nul) - 1, sizeof (last_nul), true);
+	CU_ASSERT_EQUAL (received.state, RESPONSE_INVALID);
+	received_finish (&received);
 }
 
 /* Guards against a response whose target stopped in its middle and that looks complete. */
@@ -207,6 +211,49 @@
 	}
 }
 
+/* Guards against a target that sends bytes which are no body without end. */
+static void
+test_endless_bytes_that_are_no_body_are_rejected (void)
+{
+	static const struct {
+		const char *start;
+		const char *repeated;
+	} cases[] = {
+		{"", "HTTP/1.1 102 Processing\r\n\r\n"},
+		{"", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"},
+		{"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		{"HTTP/1.1 200 OK\r\nA: ", "bbbbbbbb"},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;", "extension"},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
+	};
+	for (size_t i = 0; i < sizeof (cases) / sizeof (cases[0]); i++) {
+		struct received received;
+		struct buf text;
+		buf_init (&text);
+		buf_addf (&text, "%s", cases[i].start);
+		while (text.len < 262144)
+			buf_addf (&text, "%s", cases[i].repeated);
+		receive (&received, text.data, text.len, 4096, false);
+		CU_ASSERT_EQUAL (received.state, RESPONSE_INVALID);
+		CU_ASSERT_TRUE (received.used <= 131072 + 4096);
+		received_finish (&received);
+		buf_finish (&text);
+	}
+	/* Most of a body in the shortest chunks is overhead. */
+	struct received received;
+	struct buf text;
+	buf_init (&text);
+	buf_addf (&text, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+	for (int i = 0; i < 100000; i++)
+		buf_addf (&text, "1\r\nx\r\n");
+	buf_addf (&text, "0\r\n\r\n");
+	receive (&received, text.data, text.len, 4096, false);
+	CU_ASSERT_EQUAL (received.state, RESPONSE_COMPLETE);
+	CU_ASSERT_EQUAL (received.body.len, 100000);
+	received_finish (&received);
+	buf_finish (&text);
+}
+
 int
 main (void)
 {
@@ -214,6 +261,7 @@
 		TEST (only_the_final_head_and_body_are_delivered),
 		TEST (bytes_that_are_no_response_are_rejected),
 		TEST (a_response_cut_off_anywhere_is_not_complete),
+		TEST (endless_bytes_that_are_no_body_are_rejected),
 	};
 	return suite_run ("response", tests, sizeof (tests) / sizeof (tests[0]));
 }
