platform: an odd entry of the target list costs only itself

What callers saw (reported by another operator, and measured here on the list decoder): with one odd entry in the list, sound targets were not used, a wrong address was, or the list was not followed any more.

Ruled out: deep nesting and large numbers as such, which were survived.

A list with too many pages is a failed read. Unreadable entries and failures are counted and logged with their reason.

--- a/daemon/discovery.c
+++ b/daemon/discovery.c
@@ -177,7 +177,7 @@
 }
 
 static void
-finish_read (struct discovery *discovery, bool ok)
+finish_read (struct discovery *discovery, bool ok, const char *reason)
 {
 	struct front *front = discovery->front;
 	discovery->reading = false;
@@ -187,18 +187,28 @@
 			log_event (&front->log, EVENT_LIST_READ,
 				"%d targets on %d pages, %d unreadable", discovery->list.count,
 				discovery->pages, discovery->list.malformed);
+		else if (discovery->list.malformed != discovery->malformed)
+			log_event (&front->log, EVENT_LIST_ENTRIES_UNREADABLE,
+				"%d of %d entries, %d before", discovery->list.malformed,
+				discovery->list.malformed + discovery->list.count,
+				discovery->malformed);
+		discovery->malformed = discovery->list.malformed;
 		discovery->failures = 0;
 		metric_add (METRIC_LIST_READS, 1);
+		metric_add (METRIC_LIST_ENTRIES_UNREADABLE, (uint64_t)discovery->list.malformed);
 		discovery->read_us = front_now_us (front);
 		forward_release_held (front);
-	} else if (discovery->failures++ == 0) {
+	} else {
+		metric_add (METRIC_LIST_FAILURES, 1);
+	}
+	if (!ok && discovery->failures++ == 0)
 		log_event (&front->log, EVENT_LIST_LOST,
-			"status %ld; the list in use is %lld ms old", discovery->fetch.status,
+			"page %d: %s, status %ld; the list in use is %lld ms old", discovery->pages,
+			reason, discovery->fetch.status,
 			(long long)(discovery->read_us
 					    ? (front_now_us (front) - discovery->read_us) /
 						      US_PER_MS
 					    : -1));
-	}
 	listed_targets_finish (&discovery->list);
 	/* A control node that has read the list at its start waits for its election. */
 	bool is_waiting = ok && front->node->options.front_address[0] == '\0' &&
@@ -212,18 +222,33 @@
 on_page (struct fetch *fetch, enum fetch_end result)
 {
 	struct discovery *discovery = caa_container_of (fetch, struct discovery, fetch);
-	bool ok = result == FETCH_OK && fetch->status == 200 &&
-		  target_list_decode_page (&discovery->list, fetch->body.data, fetch->body.len,
-			  discovery->path, sizeof (discovery->path));
+	char path[sizeof (discovery->path)];
+	const char *reason = "no answer";
+	bool ok = false;
+	str_copy (path, sizeof (path), discovery->path);
+	if (result == FETCH_OK && fetch->status == 200) {
+		reason = "malformed";
+		ok = target_list_decode_page (&discovery->list,
+			fetch->body.len ? fetch->body.data : "", fetch->body.len, discovery->path,
+			sizeof (discovery->path));
+	}
 	fetch_finish (fetch);
+	/* A part of the list must not look like all of it. */
+	if (ok && discovery->path[0] &&
+		(strcmp (path, discovery->path) == 0 || discovery->pages == LIST_MAX_PAGES)) {
+		reason = "too many pages follow";
+		ok = false;
+	}
 	if (result == FETCH_SILENT) {
 		fetch_pool_retire (discovery->pool);
 		discovery->pool = NULL;
 	}
-	if (ok && discovery->path[0] && ++discovery->pages < LIST_MAX_PAGES)
+	if (ok && discovery->path[0]) {
+		discovery->pages++;
 		read_page (discovery);
-	else
-		finish_read (discovery, ok);
+		return;
+	}
+	finish_read (discovery, ok, reason);
 }
 
 static void
--- a/daemon/discovery.h
+++ b/daemon/discovery.h
@@ -36,6 +36,7 @@
 	struct listed_targets list; /**< entries of the read in progress */
 	int64_t read_us;            /**< when the list in use was read; 0: there is none */
 	int failures;               /**< consecutive failed reads */
+	int malformed;              /**< unreadable entries of the last complete list */
 };
 
 void
--- a/test/fuzz/platform.c
+++ b/test/fuzz/platform.c
@@ -5,6 +5,7 @@
  * invariants on which the rest of the program relies.
  */
 #include "core/buf.h"
+#include "core/json_scan.h"
 #include "platform/list.h"
 #include "platform/manifest.h"
 #include "platform/orders.h"
@@ -14,6 +15,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* A bit of the first byte, which selects what the other bytes are. */
+enum { ODD_ENTRY = 0x80 };
+
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
 
@@ -55,6 +59,39 @@
 	listed_targets_finish (&list);
 }
 
+static const char sound_entry[] =
+	"{\"id\":\"i-%d\",\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":1,"
+	"\"state\":\"ready\"}";
+
+/* An element between two sound entries: both are used, whatever it is. */
+static void
+try_odd_entry (const char *odd, size_t len)
+{
+	struct listed_targets list;
+	struct buf page;
+	char next[TARGET_LIST_TOKEN_MAX_BYTES * 3 + 64];
+	int sound = 0;
+	buf_init (&page);
+	listed_targets_init (&list);
+	buf_addf (&page, "{\"instances\":[");
+	buf_addf (&page, sound_entry, 1);
+	buf_addf (&page, ",");
+	buf_add (&page, odd, len);
+	buf_addf (&page, ",");
+	buf_addf (&page, sound_entry, 2);
+	buf_addf (&page, "]}");
+	const char *end = json_skip_value (odd, odd + len);
+	bool is_value = end && json_skip_space (end, odd + len) == odd + len;
+	bool ok = target_list_decode_page (&list, page.data, page.len, next, sizeof (next));
+	for (int i = 0; i < list.count; i++)
+		sound += strcmp (list.items[i].id, "i-1") == 0 ||
+			 strcmp (list.items[i].id, "i-2") == 0;
+	if (is_value)
+		check (ok && sound >= 2 && list.count <= 3);
+	listed_targets_finish (&list);
+	buf_finish (&page);
+}
+
 static void
 try_reply (const char *text, size_t len)
 {
@@ -79,6 +116,11 @@
 		return 0;
 	char *text = xmemdup (data + 1, size - 1);
 	struct order order;
+	if (data[0] & ODD_ENTRY) {
+		try_odd_entry (text, size - 1);
+		free (text);
+		return 0;
+	}
 	switch (data[0] % 4) {
 	case 0:
 		try_manifest (text, size - 1);
--- a/test/platform.c
+++ b/test/platform.c
@@ -108,6 +108,12 @@
 			target->faults[FAULT_DRAINING] ? "draining" : "ready",
 			target->faults[FAULT_COLD] ? 2000 : 0);
 	}
+	/* Entries of another writer: nested, a port out of range, and a broken one. */
+	buf_addf (out,
+		",[[{\"id\":\"]\"}]],{\"id\":\"port\",\"service\":\"s0\",\"address\":\"127.0.0.1:%"
+		"d\","
+		"\"zone\":\"z0\",\"slots\":4,\"state\":\"ready\"},{\"id\":\"open}",
+		65536 + base_port);
 	if (i < target_count)
 		buf_addf (out, "],\"next_page_token\":\"%d\"}", i);
 	else
--- a/test/routes.c
+++ b/test/routes.c
@@ -791,6 +791,92 @@
 }
 
 /* Guards against targets that drop out because a number in the list is encoded as a fraction. */
+static const char sound_entry[] =
+	"{\"id\":\"i-%d\",\"service\":\"a\",\"address\":\"10.0.0.%d:80\",\"zone\":\"z\",\"slots\":"
+	"2,"
+	"\"state\":\"ready\",\"warmup_left_ms\":0,\"born\":1700000000000}";
+
+/* Decodes a page of three sound entries with an odd element in each gap; returns their number. */
+static int
+count_sound_around (const char *odd, size_t odd_len, int *malformed)
+{
+	struct listed_targets list;
+	struct buf page;
+	char next[1024];
+	buf_init (&page);
+	listed_targets_init (&list);
+	buf_addf (&page, "{\"instances\":[");
+	for (int i = 1; i <= 3; i++) {
+		buf_add (&page, odd, odd_len);
+		buf_addf (&page, ",");
+		buf_addf (&page, sound_entry, i, i);
+		buf_addf (&page, ",");
+	}
+	buf_add (&page, odd, odd_len);
+	buf_addf (&page, "],\"next_page_token\":\"p\"}");
+	bool ok = target_list_decode_page (&list, page.data, page.len, next, sizeof (next));
+	CU_ASSERT_TRUE (ok && strcmp (next, "/instances?page_token=p") == 0);
+	int found = 0;
+	for (int i = 0; i < list.count; i++)
+		found += list.items[i].id[0] == 'i' && list.items[i].id[2] == '1' + i;
+	CU_ASSERT_EQUAL (list.count, found);
+	*malformed = list.malformed;
+	listed_targets_finish (&list);
+	buf_finish (&page);
+	return found;
+}
+
+/* Guards against an odd entry of another writer that takes sound entries or the whole list along.
+ */
+static void
+test_odd_entries_cost_only_themselves (void)
+{
+	static const char *const cases[] = {"null", "7", "\"text\"", "\"]\"", "\"{\"", "\"}],[{\"",
+		"[]",
+		"[[{\"id\":\"n\",\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\","
+		"\"slots\":2,"
+		"\"state\":\"ready\"}]]",
+		"{\"in\":[{},{\"id\":\"n\",\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":"
+		"\"z\","
+		"\"slots\":2,\"state\":\"ready\"}],\"slots\":1e999}",
+		"{}", "{\"instances\":[]}", "{\"next_page_token\":\"q\"}",
+		"{\"id\":\"x\",\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\","
+		"\"slots\":1e999,"
+		"\"state\":\"ready\"}",
+		"{\"id\":\"x\",\"service\":\"a\",\"address\":\"10.0.0.9:74000\",\"zone\":\"z\","
+		"\"slots\":2,"
+		"\"state\":\"ready\"}",
+		"{\"id\":\"x\",\"service\":\"a\",\"address\":\"10.0.0.9:0\",\"zone\":\"z\","
+		"\"slots\":2,"
+		"\"state\":\"ready\"}",
+		"{\"id\":\"x\",\"service\":\"a\",\"address\":\"host:80\",\"zone\":\"z\",\"slots\":"
+		"2,"
+		"\"state\":\"ready\"}",
+		"{\"id\":\"x\",\"id\":\"y\",\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":"
+		"\"z\","
+		"\"slots\":2,\"state\":\"ready\"}",
+		"{\"id\":\"x\",\"service\":\"a", "{\"id\":\"x}", "{\"id\"", "{", "[", "\"", "{]",
+		"[}", "{\"id\":{\"id\":{\"id\":", "{\"id\":\"\xff\xfe\"}", "\xff\xfe",
+		"{\"a\":\"\\", "}", "nul", "{\"a\":01x}", "{'id':'x'}"};
+	int malformed = 0;
+	for (size_t i = 0; i < sizeof (cases) / sizeof (cases[0]); i++) {
+		int sound = count_sound_around (cases[i], strlen (cases[i]), &malformed);
+		CU_ASSERT_EQUAL (sound, 3);
+		CU_ASSERT_TRUE (malformed > 0);
+		if (sound != 3)
+			printf ("lost %d with %s\n", 3 - sound, cases[i]);
+	}
+	struct buf nested;
+	buf_init (&nested);
+	for (int i = 0; i < 100000; i++)
+		buf_addf (&nested, "%s", i % 2 ? "[" : "{\"a\":");
+	CU_ASSERT_EQUAL (count_sound_around (nested.data, nested.len, &malformed), 3);
+	for (int i = 99999; i >= 0; i--)
+		buf_addf (&nested, "%s", i % 2 ? "]" : "}");
+	CU_ASSERT_EQUAL (count_sound_around ("[1]", 3, &malformed), 3);
+	buf_finish (&nested);
+}
+
 static void
 test_list_with_fractional_and_huge_numbers (void)
 {
@@ -975,6 +1061,7 @@
 		TEST (routes_by_host_and_longest_prefix),
 		TEST (invalid_manifests_are_rejected),
 		TEST (list_with_unreadable_entries),
+		TEST (odd_entries_cost_only_themselves),
 		TEST (list_with_fractional_and_huge_numbers),
 		TEST (manifest_with_fractional_and_huge_numbers),
 		TEST (headers_with_fractional_and_huge_numbers),
