query, daemon: keep away from targets that announce that they leave

A whole answer with the sub-request's own id that says so makes the target leaving for this node, beside what the list says, so that no list, evacuation or outage undoes it; an unlisted one is remembered for ten minutes. What waits for a connection to it ends unsent and is placed elsewhere; its idle connections close. Without another target it is used until front.drain_ms less 0.5 s, then requests are refused at once. Results of batches name such targets, since the node that answers the caller has passed the answer on as well.

--- a/daemon/batch_send.c
+++ b/daemon/batch_send.c
@@ -203,6 +203,11 @@
 			.content_type = "",
 			.body = records,
 			.body_len = records_len};
+		/* This node passes the answer on too, so it has to keep away from the target too.
+		 */
+		if (part->answered && part->leaving[0])
+			forward_note_leaving (
+				batch->forward, scatter->shards[part->shard].set, part->leaving);
 		if (part->answered)
 			scatter_remote_answered (scatter, part->shard, &answer);
 		else
--- a/daemon/batch_serve.c
+++ b/daemon/batch_serve.c
@@ -53,7 +53,8 @@
 			.answered = shard->answered,
 			.may_have_run = shard->may_have_run || shard->running > 0,
 			.give_up = shard->give_up,
-			.stamp = shard->answered ? xstrdup (shard->stamp) : NULL};
+			.stamp = shard->answered ? xstrdup (shard->stamp) : NULL,
+			.leaving = shard->leaving ? xstrdup (shard->leaving) : NULL};
 		shard->reported = true;
 	}
 	served->reported_hedges = scatter->hedges;
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -243,6 +243,42 @@
 		(long long)((now_us - sub->front->discovery.read_us) / US_PER_MS));
 }
 
+static void
+note_leaving (struct front *front, struct replica *replica, const char *attempt_id)
+{
+	if (!replica_note_leaving (replica, front_now_us (front)))
+		return;
+	metric_add (METRIC_TARGETS_LEAVING, 1);
+	log_event (&front->log, EVENT_TARGET_LEAVES, "%s: %s of %s at %s, %d in flight, listed %s",
+		attempt_id, replica->id, replica->set->name, replica->address, replica->in_flight,
+		replica->state == REPLICA_LEAVING ? "as leaving" : "as ready");
+	if (replica->pool)
+		fetch_pool_end_waiting (replica->pool);
+	forward_drop_connections (replica);
+}
+
+void
+forward_note_leaving (
+	const struct forward *forward, const struct replica_set *set, const char *target_id)
+{
+	struct replica *replica;
+	cds_list_for_each_entry (replica, &set->replicas, node) {
+		if (strcmp (replica->id, target_id) == 0)
+			note_leaving (forward->front, replica, forward->head.attempt_id);
+	}
+}
+
+/* What a target announces about itself counts only in a whole answer to this sub-request. */
+static void
+read_announcements (const struct sub *sub, enum fetch_end result)
+{
+	bool is_own = strcmp (sub->head.attempt_id, sub->attempt_id) == 0;
+	if (result != FETCH_OK || !is_own || sub->fetch.status == 421)
+		return;
+	if (sub->head.leaving)
+		note_leaving (sub->front, sub->use.replica, sub->attempt_id);
+}
+
 static void
 on_sub_done (struct fetch *fetch, enum fetch_end result)
 {
@@ -253,10 +289,12 @@
 	struct replica_set *set = replica->set;
 	int64_t now_us = front_now_us (front);
 	enum sub_end end = classify_reply (sub, result);
+	read_announcements (sub, result);
 	struct sub_answer answer = {
 		.http_status = (int)fetch->status,
 		.stamp = sub->head.stamp,
 		.content_type = sub->head.content_type,
+		.leaving = replica->leaving_since_us != 0 ? replica->id : NULL,
 		.body = fetch->body.data,
 		.body_len = fetch->body.len,
 	};
--- a/daemon/forward.h
+++ b/daemon/forward.h
@@ -78,6 +78,11 @@
 void
 forward_timer_due (struct timer *timer);
 
+/** Records that a target of a service has announced in an answer that it leaves. */
+void
+forward_note_leaving (
+	const struct forward *forward, const struct replica_set *set, const char *target_id);
+
 /** Closes the connections to a target once they are known to be unusable. */
 void
 forward_drop_connections (struct replica *replica);
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -132,6 +132,7 @@
 	set->cold_rate_per_s =
 		service->cold_rate_per_s * options->front_cold_factor + options->front_cold_slack;
 	set->share_until_us = front->share_until_us;
+	set->drain_us = options->front_drain_ms * US_PER_MS;
 	update_cold_intervals (front, set);
 }
 
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -210,6 +210,14 @@
 	set_timer (fetch, loop_now_us (fetch->pool->loop));
 }
 
+void
+fetch_pool_end_waiting (struct fetch_pool *pool)
+{
+	struct fetch *fetch;
+	cds_list_for_each_entry (fetch, &pool->waiting, node)
+		fail_later (fetch);
+}
+
 static struct fetch_conn *
 open_conn (struct fetch_pool *pool)
 {
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -154,6 +154,10 @@
 void
 fetch_pool_retire (struct fetch_pool *pool);
 
+/** Ends the requests that wait for a connection of the pool: nothing of them was sent. */
+void
+fetch_pool_end_waiting (struct fetch_pool *pool);
+
 /** Starts a request. done is called later from the loop, never by this function. */
 void
 fetch_start (struct fetch *fetch, struct fetch_pool *pool, const struct fetch_request *request,
--- a/options/options.h
+++ b/options/options.h
@@ -50,6 +50,7 @@
 	char front_ready_address[OPTION_TEXT_SIZE];
 	int64_t front_margin_ms;
 	int64_t front_stop_ms;
+	int64_t front_drain_ms;
 	double front_extra_ratio;
 	double front_extra_slack;
 	double front_extra_window_s;
--- a/query/batch.c
+++ b/query/batch.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum { REQUEST_FIELDS = 13, REST_FIELDS = 4, RESULT_FIELDS = 8, PART_FIELDS = 5 };
+enum { REQUEST_FIELDS = 13, REST_FIELDS = 4, RESULT_FIELDS = 8, PART_FIELDS = 6 };
 
 static void
 write_head (struct pack_writer *writer, size_t fields, const char *key, const struct batch_id *id)
@@ -170,6 +170,7 @@
 		pack_bool (&writer, part->may_have_run);
 		pack_u64 (&writer, part->give_up);
 		pack_str (&writer, part->stamp ? part->stamp : "");
+		pack_str (&writer, part->leaving ? part->leaving : "");
 	}
 	pack_bytes (&writer, result->records ? result->records : "", result->records_len);
 	return pack_end (&writer, len);
@@ -192,6 +193,7 @@
 		part->may_have_run = pack_get_bool (pack_at (item, 2));
 		part->give_up = (enum give_up)pack_get_below (pack_at (item, 3), GIVE_UP_COUNT);
 		part->stamp = pack_dup_str (pack_at (item, 4));
+		part->leaving = pack_dup_str (pack_at (item, 5));
 		if (part->answered && part->stamp[0] == '\0')
 			pack_fail (item);
 	}
@@ -223,8 +225,10 @@
 void
 batch_result_finish (struct batch_result *result)
 {
-	for (int i = 0; i < result->part_count; i++)
+	for (int i = 0; i < result->part_count; i++) {
 		free (result->parts[i].stamp);
+		free (result->parts[i].leaving);
+	}
 	free (result->parts);
 	free (result->records);
 	memset (result, 0, sizeof (*result));
--- a/query/batch.h
+++ b/query/batch.h
@@ -16,7 +16,7 @@
 #include <stdint.h>
 
 enum {
-	BATCH_VERSION = 1,
+	BATCH_VERSION = 2,
 	BATCH_MAX_SHARDS = 4096,
 	BATCH_MAX_COUNT = 65536, /**< of hedges or retries in one result */
 	BATCH_MAX_LINES = 128,
@@ -55,6 +55,7 @@
 	bool may_have_run;
 	enum give_up give_up; /**< of a shard without an answer */
 	char *stamp;          /**< owned; of an answered shard */
+	char *leaving;        /**< owned; id of its target if that leaves; NULL or empty: none */
 };
 
 /** The answer to a batch or to a request for its rest. */
--- a/query/replica.c
+++ b/query/replica.c
@@ -26,7 +26,34 @@
 bool
 replica_usable (const struct replica *replica)
 {
-	return replica->listed && replica->state == REPLICA_READY && !replica->evacuated;
+	return replica->listed && replica->state == REPLICA_READY && !replica->evacuated &&
+	       replica->leaving_since_us == 0;
+}
+
+bool
+replica_note_leaving (struct replica *replica, int64_t now_us)
+{
+	if (replica->leaving_since_us != 0)
+		return false;
+	replica->leaving_since_us = now_us;
+	return true;
+}
+
+bool
+replica_is_kept (const struct replica *replica, int64_t now_us)
+{
+	return replica->leaving_since_us != 0 &&
+	       now_us < replica->leaving_since_us + REPLICA_LEAVING_KEEP_US;
+}
+
+/* Whether a target that has announced that it leaves may be used because there is no other. */
+static bool
+is_last_resort (const struct replica *replica, int64_t now_us)
+{
+	return replica->listed && replica->state == REPLICA_READY && !replica->evacuated &&
+	       replica->leaving_since_us != 0 &&
+	       now_us <
+		       replica->leaving_since_us + replica->set->drain_us - REPLICA_DRAIN_MARGIN_US;
 }
 
 static bool
@@ -113,6 +140,31 @@
 	return wait_us;
 }
 
+/* Chooses among the targets that have announced that they leave. */
+static enum replica_selection
+choose_last_resort (struct replica_set *set, const struct replica_criteria *criteria,
+	int64_t now_us, struct replica **chosen)
+{
+	struct replica *replica;
+	int64_t best_us = INT64_MAX;
+	bool any = false;
+	*chosen = NULL;
+	cds_list_for_each_entry (replica, &set->replicas, node) {
+		if (!is_last_resort (replica, now_us) || was_tried (criteria, replica))
+			continue;
+		any = true;
+		int64_t wait_us = expected_wait_us (replica, criteria, now_us);
+		if (replica->in_flight >= set->connections || wait_us >= best_us ||
+			replica->cold_until_us > now_us)
+			continue;
+		*chosen = replica;
+		best_us = wait_us;
+	}
+	if (*chosen)
+		return REPLICA_FOUND;
+	return any ? REPLICA_BUSY : REPLICA_NONE;
+}
+
 enum replica_selection
 replica_choose (struct replica_set *set, const struct replica_criteria *criteria, int64_t now_us,
 	struct replica **chosen)
@@ -149,7 +201,9 @@
 	*chosen = best;
 	if (best)
 		return REPLICA_FOUND;
-	return any_usable ? REPLICA_BUSY : REPLICA_NONE;
+	if (any_usable)
+		return REPLICA_BUSY;
+	return criteria->hedge ? REPLICA_NONE : choose_last_resort (set, criteria, now_us, chosen);
 }
 
 int64_t
--- a/query/replica.h
+++ b/query/replica.h
@@ -5,6 +5,9 @@
  * Made for many small sub-requests to few replicas that pause, turn slow or start cold. The replica
  * with the shortest expected wait is selected first, and one that has left a sub-request unanswered
  * for unusually long is selected last. None gets more than this node's share of what it can handle.
+ *
+ * Targets also announce in their answers that they leave, before the list shows it or while it
+ * cannot be read. Such a target gets nothing more, but for a short time if there is no other.
  */
 #pragma once
 
@@ -31,7 +34,10 @@
 	REPLICA_INTERVAL_MAX_US = 1000000, /**< longer pauses say nothing about the request rate */
 	REPLICA_FAILURE_RATE_ONE = 1024,   /**< failure rate when all recent sub-requests failed */
 	REPLICA_FAILURE_COST_MEDIANS = 4,  /**< median latencies that a failed sub-request costs */
-	REPLICA_STALL_MIN_US = 15000,      /**< shorter waits for a reply are ordinary variation */
+	REPLICA_DRAIN_MARGIN_US = 500000,  /**< reserved for a request to reach a leaving target */
+	/** How long an unlisted target is remembered as leaving, since lists may come late. */
+	REPLICA_LEAVING_KEEP_US = 600000000,
+	REPLICA_STALL_MIN_US = 15000, /**< shorter waits for a reply are ordinary variation */
 };
 
 enum replica_state { REPLICA_READY, REPLICA_LEAVING };
@@ -45,9 +51,14 @@
 	char data_centre[REPLICA_NAME_SIZE];
 	int slots;
 	enum replica_state state;
-	bool evacuated;           /**< its data centre is leaving, or has just returned */
-	int64_t returned_us;      /**< when its data centre returned after leaving; 0: it has not */
-	bool listed;              /**< in the newest target list */
+	bool evacuated;      /**< its data centre is leaving, or has just returned */
+	int64_t returned_us; /**< when its data centre returned after leaving; 0: it has not */
+	bool listed;         /**< in the newest target list */
+	/**
+	 * When it first announced in an answer that it leaves; 0: it has not. No list and no later
+	 * answer undoes this. It ends with this incarnation.
+	 */
+	int64_t leaving_since_us;
 	uint64_t start_unix_ms;   /**< start of this incarnation, Unix milliseconds; 0: unknown */
 	int64_t cold_until_us;    /**< until then it takes only the cold rate of the service */
 	int64_t cold_next_us;     /**< while cold: earliest time of the next request of this node */
@@ -86,6 +97,7 @@
 	int connections;               /**< this node's share of the connections of each target */
 	double cold_rate_per_s;        /**< what a cold target can handle from all nodes together */
 	int64_t share_until_us;        /**< this node may send to cold targets until then */
+	int64_t drain_us;              /**< how long a leaving target may still get requests */
 };
 
 /** What a replica is selected for. */
@@ -151,6 +163,17 @@
 void
 replica_end (struct replica_use *use, enum replica_outcome outcome, int64_t now_us);
 
+/**
+ * Records that the target announced in an answer that it leaves.
+ * @return false if that was known
+ */
+bool
+replica_note_leaving (struct replica *replica, int64_t now_us);
+
+/** True when an unlisted target has to be kept, so that it stays known as leaving. */
+bool
+replica_is_kept (const struct replica *replica, int64_t now_us);
+
 /** True while the target may get new sub-requests at all. */
 bool
 replica_usable (const struct replica *replica);
--- a/query/scatter.c
+++ b/query/scatter.c
@@ -80,8 +80,9 @@
 {
 	free (shard->stamp);
 	free (shard->content_type);
+	free (shard->leaving);
 	free (shard->body);
-	shard->stamp = shard->content_type = shard->body = NULL;
+	shard->stamp = shard->content_type = shard->leaving = shard->body = NULL;
 	shard->body_len = 0;
 }
 
@@ -380,6 +381,7 @@
 	shard->http_status = answer->http_status;
 	shard->stamp = xstrdup (answer->stamp);
 	shard->content_type = xstrdup (answer->content_type);
+	shard->leaving = answer->leaving ? xstrdup (answer->leaving) : NULL;
 	shard->body = xmalloc (answer->body_len + 1);
 	if (answer->body_len)
 		memcpy (shard->body, answer->body, answer->body_len);
--- a/query/scatter.h
+++ b/query/scatter.h
@@ -48,6 +48,7 @@
 	int http_status;
 	const char *stamp; /**< by which the target signs the reply; not owned, may be empty */
 	const char *content_type; /**< not owned, may be empty */
+	const char *leaving;      /**< id of its target if that announced that it leaves, or NULL */
 	const char *body;
 	size_t body_len;
 };
@@ -110,6 +111,7 @@
 	int http_status;
 	char *stamp; /**< owned */
 	char *content_type;
+	char *leaving; /**< id of the target that answered and leaves; NULL: none */
 	char *body;
 	size_t body_len;
 };
--- a/test/aggregators.c
+++ b/test/aggregators.c
@@ -373,7 +373,9 @@
 {
 	char stamp[] = "3e.07";
 	char records[] = "ccccccccccccccc1";
-	struct batch_part parts[] = {{.shard = 1, .answered = true, .stamp = stamp},
+	char leaving[] = "i-7";
+	struct batch_part parts[] = {
+		{.shard = 1, .answered = true, .stamp = stamp, .leaving = leaving},
 		{.shard = 5, .may_have_run = true, .give_up = GIVE_UP_ATTEMPTS}};
 	struct batch_result result = {.id = {7, 9},
 		.done = true,
@@ -390,6 +392,8 @@
 	CU_ASSERT_TRUE (decoded.done);
 	CU_ASSERT_EQUAL (decoded.part_count, 2);
 	CU_ASSERT_STRING_EQUAL (decoded.parts[0].stamp, "3e.07");
+	CU_ASSERT_STRING_EQUAL (decoded.parts[0].leaving, "i-7");
+	CU_ASSERT_STRING_EQUAL (decoded.parts[1].leaving, "");
 	CU_ASSERT_EQUAL (decoded.parts[1].give_up, GIVE_UP_ATTEMPTS);
 	CU_ASSERT_EQUAL (decoded.records_len, 16);
 	batch_result_finish (&decoded);
--- a/test/platform.c
+++ b/test/platform.c
@@ -8,7 +8,8 @@
  *
  *   GET  /instances             the list in pages, each with an entry that cannot be decoded
  *   POST /set/FAULT/TARGET/ON   FAULT: draining unlisted shed fail slow silent mismatch cold
- *                               stuck
+ *                               stuck announce restarted
+ *                               announce: its answers say that it leaves, the list does not
  *   GET  /worked/ID             longest time in ms that a target worked on the request with this id
  *   GET  /runs/ID               how often the request with this id ran, over all targets
  *   GET  /arrivals/TARGET       how many requests reached a target
@@ -30,7 +31,7 @@
 	SLOW_MS = 400,
 	SILENT_MS = 3000, /* longer than any caller waits */
 	STUCK_MS = 20000, /* longer than a planned stop takes */
-	WORK_STEP_MS = 20
+	WORK_STEP_MS = 20,
 };
 
 enum fault {
@@ -43,11 +44,13 @@
 	FAULT_MISMATCH, /* the reply carries the id of another request */
 	FAULT_COLD,
 	FAULT_STUCK,
+	FAULT_ANNOUNCE,
+	FAULT_RESTARTED, /* another incarnation runs at its address */
 	FAULT_COUNT,
 };
 
-static const char *const fault_names[FAULT_COUNT] = {
-	"draining", "unlisted", "shed", "fail", "slow", "silent", "mismatch", "cold", "stuck"};
+static const char *const fault_names[FAULT_COUNT] = {"draining", "unlisted", "shed", "fail", "slow",
+	"silent", "mismatch", "cold", "stuck", "announce", "restarted"};
 
 struct target {
 	int number;
@@ -90,6 +93,12 @@
 	return result;
 }
 
+static const char *
+name_of (const struct target *target)
+{
+	return target->faults[FAULT_RESTARTED] ? "j" : "i";
+}
+
 static void
 write_list (struct buf *out, int first)
 {
@@ -101,10 +110,11 @@
 		if (target->faults[FAULT_UNLISTED])
 			continue;
 		buf_addf (out,
-			",{\"id\":\"i-%d\",\"service\":\"s%d\",\"address\":\"127.0.0.1:%d\","
+			",{\"id\":\"%s-%d\",\"service\":\"s%d\",\"address\":\"127.0.0.1:%d\","
 			"\"zone\":\"z%d\",\"version\":\"v1\",\"slots\":4,\"state\":\"%s\","
 			"\"warmup_left_ms\":%d,\"born\":1700000000000}",
-			i, target->service, base_port + 1 + i, i % replicas_per_service,
+			name_of (target), i, target->service, base_port + 1 + i,
+			i % replicas_per_service,
 			target->faults[FAULT_DRAINING] ? "draining" : "ready",
 			target->faults[FAULT_COLD] ? 2000 : 0);
 	}
@@ -245,13 +255,14 @@
 	struct buf out;
 	buf_init (&lines);
 	buf_init (&out);
-	snprintf (own_id, sizeof (own_id), "i-%d", target->number);
+	snprintf (own_id, sizeof (own_id), "%s-%d", name_of (target), target->number);
 	buf_addf (&lines, "Oleanderstile-Server-Load: 1,0,4\nOleanderstile-Instance-Id: %s\n",
 		own_id);
 	unsigned status = 200;
 	int run = -1;
 	pthread_mutex_lock (&lock);
 	target->arrivals++;
+	bool announce = target->faults[FAULT_ANNOUNCE];
 	bool fail = target->faults[FAULT_FAIL];
 	bool mismatch = target->faults[FAULT_MISMATCH];
 	int duration_ms = target->faults[FAULT_SLOW]     ? SLOW_MS
@@ -281,6 +292,8 @@
 	} else if (status != 421) {
 		buf_addf (&lines, "Oleanderstile-Not-Executed: 1\n");
 	}
+	if (announce)
+		buf_addf (&lines, "Server-Leaving: 1\n");
 	enum MHD_Result result =
 		answer (connection, status, &lines, out.len ? out.data : "", out.len);
 	buf_finish (&lines);
--- a/test/platform.sh
+++ b/test/platform.sh
@@ -287,6 +287,56 @@
 sleep 1.5
 for n in 4 5; do expect "entry node $n serves the new route" "$(send_request $n "f$n" /new/x)" '^HTTP/1.1 200'; done
 
+# Guards against requests to a target that announced in its answers that it leaves, while the list
+# still says that it is ready, and while control is lost.
+echo "targets announce that they leave:"
+# knows N TARGET: whether node N was told by an answer that a target leaves.
+knows () {
+	grep -q "TARGET_LEAVES.*: i-$2 of " "$RUN/n$1.log"
+}
+for t in 1 2 10; do set_fault announce $t 1; done
+for i in $(seq 1 12); do
+	expect "requests are answered" "$(send_request 4 "la$i" /all/x)" '^HTTP/1.1 200'
+	expect "requests are answered" "$(send_request 5 "lb$i" /all/x)" '^HTTP/1.1 200'
+	expect "requests are answered" "$(send_request 4 "lc$i" /new/x)" '^HTTP/1.1 200'
+	expect "requests are answered" "$(send_request 4 "ld$i" /file/x -d x)" '^HTTP/1.1 200'
+done
+expect "the target is passed over" "$(cat "$RUN"/n4.log)" 'TARGET_LEAVES.*l[a-d][0-9]+: i-(1|2|10) of s[03] .*listed as ready'
+told=$(grep -ho 'TARGET_LEAVES.*l[ab][0-9]*: i-[0-9]* of s0' "$RUN"/n[45].log | sort | uniq -d)
+expect "an aggregator and the sender of its batch both know" "$told" 'i-[12] of s0'
+for n in 1 2 3; do kill -STOP "${PIDS[n$n]}"; done
+sleep 3.2
+before=$(for t in 1 2 10; do knows 4 $t && arrivals $t; done)
+for i in $(seq 1 20); do
+	send_request 4 "le$i" /new/x > "$RUN/x"
+	send_request 4 "lf$i" /file/x -d x > "$RUN/x"
+done
+expect "other targets answer" "$(cat "$RUN/x")" '^HTTP/1.1 200'
+for n in 1 2 3; do kill -CONT "${PIDS[n$n]}"; done
+wait_for 10 eval "[ \"\$(order 1 GET /config/get)\" = 200 ]" || fail "control did not recover"
+sleep 1
+for i in $(seq 1 20); do send_request 4 "lg$i" /new/x > "$RUN/x"; done
+expect "no request reaches it after the drain time" "$(for t in 1 2 10; do knows 4 $t && arrivals $t; done)" "^$before\$"
+set_fault announce 0 1
+for i in 1 2 3 4 5 6; do
+	for n in 4 5; do send_request $n "lh$n$i" /new/x > "$RUN/x"; done
+done
+expect "without another target, a leaving one is used at first" "$(cat "$RUN/x")" '^HTTP/1.1 200'
+sleep 3.2
+before=$(($(arrivals 0) + $(arrivals 1) + $(arrivals 2)))
+begin_ms=$(date +%s%3N)
+answer=$(send_request 4 li /new/x)
+expect "and then the request is refused" "$answer" '^HTTP/1.1 503'
+expect "with a time to return" "$answer" '^Retry-After: [0-9.]+'
+[ $(($(date +%s%3N) - begin_ms)) -lt 300 ] || fail "the refusal was not immediate"
+expect "a fan-out names the shard as missing" "$(send_request 4 lj /all/x)" '^Oleanderstile-Missing-Parts: 1'
+expect "nothing reaches them late" "$(($(arrivals 0) + $(arrivals 1) + $(arrivals 2)))" "^$before\$"
+for t in 0 1 2 10; do set_fault announce $t 0; set_fault unlisted $t 1; done
+sleep 2
+for t in 0 1 2 10; do set_fault restarted $t 1; set_fault unlisted $t 0; done
+sleep 2
+expect "another incarnation at the address is used" "$(send_request 4 lk /all/x)" '^Oleanderstile-Missing-Parts: 0'
+
 echo "settings are read again after a change and on SIGHUP:"
 sed -i "s/^peers = .*/peers = 127.0.0.1:$((BASE + 203)),127.0.0.1:$((BASE + 202))/" "$RUN/n4.ini"
 wait_for 5 grep -q SETTINGS_READ "$RUN/n4.log" || fail "the changed settings file was not read again"
--- a/test/routes.c
+++ b/test/routes.c
@@ -539,6 +539,47 @@
 	return replica;
 }
 
+/* Guards against requests to a target that announced that it leaves while a list says ready. */
+static void
+test_announced_leaving_outlasts_any_list (void)
+{
+	struct testbed testbed;
+	struct scatter scatter;
+	testbed_init (&testbed, 1, "idempotent", 2);
+	struct replica *replicas = testbed.replicas[0];
+	testbed.sets[0].drain_us = 3000 * MS;
+	CU_ASSERT_TRUE (replica_note_leaving (&replicas[0], now_us));
+	int64_t announced_us = now_us;
+	/* The list, an evacuation that ends and later answers say again and again that it is ready.
+	 */
+	for (; now_us < announced_us + 700000 * MS; now_us += 250 * MS) {
+		replicas[0].state = REPLICA_READY;
+		replicas[0].listed = true;
+		replicas[0].evacuated = false;
+		CU_ASSERT_FALSE (replica_note_leaving (&replicas[0], now_us));
+		struct replica *chosen = choose (&testbed);
+		CU_ASSERT_TRUE (chosen != NULL && chosen != &replicas[0]);
+		CU_ASSERT_EQUAL (replica_is_kept (&replicas[0], now_us),
+			now_us < announced_us + REPLICA_LEAVING_KEEP_US);
+	}
+	/* All of them leave: for the drain time one is used, then requests are refused at once. */
+	announced_us = now_us;
+	replica_note_leaving (&replicas[1], now_us);
+	replica_note_leaving (&replicas[2], now_us);
+	now_us = announced_us + 2400 * MS;
+	CU_ASSERT_PTR_NOT_NULL (choose (&testbed));
+	CU_ASSERT_PTR_NOT_EQUAL (choose (&testbed), &replicas[0]);
+	replicas[1].state = REPLICA_LEAVING;
+	CU_ASSERT_PTR_EQUAL (choose (&testbed), &replicas[2]);
+	now_us = announced_us + 2500 * MS;
+	CU_ASSERT_PTR_NULL (choose (&testbed));
+	testbed_start (&testbed, &scatter, "one");
+	CU_ASSERT_EQUAL (delivered, 1);
+	CU_ASSERT_EQUAL (scatter.result, SCATTER_REFUSED);
+	CU_ASSERT_TRUE (scatter.retry_after_ms > 0);
+	testbed_finish (&testbed, &scatter);
+}
+
 static void
 test_stalled_and_failing_replicas_go_last (void)
 {
@@ -1051,6 +1092,7 @@
 		TEST (error_reply_of_the_target_is_forwarded),
 		TEST (queue_is_ordered_by_priority),
 		TEST (request_without_usable_target_is_refused),
+		TEST (announced_leaving_outlasts_any_list),
 		TEST (stalled_and_failing_replicas_go_last),
 		TEST (repeated_refusals_back_off),
 		TEST (slow_replica_is_remembered_between_rare_requests),
