query, daemon: leave busy targets alone for the time that they ask for

Such a target gets no sub-request until then and a little later, differing by node; what waits for a connection to it ends unsent. After that it gets one at a time, and twice as many with each answer. If all targets of a service refuse, a request is queued until the first returns if its deadline allows, the most urgent first, and refused at once with the fitting Retry-After if not. A target that refused so may be tried again by the same request, which uses up no attempt.

Tests: unit-routes busy_target_gets_nothing_until_its_time, busy_service_queues_or_refuses_at_once, times_to_return_are_decoded; test/platform.sh, "targets ask for no requests for some time".

--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -20,6 +20,7 @@
 	SUB_CONNECT_TIMEOUT_US = 200000, /* several times a slow handshake between data centres */
 	SUB_SILENCE_LATENCY_FACTOR = 8,  /* times the usual latency */
 	ABANDONED_TIMEOUT_US = 400000,   /* so that abandoned work ends within half a second */
+	BUSY_JITTER_MAX_US = 250000,     /* spreads the return of the nodes to a busy target */
 	UNREADY_RETRY_US = 500000,       /* a node without a view gets one within two polls */
 };
 
@@ -168,8 +169,13 @@
 
 /* What the end of a sub-request says about the target, as opposed to the request. */
 static enum replica_outcome
-target_outcome (enum sub_end end, const struct sub *sub, enum fetch_end result)
+target_outcome (enum sub_end end, const struct sub *sub, enum fetch_end result, int64_t now_us)
 {
+	const struct replica *replica = sub->use.replica;
+	/* Ended here, because the target asked for no requests or leaves. */
+	if (end == SUB_END_NOT_SENT &&
+		(replica->busy_until_us > now_us || replica->leaving_since_us != 0))
+		return REPLICA_ABANDONED;
 	switch (end) {
 	case SUB_END_ANSWERED:
 		return REPLICA_ANSWERED;
@@ -279,6 +285,34 @@
 		note_leaving (sub->front, sub->use.replica, sub->attempt_id);
 }
 
+/* A refusal may come before the target has read the attempt id, so that it has none. */
+static void
+read_busy (const struct sub *sub, enum fetch_end result, int64_t now_us)
+{
+	struct front *front = sub->front;
+	struct replica *replica = sub->use.replica;
+	int64_t busy_us = sub->head.retry_after_us;
+	if (result != FETCH_OK || sub->fetch.status != 503 || busy_us == 0)
+		return;
+	if (busy_us < 0) {
+		metric_add (METRIC_RETRY_AFTER_UNREADABLE, 1);
+		log_event (&front->log, EVENT_TARGET_BUSY,
+			"%s: %s of %s at %s: unreadable, ignored", sub->attempt_id, replica->id,
+			replica->set->name, replica->address);
+		return;
+	}
+	/* The nodes that were refused at the same time do not return at the same time. */
+	int64_t jitter_max_us = busy_us / 8 < BUSY_JITTER_MAX_US ? busy_us / 8 : BUSY_JITTER_MAX_US;
+	int64_t jitter_us = (int64_t)rng_below (&front->rng, (uint64_t)jitter_max_us + 1);
+	replica_note_busy (replica, now_us + busy_us + jitter_us);
+	metric_add (METRIC_TARGETS_BUSY, 1);
+	log_event (&front->log, EVENT_TARGET_BUSY, "%s: %s of %s at %s: no requests for %lld ms",
+		sub->attempt_id, replica->id, replica->set->name, replica->address,
+		(long long)((busy_us + jitter_us) / US_PER_MS));
+	if (replica->pool)
+		fetch_pool_end_waiting (replica->pool);
+}
+
 static void
 on_sub_done (struct fetch *fetch, enum fetch_end result)
 {
@@ -290,6 +324,7 @@
 	int64_t now_us = front_now_us (front);
 	enum sub_end end = classify_reply (sub, result);
 	read_announcements (sub, result);
+	read_busy (sub, result, now_us);
 	struct sub_answer answer = {
 		.http_status = (int)fetch->status,
 		.stamp = sub->head.stamp,
@@ -313,7 +348,7 @@
 			(long long)((now_us - sub->use.sent_us) / US_PER_MS));
 		forward_drop_connections (replica);
 	}
-	replica_end (&sub->use, target_outcome (end, sub, result), now_us);
+	replica_end (&sub->use, target_outcome (end, sub, result, now_us), now_us);
 	if (forward) {
 		cds_list_del (&sub->node);
 		sub->forward = NULL;
@@ -686,7 +721,7 @@
 	if (forward->served)
 		batch_serve_end (forward);
 	else
-		scatter_end (&forward->scatter);
+		scatter_end (&forward->scatter, front_now_us (forward->front));
 	return !forward->served;
 }
 
@@ -733,11 +768,30 @@
 	forward_free (forward);
 }
 
+/* Returns false if the request has ended. */
+static bool
+serve_returned (struct forward *forward)
+{
+	struct front *front = forward->front;
+	const struct forward *other;
+	int64_t now_us = front_now_us (front);
+	if (!scatter_has_returned (&forward->scatter, now_us))
+		return true;
+	scatter_serve_returned (&forward->scatter, now_us);
+	cds_list_for_each_entry (other, &front->forwards, node) {
+		if (other == forward)
+			return true;
+	}
+	return false;
+}
+
 void
 forward_timer_due (struct timer *timer)
 {
 	struct forward *forward = caa_container_of (timer, struct forward, timer);
 	struct ingress_request *request = forward->request;
+	if (!forward->held && !serve_returned (forward))
+		return;
 	if (forward->held) {
 		take_held_request (forward);
 		refuse_early (forward, request, 503, EARLY_NO_VIEW, false);
--- a/daemon/forward_log.c
+++ b/daemon/forward_log.c
@@ -99,6 +99,8 @@
 		return METRIC_REFUSED_NO_ROOM;
 	case GIVE_UP_NO_BUDGET:
 		return METRIC_REFUSED_NO_BUDGET;
+	case GIVE_UP_REFUSING:
+		return METRIC_REFUSED_TARGETS_BUSY;
 	case GIVE_UP_ATTEMPTS:
 		return METRIC_REFUSED_BY_TARGETS;
 	case GIVE_UP_NONE:
--- a/daemon/front_dump.c
+++ b/daemon/front_dump.c
@@ -7,16 +7,20 @@
 	STANDING_AVOIDED,
 	STANDING_COLD,
 	STANDING_LEAVING,
+	STANDING_BUSY,
 	STANDING_COUNT
 };
 
-static const char *const standing_names[STANDING_COUNT] = {"ready", "avoided", "cold", "leaving"};
+static const char *const standing_names[STANDING_COUNT] = {
+	"ready", "avoided", "cold", "leaving", "busy"};
 
 static enum replica_standing
 standing_of (const struct replica *replica, int64_t now_us)
 {
 	if (!replica_usable (replica))
 		return STANDING_LEAVING;
+	if (replica->busy_until_us > now_us)
+		return STANDING_BUSY;
 	if (replica->cold_until_us > now_us)
 		return STANDING_COLD;
 	return replica->avoid_until_us > now_us ? STANDING_AVOIDED : STANDING_READY;
@@ -35,12 +39,14 @@
 		"{\"target\":\"%s\",\"address\":\"%s\",\"data_centre\":\"%s\",\"standing\":\"%s\","
 		"\"slots\":%d,\"in_flight\":%d,\"told_load\":%d,\"usual_us\":%" PRId64
 		",\"failures\":%d,\"refusals\":%d,\"avoided_ms\":%" PRId64 ",\"cold_ms\":%" PRId64
-		"}",
+		",\"busy_ms\":%" PRId64 ",\"announced_leaving\":%s}",
 		replica->id, replica->address, replica->data_centre,
 		standing_names[standing_of (replica, now_us)], replica->slots, replica->in_flight,
 		replica->reported_load, replica->latency_us, replica->failures, replica->refusals,
 		remaining_ms (replica->avoid_until_us, now_us),
-		remaining_ms (replica->cold_until_us, now_us));
+		remaining_ms (replica->cold_until_us, now_us),
+		remaining_ms (replica->busy_until_us, now_us),
+		replica->leaving_since_us != 0 ? "true" : "false");
 }
 
 static void
--- a/query/replica.c
+++ b/query/replica.c
@@ -39,6 +39,15 @@
 	return true;
 }
 
+void
+replica_note_busy (struct replica *replica, int64_t until_us)
+{
+	if (until_us <= replica->busy_until_us)
+		return;
+	replica->busy_until_us = until_us;
+	replica->return_limit = 1;
+}
+
 bool
 replica_is_kept (const struct replica *replica, int64_t now_us)
 {
@@ -150,7 +159,8 @@
 	bool any = false;
 	*chosen = NULL;
 	cds_list_for_each_entry (replica, &set->replicas, node) {
-		if (!is_last_resort (replica, now_us) || was_tried (criteria, replica))
+		if (!is_last_resort (replica, now_us) || was_tried (criteria, replica) ||
+			replica->busy_until_us > now_us)
 			continue;
 		any = true;
 		int64_t wait_us = expected_wait_us (replica, criteria, now_us);
@@ -174,13 +184,19 @@
 	struct replica *cold = NULL;
 	int64_t best_us = INT64_MAX;
 	bool any_usable = false;
-	if (!criteria->hedge && criteria->tried_count == 0)
+	bool any_refusing = false;
+	if (!criteria->hedge && !criteria->queued && criteria->tried_count == 0)
 		update_request_interval (set, now_us);
 	cds_list_for_each_entry (replica, &set->replicas, node) {
 		if (!replica_usable (replica) || was_tried (criteria, replica))
 			continue;
+		if (replica->busy_until_us > now_us) {
+			any_refusing = true;
+			continue;
+		}
 		any_usable = true;
-		if (replica->in_flight >= set->connections)
+		if (replica->in_flight >= set->connections ||
+			(replica->return_limit > 0 && replica->in_flight >= replica->return_limit))
 			continue;
 		if (replica->cold_until_us > now_us) {
 			if (replica->cold_interval_us > 0 && replica->cold_next_us <= now_us &&
@@ -203,9 +219,28 @@
 		return REPLICA_FOUND;
 	if (any_usable)
 		return REPLICA_BUSY;
+	if (any_refusing)
+		return REPLICA_REFUSING;
 	return criteria->hedge ? REPLICA_NONE : choose_last_resort (set, criteria, now_us, chosen);
 }
 
+int64_t
+replica_return_us (
+	const struct replica_set *set, const struct replica_criteria *criteria, int64_t now_us)
+{
+	const struct replica *replica;
+	int64_t first_us = INT64_MAX;
+	cds_list_for_each_entry (replica, &set->replicas, node) {
+		if (!replica_usable (replica) || was_tried (criteria, replica))
+			continue;
+		if (replica->busy_until_us <= now_us)
+			return 0;
+		if (replica->busy_until_us < first_us)
+			first_us = replica->busy_until_us;
+	}
+	return first_us;
+}
+
 int64_t
 replica_cold_interval_us (double rate_per_s, int nodes, int rank)
 {
@@ -268,6 +303,9 @@
 		replica->failures = 0;
 		replica->refusals = 0;
 		replica->avoid_until_us = 0;
+		replica->return_limit = replica->return_limit * 2 < replica->set->connections
+						? replica->return_limit * 2
+						: 0;
 		replica->latency_us =
 			replica->latency_us ? (replica->latency_us * 7 + took_us) / 8 : took_us;
 		update_failure_rate (replica, false, now_us);
--- a/query/replica.h
+++ b/query/replica.h
@@ -8,6 +8,9 @@
  *
  * Targets also announce in their answers that they leave, before the list shows it or while it
  * cannot be read. Such a target gets nothing more, but for a short time if there is no other.
+ *
+ * Targets under more load than they can take ask for no requests for some time. They get none until
+ * then, and after that few at first, so that the load that has waited does not return at once.
  */
 #pragma once
 
@@ -59,6 +62,9 @@
 	 * answer undoes this. It ends with this incarnation.
 	 */
 	int64_t leaving_since_us;
+	int64_t busy_until_us; /**< it refused and asked for no request until then; 0: it has not */
+	/** Sub-requests at the same time after that; doubles with each answer. 0: no limit. */
+	int return_limit;
 	uint64_t start_unix_ms;   /**< start of this incarnation, Unix milliseconds; 0: unknown */
 	int64_t cold_until_us;    /**< until then it takes only the cold rate of the service */
 	int64_t cold_next_us;     /**< while cold: earliest time of the next request of this node */
@@ -106,13 +112,15 @@
 	struct replica *const *tried;
 	int tried_count;
 	int64_t median_us; /**< median latency of the route; 0: not known */
+	bool queued;       /**< for a request that has waited, which was counted when it came */
 	bool hedge;        /**< selects only a replica that is expected to answer soon */
 };
 
 enum replica_selection {
 	REPLICA_FOUND,
-	REPLICA_BUSY, /**< there are usable targets, but none has capacity at present */
-	REPLICA_NONE, /**< no target is usable */
+	REPLICA_BUSY,     /**< there are usable targets, but none has capacity at present */
+	REPLICA_REFUSING, /**< all usable targets have asked for no requests for some time */
+	REPLICA_NONE,     /**< no target is usable */
 };
 
 void
@@ -170,6 +178,21 @@
 bool
 replica_note_leaving (struct replica *replica, int64_t now_us);
 
+/**
+ * Records that the target refused a sub-request and asked for no more until @p until_us. An
+ * earlier end than the known one changes nothing.
+ */
+void
+replica_note_busy (struct replica *replica, int64_t until_us);
+
+/**
+ * The first time at which a usable target that was not tried takes requests.
+ * @return 0 if one does now, INT64_MAX if there is none
+ */
+int64_t
+replica_return_us (
+	const struct replica_set *set, const struct replica_criteria *criteria, int64_t now_us);
+
 /** True when an unlisted target has to be kept, so that it stays known as leaving. */
 bool
 replica_is_kept (const struct replica *replica, int64_t now_us);
--- a/query/scatter.c
+++ b/query/scatter.c
@@ -1,6 +1,7 @@
 #include "query/scatter.h"
 
 #include "core/buf.h"
+#include "core/clock.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -128,9 +129,26 @@
 	return scatter->rule->shape == ROUTE_FAN_OUT;
 }
 
+/* A refused caller should not return before each of the services takes requests again. */
+static int64_t
+retry_after_ms (const struct scatter *scatter, int64_t now_us)
+{
+	struct replica_criteria any_target = {.data_centre = scatter->policy->data_centre};
+	int64_t longest_ms = SCATTER_RETRY_AFTER_MS;
+	for (int i = 0; i < scatter->shard_count; i++) {
+		const struct scatter_shard *shard = &scatter->shards[i];
+		int64_t first_us = replica_return_us (shard->set, &any_target, now_us);
+		if (shard->answered || first_us == INT64_MAX)
+			continue;
+		int64_t wait_ms = (first_us - now_us + US_PER_MS - 1) / US_PER_MS;
+		longest_ms = wait_ms > longest_ms ? wait_ms : longest_ms;
+	}
+	return longest_ms;
+}
+
 /* Ends a request for which no better answer can come, with the best result so far. */
 static void
-end_without_answer (struct scatter *scatter, bool late)
+end_without_answer (struct scatter *scatter, bool late, int64_t now_us)
 {
 	const struct scatter_shard *shard = &scatter->shards[0];
 	if (!is_fan_out (scatter) && shard->body) {
@@ -138,7 +156,7 @@
 		return;
 	}
 	if (!scatter_may_have_run (scatter)) {
-		scatter->retry_after_ms = SCATTER_RETRY_AFTER_MS;
+		scatter->retry_after_ms = retry_after_ms (scatter, now_us);
 		end_with (scatter, SCATTER_REFUSED);
 		return;
 	}
@@ -172,25 +190,25 @@
 		if (scatter->answered)
 			end_with (scatter, SCATTER_REPLY);
 		else if (open_shards == 0 || late)
-			end_without_answer (scatter, late);
+			end_without_answer (scatter, late, now_us);
 		return;
 	}
 	if (scatter->answered == scatter->shard_count ||
 		(has_min_shards && (open_shards == 0 || partial_due || late)))
 		end_with (scatter, SCATTER_MERGED);
 	else if (late || scatter->answered + open_shards < scatter->min_shards)
-		end_without_answer (scatter, late);
+		end_without_answer (scatter, late, now_us);
 }
 
 void
-scatter_end (struct scatter *scatter)
+scatter_end (struct scatter *scatter, int64_t now_us)
 {
 	if (scatter->phase == SCATTER_DONE)
 		return;
 	if (is_fan_out (scatter) && scatter->answered >= scatter->min_shards)
 		end_with (scatter, SCATTER_MERGED);
 	else
-		end_without_answer (scatter, true);
+		end_without_answer (scatter, true, now_us);
 }
 
 const char *
@@ -198,7 +216,7 @@
 {
 	static const char *const names[] = {"", "no target may get work", "queue full",
 		"no retry budget left", "no attempts left", "queued until the request ended",
-		"its aggregator failed"};
+		"its aggregator failed", "all targets asked for no requests"};
 	return names[reason];
 }
 
@@ -265,20 +283,36 @@
 	return scatter->unconfirmed && shard->attempts_used > scatter->attempts_before;
 }
 
-static enum replica_selection
-choose_for_shard (struct scatter *scatter, struct scatter_shard *shard, bool hedge, int64_t now_us,
-	struct replica **replica)
+static struct replica_criteria
+criteria_of (const struct scatter *scatter, const struct scatter_shard *shard, bool hedge)
 {
-	struct replica_criteria criteria = {
+	return (struct replica_criteria){
 		.data_centre = scatter->policy->data_centre,
 		.tried = shard->tried,
 		.tried_count = shard->tried_count,
 		.median_us = quantile_get (&scatter->rule->latency, 50, SCATTER_HEDGE_MIN_US),
 		.hedge = hedge,
+		.queued = shard->queued,
 	};
+}
+
+static enum replica_selection
+choose_for_shard (struct scatter *scatter, struct scatter_shard *shard, bool hedge, int64_t now_us,
+	struct replica **replica)
+{
+	struct replica_criteria criteria = criteria_of (scatter, shard, hedge);
 	return replica_choose (shard->set, &criteria, now_us, replica);
 }
 
+/* When a queued shard has to be served again because a target takes requests; INT64_MAX: never. */
+static int64_t
+return_us (const struct scatter *scatter, const struct scatter_shard *shard, int64_t now_us)
+{
+	struct replica_criteria criteria = criteria_of (scatter, shard, false);
+	int64_t first_us = replica_return_us (shard->set, &criteria, now_us);
+	return first_us > now_us ? first_us : INT64_MAX;
+}
+
 static void
 send_to (struct scatter *scatter, struct scatter_shard *shard, struct replica *replica,
 	int64_t now_us)
@@ -317,6 +351,37 @@
 	shard->set->waiting_count++;
 	shard->queued = true;
 	shard->queued_us = now_us;
+	shard->return_us = INT64_MAX;
+}
+
+/*
+ * Queues a shard until a target takes requests again, if it can still be answered in time then.
+ * Otherwise its caller learns when to come back.
+ */
+static void
+wait_for_return (struct scatter *scatter, struct scatter_shard *shard, int64_t now_us)
+{
+	int64_t first_us = return_us (scatter, shard, now_us);
+	int64_t usual_us = quantile_get (&scatter->rule->latency, 50, SCATTER_HEDGE_MIN_US);
+	if (first_us < scatter->deadline_us - usual_us &&
+		shard->set->waiting_count < queue_limit (shard->set)) {
+		enter_queue (scatter, shard, now_us);
+		shard->return_us = first_us;
+		return;
+	}
+	give_up (scatter, shard, GIVE_UP_REFUSING);
+}
+
+/* A target that asked for no requests has not run the request, so it may be tried again later. */
+static void
+forget_refusing (struct scatter_shard *shard, int64_t now_us)
+{
+	int kept = 0;
+	for (int i = 0; i < shard->tried_count; i++) {
+		if (shard->tried[i]->busy_until_us <= now_us)
+			shard->tried[kept++] = shard->tried[i];
+	}
+	shard->tried_count = kept;
 }
 
 /* Sends the next sub-request of a shard, queues the shard, or gives it up. */
@@ -325,6 +390,8 @@
 {
 	struct replica *replica = NULL;
 	bool is_first = shard->tried_count == 0 && !shard->reached_target;
+	if (shard->running == 0)
+		forget_refusing (shard, now_us);
 	if (!has_attempts_left (scatter, shard)) {
 		give_up (scatter, shard, GIVE_UP_ATTEMPTS);
 		return;
@@ -352,6 +419,9 @@
 		else
 			give_up (scatter, shard, GIVE_UP_QUEUE_FULL);
 		return;
+	case REPLICA_REFUSING:
+		wait_for_return (scatter, shard, now_us);
+		return;
 	case REPLICA_NONE:
 		give_up (scatter, shard, GIVE_UP_NO_TARGET);
 		return;
@@ -567,22 +637,71 @@
 		scatter->answered >= scatter->min_shards && scatter->partial_us < wake_us)
 		wake_us = scatter->partial_us;
 	for (int i = 0; i < scatter->shard_count; i++) {
-		if (scatter->shards[i].hedge_at_us < wake_us)
-			wake_us = scatter->shards[i].hedge_at_us;
+		const struct scatter_shard *shard = &scatter->shards[i];
+		if (shard->hedge_at_us < wake_us)
+			wake_us = shard->hedge_at_us;
+		if (shard->queued && shard->return_us < wake_us)
+			wake_us = shard->return_us;
 	}
 	return wake_us;
 }
 
+bool
+scatter_has_returned (const struct scatter *scatter, int64_t now_us)
+{
+	for (int i = 0; i < scatter->shard_count; i++) {
+		if (scatter->shards[i].queued && scatter->shards[i].return_us <= now_us)
+			return true;
+	}
+	return false;
+}
+
 void
-scatter_serve_waiting (struct replica_set *set, int64_t now_us)
+scatter_serve_returned (struct scatter *scatter, int64_t now_us)
+{
+	int count = 0;
+	struct replica_set **sets =
+		xcalloc ((size_t)scatter->shard_count, sizeof (struct replica_set *));
+	for (int i = 0; i < scatter->shard_count; i++) {
+		struct scatter_shard *shard = &scatter->shards[i];
+		if (!shard->queued || shard->return_us > now_us)
+			continue;
+		/* If it stays queued, the end of a sub-request or another return serves it. */
+		shard->return_us = return_us (scatter, shard, now_us);
+		sets[count++] = shard->set;
+	}
+	for (int i = 0; i < count; i++)
+		scatter_serve_waiting (sets[i], now_us);
+	free (sets);
+}
+
+/* The first shard in the queue that can be sent or given up; NULL if there is none. */
+static struct scatter_shard *
+next_to_serve (struct replica_set *set, int64_t now_us)
 {
-	while (!cds_list_empty (&set->waiting)) {
-		struct scatter_shard *shard =
-			cds_list_entry (set->waiting.next, struct scatter_shard, node);
+	struct scatter_shard *shard;
+	cds_list_for_each_entry (shard, &set->waiting, node) {
 		struct replica *replica = NULL;
-		if (choose_for_shard (shard->scatter, shard, false, now_us, &replica) ==
-			REPLICA_BUSY)
-			return;
+		switch (choose_for_shard (shard->scatter, shard, false, now_us, &replica)) {
+		case REPLICA_BUSY:
+			return NULL;
+		case REPLICA_REFUSING:
+			/* Another shard may not have tried the target that this one has. */
+			shard->return_us = return_us (shard->scatter, shard, now_us);
+			break;
+		case REPLICA_FOUND:
+		case REPLICA_NONE:
+			return shard;
+		}
+	}
+	return NULL;
+}
+
+void
+scatter_serve_waiting (struct replica_set *set, int64_t now_us)
+{
+	struct scatter_shard *shard;
+	while ((shard = next_to_serve (set, now_us))) {
 		int64_t waited_us = now_us - shard->queued_us;
 		if (waited_us > shard->scatter->waited_us)
 			shard->scatter->waited_us = waited_us;
--- a/query/scatter.h
+++ b/query/scatter.h
@@ -79,6 +79,7 @@
 	GIVE_UP_ATTEMPTS,   /**< all attempts that a shard may have are used up */
 	GIVE_UP_NO_TIME,    /**< still queued when the request ended */
 	GIVE_UP_AGGREGATOR, /**< its aggregator failed after it may have sent all attempts */
+	GIVE_UP_REFUSING,   /**< all targets asked for no requests until it would be too late */
 	GIVE_UP_COUNT,
 };
 
@@ -98,6 +99,7 @@
 	int running;
 	bool queued;
 	int64_t queued_us; /**< start of the wait, while queued */
+	int64_t return_us; /**< while queued: when a target takes requests again; INT64_MAX: none */
 	enum give_up give_up;
 	enum no_hedge no_hedge;
 	bool closed; /**< answered, or given up */
@@ -215,7 +217,7 @@
 
 /** Ends a request that this node cannot wait for any longer, with the best result so far. */
 void
-scatter_end (struct scatter *scatter);
+scatter_end (struct scatter *scatter, int64_t now_us);
 
 /** False when no sub-request was sent, or all of them are known not to have run. */
 bool
@@ -230,6 +232,17 @@
 void
 scatter_tick (struct scatter *scatter, int64_t now_us);
 
+/** True when a target that a shard waits for takes requests again; see scatter_serve_returned. */
+bool
+scatter_has_returned (const struct scatter *scatter, int64_t now_us);
+
+/**
+ * Serves the queues of the shards that wait for targets which take requests again, in the order of
+ * their priority. May end the request and others.
+ */
+void
+scatter_serve_returned (struct scatter *scatter, int64_t now_us);
+
 /** When scatter_tick has to be called next. */
 int64_t
 scatter_wake_us (const struct scatter *scatter);
--- a/test/platform.c
+++ b/test/platform.c
@@ -8,11 +8,14 @@
  *
  *   GET  /instances             the list in pages, each with an entry that cannot be decoded
  *   POST /set/FAULT/TARGET/ON   FAULT: draining unlisted shed fail slow silent mismatch cold
- *                               stuck announce restarted
+ *                               stuck announce restarted busy
+ *                               busy: refuses and asks for no requests for BUSY_MS
  *                               announce: its answers say that it leaves, the list does not
  *   GET  /worked/ID             longest time in ms that a target worked on the request with this id
  *   GET  /runs/ID               how often the request with this id ran, over all targets
  *   GET  /arrivals/TARGET       how many requests reached a target
+ *   GET  /early/TARGET          how many reached it at most between half a second after one such
+ *                               refusal and the end of its time
  */
 #include "core/buf.h"
 
@@ -32,6 +35,9 @@
 	SILENT_MS = 3000, /* longer than any caller waits */
 	STUCK_MS = 20000, /* longer than a planned stop takes */
 	WORK_STEP_MS = 20,
+	BUSY_MS = 2000,
+	BUSY_SLACK_MS = 500, /* a request on its way may still arrive for so long */
+	MAX_SPANS = 4096,
 };
 
 enum fault {
@@ -45,17 +51,21 @@
 	FAULT_COLD,
 	FAULT_STUCK,
 	FAULT_ANNOUNCE,
+	FAULT_BUSY,
 	FAULT_RESTARTED, /* another incarnation runs at its address */
 	FAULT_COUNT,
 };
 
 static const char *const fault_names[FAULT_COUNT] = {"draining", "unlisted", "shed", "fail", "slow",
-	"silent", "mismatch", "cold", "stuck", "announce", "restarted"};
+	"silent", "mismatch", "cold", "stuck", "announce", "busy", "restarted"};
 
 struct target {
 	int number;
 	int service;
 	int arrivals;
+	int64_t refused_ms[MAX_SPANS]; /* when it asked for no requests for BUSY_MS */
+	int early[MAX_SPANS];          /* requests that arrived in that time */
+	int span_count;
 	bool faults[FAULT_COUNT];
 };
 
@@ -150,6 +160,32 @@
 	return longest_ms;
 }
 
+static int64_t
+now_ms (void)
+{
+	struct timespec ts;
+	clock_gettime (CLOCK_MONOTONIC, &ts);
+	return ts.tv_sec * 1000LL + ts.tv_nsec / 1000000;
+}
+
+static void
+count_early (struct target *target)
+{
+	int64_t at_ms = now_ms ();
+	for (int i = 0; i < target->span_count; i++)
+		target->early[i] += at_ms > target->refused_ms[i] + BUSY_SLACK_MS &&
+				    at_ms < target->refused_ms[i] + BUSY_MS;
+}
+
+static int
+most_early (const struct target *target)
+{
+	int most = 0;
+	for (int i = 0; i < target->span_count; i++)
+		most = target->early[i] > most ? target->early[i] : most;
+	return most;
+}
+
 static void
 set_fault (const char *text)
 {
@@ -181,6 +217,8 @@
 		buf_addf (&out, "%d", count_runs (url + 6));
 	} else if (strncmp (url, "/worked/", 8) == 0) {
 		buf_addf (&out, "%d", longest_work_ms (url + 8));
+	} else if (strncmp (url, "/early/", 7) == 0) {
+		buf_addf (&out, "%d", most_early (&targets[atoi (url + 7) % MAX_TARGETS]));
 	} else if (strncmp (url, "/arrivals/", 10) == 0) {
 		buf_addf (&out, "%d", targets[atoi (url + 10) % MAX_TARGETS].arrivals);
 	}
@@ -262,6 +300,8 @@
 	int run = -1;
 	pthread_mutex_lock (&lock);
 	target->arrivals++;
+	count_early (target);
+	bool busy = target->faults[FAULT_BUSY];
 	bool announce = target->faults[FAULT_ANNOUNCE];
 	bool fail = target->faults[FAULT_FAIL];
 	bool mismatch = target->faults[FAULT_MISMATCH];
@@ -273,10 +313,12 @@
 		status = 400;
 	else if (intended_id[0] && strcmp (intended_id, own_id) != 0)
 		status = 421;
-	else if (target->faults[FAULT_SHED])
+	else if (target->faults[FAULT_SHED] || busy)
 		status = 503;
 	else
 		run = record_run (id);
+	if (status == 503 && busy && target->span_count < MAX_SPANS)
+		target->refused_ms[target->span_count++] = now_ms ();
 	pthread_mutex_unlock (&lock);
 	if (status == 200) {
 		simulate_work (connection, run, duration_ms);
@@ -291,6 +333,8 @@
 			buf_add (&out, body->len ? body->data : "", body->len);
 	} else if (status != 421) {
 		buf_addf (&lines, "Oleanderstile-Not-Executed: 1\n");
+		if (busy)
+			buf_addf (&lines, "Retry-After: %.1f\n", BUSY_MS / 1000.0);
 	}
 	if (announce)
 		buf_addf (&lines, "Server-Leaving: 1\n");
--- a/test/platform.sh
+++ b/test/platform.sh
@@ -287,6 +287,37 @@
 sleep 1.5
 for n in 4 5; do expect "entry node $n serves the new route" "$(send_request $n "f$n" /new/x)" '^HTTP/1.1 200'; done
 
+# Guards against requests to a target in the time for which it asked for none.
+echo "targets ask for no requests for some time:"
+early () {
+	call "http://127.0.0.1:$PLATFORM/early/$1"
+}
+# Ordinary requests fill the budget from which the refused one is sent again.
+for i in $(seq 1 20); do send_request 4 "bq$i" /file/x -d x > "$RUN/x"; done
+set_fault busy 10 1
+for i in $(seq 1 40); do
+	expect "others serve beside a busy target" "$(send_request 4 "ba$i" /file/x -d x)" '^HTTP/1.1 200'
+	sleep 0.05
+done
+for t in 9 11; do set_fault busy $t 1; done
+# A caller of this route waits 1.5 s, less than the 2 s of the targets.
+for i in $(seq 1 40); do
+	begin_ms=$(date +%s%3N)
+	answer=$(send_request 4 "bb$i" /file/x -d x)
+	[ $(($(date +%s%3N) - begin_ms)) -lt 1600 ] || fail "a request was held beyond its deadline"
+	expect "no target runs the request" "$answer" '^HTTP/1.1 503'
+	expect "the caller learns when to return" "$answer" '^Retry-After: [0-9.]+'
+	grep '^Retry-After' <<< "$answer" >> "$RUN/returns"
+	sleep 0.05
+done
+expect "which is when the first target does" "$(cat "$RUN/returns")" '^Retry-After: 1\.[0-9]+'
+expect "it is known why" "$(cat "$RUN/n4.log")" 'REQUEST_FAILED.*bb[0-9]+: status 503 .*all targets asked for no requests'
+expect "and which target asked" "$(cat "$RUN/n4.log")" 'TARGET_BUSY.*b[ab][0-9]+: i-(9|10|11) of s3 .*no requests for 2[0-9]{3} ms'
+for t in 9 10 11; do set_fault busy $t 0; done
+sleep 2.5
+expect "they serve again" "$(send_request 4 bc /file/x -d x)" '^HTTP/1.1 200'
+for t in 9 10 11; do expect "at most two requests reach a target in its time" "$(early $t)" '^[012]$'; done
+
 # Guards against requests to a target that announced in its answers that it leaves, while the list
 # still says that it is ready, and while control is lost.
 echo "targets announce that they leave:"
--- a/test/routes.c
+++ b/test/routes.c
@@ -447,14 +447,14 @@
 	testbed_start (&testbed, &queued, "one");
 	CU_ASSERT_EQUAL (send_count, 3);
 	CU_ASSERT_FALSE (scatter_may_have_run (&queued));
-	scatter_end (&queued);
+	scatter_end (&queued, now_us);
 	CU_ASSERT_EQUAL (queued.result, SCATTER_REFUSED);
 	CU_ASSERT_EQUAL (testbed.sets[0].waiting_count, 0);
 	CU_ASSERT_TRUE (scatter_may_have_run (&running[0]));
-	scatter_end (&running[0]);
+	scatter_end (&running[0], now_us);
 	CU_ASSERT_EQUAL (running[0].result, SCATTER_TIMEOUT);
 	CU_ASSERT_EQUAL (delivered, 2);
-	scatter_end (&running[0]);
+	scatter_end (&running[0], now_us);
 	CU_ASSERT_EQUAL (delivered, 2);
 	scatter_finish (&running[1]);
 	scatter_finish (&running[2]);
@@ -464,7 +464,7 @@
 	testbed_start (&testbed, &queued, "all");
 	for (int i = 0; i < 3; i++)
 		end_sub_request (&queued, i, SUB_END_ANSWERED, "");
-	scatter_end (&queued);
+	scatter_end (&queued, now_us);
 	CU_ASSERT_EQUAL (queued.result, SCATTER_MERGED);
 	CU_ASSERT_EQUAL (queued.answered, 3);
 	testbed_finish (&testbed, &queued);
@@ -539,6 +539,125 @@
 	return replica;
 }
 
+/* Guards against requests to a target in the time for which it asked for none. */
+static void
+test_busy_target_gets_nothing_until_its_time (void)
+{
+	struct testbed testbed;
+	testbed_init (&testbed, 1, "idempotent", 2);
+	struct replica *replicas = testbed.replicas[0];
+	struct replica_use uses[8];
+	int used = 0;
+	/* All are busy in turns, the local one with the longest time, and repeats are shorter. */
+	int64_t start_us = now_us;
+	replica_note_busy (&replicas[0], start_us + 4000 * MS);
+	for (; now_us < start_us + 4000 * MS; now_us += 20 * MS) {
+		replica_note_busy (&replicas[0], now_us + 1);
+		int other = 1 + (int)((now_us - start_us) / (500 * MS)) % 2;
+		replica_note_busy (&replicas[other], now_us + 30 * MS);
+		struct replica *chosen = choose (&testbed);
+		CU_ASSERT_PTR_NOT_EQUAL (chosen, &replicas[0]);
+		CU_ASSERT_PTR_NOT_EQUAL (chosen, &replicas[other]);
+	}
+	/* Work returns gradually: one sub-request, and two after it was answered. */
+	replicas[1].state = replicas[2].state = REPLICA_LEAVING;
+	now_us += 1000 * MS;
+	CU_ASSERT_PTR_EQUAL (choose (&testbed), &replicas[0]);
+	replica_begin (&replicas[0], &uses[used++], now_us);
+	CU_ASSERT_PTR_NULL (choose (&testbed));
+	replica_end (&uses[0], REPLICA_ANSWERED, now_us);
+	for (int i = 0; i < 2; i++) {
+		CU_ASSERT_PTR_EQUAL (choose (&testbed), &replicas[0]);
+		replica_begin (&replicas[0], &uses[used++], now_us);
+	}
+	CU_ASSERT_PTR_NULL (choose (&testbed));
+	replica_end (&uses[1], REPLICA_ANSWERED, now_us);
+	replica_end (&uses[2], REPLICA_ANSWERED, now_us);
+	CU_ASSERT_EQUAL (replicas[0].return_limit, 0);
+	routing_unref (testbed.routing);
+}
+
+/* A service whose targets all ask for no requests: callers wait if that helps them. */
+static void
+test_busy_service_queues_or_refuses_at_once (void)
+{
+	struct testbed testbed;
+	struct scatter early;
+	struct scatter urgent;
+	struct scatter late;
+	testbed_init (&testbed, 1, "non_idempotent", 2);
+	struct replica *replicas = testbed.replicas[0];
+	replica_note_busy (&replicas[0], now_us + 300 * MS);
+	replica_note_busy (&replicas[1], now_us + 2000 * MS);
+	replica_note_busy (&replicas[2], now_us + 2000 * MS);
+	testbed_start (&testbed, &early, "all");
+	testbed_start (&testbed, &urgent, "one");
+	CU_ASSERT_EQUAL (send_count, 0);
+	CU_ASSERT_EQUAL (delivered, 0);
+	CU_ASSERT_EQUAL (scatter_wake_us (&urgent), now_us + 300 * MS);
+	now_us += 300 * MS;
+	CU_ASSERT_TRUE (scatter_has_returned (&early, now_us));
+	/* Whichever wakes first, the more urgent one is sent first, and the other waits for it. */
+	scatter_serve_returned (&early, now_us);
+	CU_ASSERT_EQUAL (send_count, 1);
+	CU_ASSERT_EQUAL (urgent.shards[0].running, 1);
+	CU_ASSERT_FALSE (scatter_has_returned (&early, now_us));
+	/* Refused once more: no attempt is used up, and the target is tried again at its time. */
+	replica_note_busy (&replicas[0], now_us + 200 * MS);
+	end_sub_request (&urgent, 0, SUB_END_NOT_RUN, NULL);
+	CU_ASSERT_EQUAL (urgent.shards[0].attempts_used, 0);
+	CU_ASSERT_TRUE (urgent.shards[0].queued);
+	CU_ASSERT_EQUAL (delivered, 0);
+	now_us += 200 * MS;
+	scatter_serve_returned (&urgent, now_us);
+	CU_ASSERT_EQUAL (send_count, 2);
+	CU_ASSERT_PTR_EQUAL (sends[1].replica, &replicas[0]);
+	/* Its caller's deadline comes before any target returns. */
+	replica_note_busy (&replicas[0], now_us + 1500 * MS);
+	testbed_start (&testbed, &late, "one");
+	CU_ASSERT_EQUAL (delivered, 1);
+	CU_ASSERT_EQUAL (late.result, SCATTER_REFUSED);
+	CU_ASSERT_EQUAL (late.shards[0].give_up, GIVE_UP_REFUSING);
+	CU_ASSERT_EQUAL (late.retry_after_ms, 1500);
+	end_sub_request (&urgent, 1, SUB_END_ANSWERED, "");
+	CU_ASSERT_EQUAL (urgent.result, SCATTER_REPLY);
+	scatter_finish (&late);
+	scatter_finish (&early);
+	testbed_finish (&testbed, &urgent);
+}
+
+static void
+test_times_to_return_are_decoded (void)
+{
+	static const struct {
+		const char *lines[2];
+		int64_t us;
+	} cases[] = {{{"Retry-After: 4"}, 4000 * MS}, {{"retry-after: 0.25\r\n"}, 250 * MS},
+		{{"Retry-After: 0"}, 0}, {{"Retry-After: 0.0"}, 0}, {{"X: 4"}, 0},
+		{{"Retry-After: 1", "Retry-After: 3"}, 3000 * MS},
+		{{"Retry-After: 2", "Retry-After: soon"}, 2000 * MS},
+		{{"Retry-After: Wed, 21 Oct 2026 07:28:00 GMT"}, -1}, {{"Retry-After: -1"}, -1},
+		{{"Retry-After: nan"}, -1}, {{"Retry-After: inf"}, -1}, {{"Retry-After: 4s"}, -1},
+		{{"Retry-After:"}, -1}};
+	for (size_t i = 0; i < sizeof (cases) / sizeof (cases[0]); i++) {
+		struct reply_head head;
+		reply_head_init (&head);
+		for (int j = 0; j < 2 && cases[i].lines[j]; j++)
+			reply_head_add_line (&head, cases[i].lines[j], strlen (cases[i].lines[j]));
+		CU_ASSERT_EQUAL (head.retry_after_us, cases[i].us);
+	}
+	struct reply_head head;
+	reply_head_init (&head);
+	reply_head_add_line (&head, "Retry-After: 1e300", 18);
+	CU_ASSERT_TRUE (head.retry_after_us > (int64_t)100 * 365 * 86400 * US_PER_S);
+	CU_ASSERT_TRUE (head.retry_after_us < INT64_MAX / 4);
+	reply_head_init (&head);
+	reply_head_add_line (&head, "Server-Leaving: 10", 18);
+	CU_ASSERT_FALSE (head.leaving);
+	reply_head_add_line (&head, "server-leaving: 1 \r\n", 20);
+	CU_ASSERT_TRUE (head.leaving);
+}
+
 /* Guards against requests to a target that announced that it leaves while a list says ready. */
 static void
 test_announced_leaving_outlasts_any_list (void)
@@ -1092,6 +1211,9 @@
 		TEST (error_reply_of_the_target_is_forwarded),
 		TEST (queue_is_ordered_by_priority),
 		TEST (request_without_usable_target_is_refused),
+		TEST (busy_target_gets_nothing_until_its_time),
+		TEST (busy_service_queues_or_refuses_at_once),
+		TEST (times_to_return_are_decoded),
 		TEST (announced_leaving_outlasts_any_list),
 		TEST (stalled_and_failing_replicas_go_last),
 		TEST (repeated_refusals_back_off),
