query: do not send late what waited for a busy target

test/platform.sh failed in 1 run of 2 beside other work: a request that must not be repeated got 504 where 503 was expected. Cause: it had waited until a busy target returned, 6 ms before its deadline, and was sent then, so that its outcome was unknown when the time was up.

A request that waited for busy targets is now sent only if four usual latencies and 50 ms remain; otherwise it is refused with the promise that it did not run.

--- a/query/scatter.c
+++ b/query/scatter.c
@@ -354,6 +354,18 @@
 	shard->return_us = INT64_MAX;
 }
 
+/* Whether a sub-request that is sent then is answered in time, rather than with unknown outcome. */
+static bool
+has_time_from (const struct scatter *scatter, int64_t at_us)
+{
+	int64_t needed_us = SCATTER_RETURN_LATENCY_FACTOR * quantile_get (&scatter->rule->latency,
+								    SCATTER_HEDGE_PERCENTILE,
+								    SCATTER_HEDGE_MIN_US);
+	if (needed_us < SCATTER_RETURN_MIN_US)
+		needed_us = SCATTER_RETURN_MIN_US;
+	return at_us < scatter->deadline_us - needed_us;
+}
+
 /*
  * Queues a shard until a target takes requests again, if it can still be answered in time then.
  * Otherwise its caller learns when to come back.
@@ -362,11 +374,11 @@
 wait_for_return (struct scatter *scatter, struct scatter_shard *shard, int64_t now_us)
 {
 	int64_t first_us = return_us (scatter, shard, now_us);
-	int64_t usual_us = quantile_get (&scatter->rule->latency, 50, SCATTER_HEDGE_MIN_US);
-	if (first_us < scatter->deadline_us - usual_us &&
+	if (first_us != INT64_MAX && has_time_from (scatter, first_us) &&
 		shard->set->waiting_count < queue_limit (shard->set)) {
 		enter_queue (scatter, shard, now_us);
 		shard->return_us = first_us;
+		shard->awaited_return = true;
 		return;
 	}
 	give_up (scatter, shard, GIVE_UP_REFUSING);
@@ -402,6 +414,10 @@
 	}
 	switch (choose_for_shard (scatter, shard, false, now_us, &replica)) {
 	case REPLICA_FOUND:
+		if (shard->awaited_return && !has_time_from (scatter, now_us)) {
+			give_up (scatter, shard, GIVE_UP_REFUSING);
+			return;
+		}
 		budget_refill (&shard->set->extra, now_us);
 		if (shard->reached_target && !budget_spend (&shard->set->extra)) {
 			give_up (scatter, shard, GIVE_UP_NO_BUDGET);
--- a/query/scatter.h
+++ b/query/scatter.h
@@ -30,6 +30,9 @@
 	SCATTER_RETRY_RESERVE = 2,        /**< extra sub-requests that hedges leave to retries */
 	SCATTER_HEDGE_MIN_BURST = 2,      /**< extra sub-requests never reserved for retries */
 	SCATTER_RETRY_AFTER_MS = 250,     /**< minimum wait before a refused caller may retry */
+	/** A request that waited for busy targets is sent if so many usual latencies remain. */
+	SCATTER_RETURN_LATENCY_FACTOR = 4,
+	SCATTER_RETURN_MIN_US = 50000, /**< and at least this time */
 	/** A hedge that is overdue by this much is not sent: this process was suspended. */
 	SCATTER_HEDGE_OVERDUE_US = 250000,
 };
@@ -100,6 +103,7 @@
 	bool queued;
 	int64_t queued_us; /**< start of the wait, while queued */
 	int64_t return_us; /**< while queued: when a target takes requests again; INT64_MAX: none */
+	bool awaited_return; /**< it was queued because all targets asked for no requests */
 	enum give_up give_up;
 	enum no_hedge no_hedge;
 	bool closed; /**< answered, or given up */
