--- a/test/platform.sh
+++ b/test/platform.sh
@@ -48,6 +48,7 @@
 			list_rate = 50
 			group_nodes = 1
 			batch_port_step = 700
+			drain_ms = 3000
 			extra_ratio = 0.2
 			extra_slack = 60.5
 			cold_factor = 1
