platform, query: names are kept whole or refused

Cause: the name of a replica set had 64 bytes and was cut, then looked for by its whole name; the service stayed without a set. Nothing limited names when a manifest was confirmed. The header that names a target had room for 160 bytes.

Names of services, routes, hosts and targets now have up to 255 bytes everywhere, and a manifest with a longer one is refused by the control node, with the field and the limit, before it is confirmed. Names of data centres keep 63 bytes.

--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -388,7 +388,7 @@
 	struct front *front = forward->front;
 	int64_t now_us = front_now_us (front);
 	int64_t remaining_us = scatter->deadline_us - now_us;
-	char own_lines[3][ATTEMPT_ID_SIZE + 64];
+	char own_lines[3][SUB_REQUEST_LINE_SIZE];
 	struct sub *sub = xcalloc (1, sizeof (*sub));
 	sub->front = front;
 	sub->forward = forward;
--- a/query/replica.h
+++ b/query/replica.h
@@ -22,7 +22,8 @@
 #include <urcu/list.h>
 
 enum {
-	REPLICA_NAME_SIZE = 64,
+	REPLICA_NAME_SIZE = ROUTING_NAME_MAX + 1,
+	REPLICA_ADDRESS_SIZE = 64,
 	REPLICA_LOAD_VALID_US = 200000,    /**< how long a reported load is used */
 	REPLICA_FAILURE_AVOID_US = 500000, /**< avoidance after a failure; doubles if repeated */
 	REPLICA_AVOID_MAX_US = 4000000,
@@ -50,8 +51,8 @@
 	struct cds_list_head node; /**< in its set */
 	struct replica_set *set;
 	char id[REPLICA_NAME_SIZE]; /**< of this incarnation */
-	char address[REPLICA_NAME_SIZE];
-	char data_centre[REPLICA_NAME_SIZE];
+	char address[REPLICA_ADDRESS_SIZE];
+	char data_centre[AGGREGATOR_NAME_SIZE];
 	int slots;
 	enum replica_state state;
 	bool evacuated;      /**< its data centre is leaving, or has just returned */
--- a/query/routing.h
+++ b/query/routing.h
@@ -16,6 +16,11 @@
 #include <stddef.h>
 #include <stdint.h>
 
+enum {
+	/** Bytes in the name of a service, route, host or target; longer ones are refused. */
+	ROUTING_NAME_MAX = 255,
+};
+
 struct replica_set;
 struct route_stats;
 
--- a/test/platform.sh
+++ b/test/platform.sh
@@ -282,6 +282,18 @@
 expect "a node that has just woken takes orders" "$(order 3 POST /evacuation/z0/end)" '^200'
 expect "and repeats of them" "$(order 1 POST /evacuation/z0/end)" '^200'
 
+# Guards against a manifest that is confirmed and ends entry nodes or cannot be served.
+echo "long names in a manifest:"
+long_name=$(head -c 255 /dev/zero | tr '\0' n)
+expect "a service with a name of 255 bytes" "$(order 1 POST /config/replace "$(manifest 7 "{\"name\":\"$long_name\",\"host\":\"site.example\",\"path_prefix\":\"/long/\",\"route_type\":\"idempotent\",\"timeout_ms\":900,\"max_attempts\":2,\"service\":\"$long_name\"}" "{\"name\":\"$long_name\",\"max_connections\":9}")")" '^200'
+sleep 1.5
+for n in 4 5; do
+	expect "entry node $n serves the other routes" "$(send_request $n "nm$n" /all/x)" '^HTTP/1.1 200'
+	expect "and says that the new service has no target" "$(send_request $n "nn$n" /long/x)" '^HTTP/1.1 503'
+done
+expect "a longer name is refused" "$(order 1 POST /config/replace "$(manifest 8 "" "{\"name\":\"${long_name}n\",\"max_connections\":9}" | sed 's/},,/},/')")" '^400'
+expect "with the field and its limit" "$(cat "$RUN/answer")" 'services.name has over 255 bytes'
+
 echo "a new route is in use on all entry nodes within seconds:"
 extra='{"name":"new","host":"site.example","path_prefix":"/new/","route_type":"idempotent","timeout_ms":900,"max_attempts":2,"service":"s0"}'
 expect "the new manifest is accepted" "$(order 1 POST /config/replace "$(manifest 9 "$extra")")" '^200'
--- a/test/routes.c
+++ b/test/routes.c
@@ -918,6 +918,63 @@
 	}
 }
 
+/* Guards against names that are confirmed and then cut or not found by an entry node. */
+static void
+test_long_names_are_kept_whole_or_refused (void)
+{
+	struct listed_targets list;
+	char lines[3][SUB_REQUEST_LINE_SIZE];
+	struct caller_head caller;
+	char next[64];
+	caller_head_init (&caller);
+	for (size_t len = 1; len <= 300; len++) {
+		struct error error = {0};
+		struct buf text;
+		char *name = xmalloc (len + 1);
+		memset (name, 'n', len);
+		name[len] = '\0';
+		buf_init (&text);
+		buf_addf (&text,
+			"{\"version\":1,\"routes\":[{\"name\":\"%s\",\"host\":\"%s\",\"path_"
+			"prefix\":"
+			"\"/a/"
+			"\",\"timeout_ms\":9,\"service\":\"%s\"}],\"services\":[{\"name\":\"%s\"}]"
+			"}",
+			name, name, name, name);
+		struct routing *routing = manifest_decode (text.data, text.len, &error);
+		CU_ASSERT_EQUAL (routing != NULL, len <= ROUTING_NAME_MAX);
+		if (routing) {
+			struct replica_set set;
+			replica_set_init (&set, routing->services[0].name);
+			CU_ASSERT_EQUAL (routing_find_service (routing, set.name), 0);
+			CU_ASSERT_PTR_NOT_NULL (routing_match (routing, name, "/a/x"));
+			routing_unref (routing);
+		} else {
+			CU_ASSERT_EQUAL (error.kind, ERROR_INVALID);
+			CU_ASSERT_PTR_NOT_NULL (strstr (error.message, "services.name"));
+			CU_ASSERT_PTR_NOT_NULL (strstr (error.message, "255"));
+		}
+		buf_reset (&text);
+		buf_addf (&text,
+			"{\"instances\":[{\"id\":\"%s\",\"service\":\"%s\",\"address\":\"10.0.0.1:"
+			"80\","
+			"\"zone\":\"z\",\"slots\":1,\"state\":\"ready\"}]}",
+			name, name);
+		listed_targets_init (&list);
+		CU_ASSERT_TRUE (
+			target_list_decode_page (&list, text.data, text.len, next, sizeof (next)));
+		CU_ASSERT_EQUAL (list.count, len <= ROUTING_NAME_MAX);
+		if (list.count == 1) {
+			CU_ASSERT_STRING_EQUAL (list.items[0].id, name);
+			sub_request_header_lines (&caller, list.items[0].id, 0, lines);
+			CU_ASSERT_PTR_NOT_NULL (strstr (lines[2], name));
+		}
+		listed_targets_finish (&list);
+		buf_finish (&text);
+		free (name);
+	}
+}
+
 static void
 test_list_with_unreadable_entries (void)
 {
@@ -1224,6 +1281,7 @@
 		TEST (share_of_the_connections),
 		TEST (routes_by_host_and_longest_prefix),
 		TEST (invalid_manifests_are_rejected),
+		TEST (long_names_are_kept_whole_or_refused),
 		TEST (list_with_unreadable_entries),
 		TEST (odd_entries_cost_only_themselves),
 		TEST (list_with_fractional_and_huge_numbers),
