query: queued requests wake when busy targets return

Found by reading: a request that was queued because all targets were full kept its timer when these asked for no requests afterwards. Nothing served it when the first of them returned, unless another request ended, and one whose deadline came before that waited for it in vain.

Serving the queue now gives such a request the time of the first return and sets its timer, or refuses it at once.

--- a/daemon/batch_send.c
+++ b/daemon/batch_send.c
@@ -203,8 +203,7 @@
 			.content_type = "",
 			.body = records,
 			.body_len = records_len};
-		/* This node passes the answer on too, so it has to keep away from the target too.
-		 */
+		/* This node passes the answer on, so it avoids the target as well. */
 		if (part->answered && part->leaving[0])
 			forward_note_leaving (
 				batch->forward, scatter->shards[part->shard].set, part->leaving);
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -42,7 +42,14 @@
 static void
 finish_forward (struct scatter *scatter);
 
-const struct scatter_hooks forward_hooks = {send_sub, finish_forward, batch_serve_progress};
+static void
+rearm_timer (struct scatter *scatter)
+{
+	forward_set_timer (caa_container_of (scatter, struct forward, scatter));
+}
+
+const struct scatter_hooks forward_hooks = {
+	send_sub, finish_forward, batch_serve_progress, rearm_timer};
 
 static struct fetch_pool *
 get_pool (struct front *front, struct replica *replica)
--- a/query/scatter.c
+++ b/query/scatter.c
@@ -691,6 +691,25 @@
 	free (sets);
 }
 
+/*
+ * Lets a queued shard wait until the first target takes requests again; false if that is too late.
+ * It may have been queued because targets were full, and all have asked for no requests since.
+ */
+static bool
+await_return (struct scatter_shard *shard, int64_t now_us)
+{
+	struct scatter *scatter = shard->scatter;
+	int64_t first_us = return_us (scatter, shard, now_us);
+	if (!has_time_from (scatter, first_us))
+		return false;
+	shard->awaited_return = true;
+	if (first_us == shard->return_us)
+		return true;
+	shard->return_us = first_us;
+	scatter->hooks->rearm (scatter);
+	return true;
+}
+
 /* The first shard in the queue that can be sent or given up; NULL if there is none. */
 static struct scatter_shard *
 next_to_serve (struct replica_set *set, int64_t now_us)
@@ -703,7 +722,8 @@
 			return NULL;
 		case REPLICA_REFUSING:
 			/* Another shard may not have tried the target that this one has. */
-			shard->return_us = return_us (shard->scatter, shard, now_us);
+			if (!await_return (shard, now_us))
+				return shard;
 			break;
 		case REPLICA_FOUND:
 		case REPLICA_NONE:
--- a/query/scatter.h
+++ b/query/scatter.h
@@ -130,6 +130,8 @@
 	void (*deliver) (struct scatter *scatter);
 	/** SCATTER_SECTION: shards may have ended, but not all of them. */
 	void (*progress) (struct scatter *scatter);
+	/** The time of scatter_wake_us has changed outside of a call for this request. */
+	void (*rearm) (struct scatter *scatter);
 };
 
 /** Settings of this node for all requests. */
--- a/test/aggregators.c
+++ b/test/aggregators.c
@@ -451,7 +451,14 @@
 	progressed++;
 }
 
-static const struct scatter_hooks hooks = {record_send, record_deliver, record_progress};
+static void
+ignore_rearm (struct scatter *scatter)
+{
+	(void)scatter;
+}
+
+static const struct scatter_hooks hooks = {
+	record_send, record_deliver, record_progress, ignore_rearm};
 static const struct scatter_policy policy = {
 	.data_centre = "a", .extra_percent = 20, .margin_us = 10 * MS};
 
--- a/test/fuzz/scatter.c
+++ b/test/fuzz/scatter.c
@@ -54,6 +54,7 @@
 	check (request->delivered == 0);
 	check (replica_usable (replica) && replica->in_flight < replica->set->connections);
 	check (scatter->shards[shard].set == replica->set);
+	check (replica->busy_until_us <= now_us);
 	for (int i = 0; i < send_count; i++)
 		check (sends[i].request != request || sends[i].shard != shard ||
 			sends[i].use.replica != replica);
@@ -121,7 +122,13 @@
 	check (scatter->scope == SCATTER_SECTION && scatter->phase == SCATTER_RUNNING);
 }
 
-static const struct scatter_hooks hooks = {on_send, on_deliver, on_progress};
+static void
+on_rearm (struct scatter *scatter)
+{
+	(void)scatter;
+}
+
+static const struct scatter_hooks hooks = {on_send, on_deliver, on_progress, on_rearm};
 static const struct scatter_policy policy = {
 	.data_centre = "z0", .extra_percent = 20, .margin_us = 10 * MS};
 
@@ -204,6 +211,9 @@
 	if (end == SUB_END_NOT_RUN || end == SUB_END_NOT_SENT)
 		sent->request->may_have_run[sent->shard]--;
 	struct replica_set *set = sent->use.replica->set;
+	if (end == SUB_END_NOT_RUN && input_below (input, 2) != 0)
+		replica_note_busy (
+			sent->use.replica, now_us + (int64_t)input_below (input, 64) * 10 * MS);
 	replica_end (&sent->use, (enum replica_outcome)input_below (input, 4), now_us);
 	scatter_sub_ended (&sent->request->scatter, sent->shard, end, &answer, now_us);
 	scatter_serve_waiting (set, now_us);
@@ -214,6 +224,10 @@
 tick (struct tracked_request *request)
 {
 	struct scatter *scatter = &request->scatter;
+	if (scatter_has_returned (scatter, now_us))
+		scatter_serve_returned (scatter, now_us);
+	if (request->delivered > 0)
+		return;
 	scatter_tick (scatter, now_us);
 	if (request->delivered == 0 && !scatter->unconfirmed)
 		check (scatter_wake_us (scatter) > now_us);
--- a/test/routes.c
+++ b/test/routes.c
@@ -31,6 +31,7 @@
 static int send_count;
 static int delivered;
 static int progressed;
+static int rearmed;
 static int64_t now_us;
 
 static void
@@ -56,7 +57,15 @@
 	progressed++;
 }
 
-static const struct scatter_hooks hooks = {record_send, record_deliver, record_progress};
+static void
+record_rearm (struct scatter *scatter)
+{
+	(void)scatter;
+	rearmed++;
+}
+
+static const struct scatter_hooks hooks = {
+	record_send, record_deliver, record_progress, record_rearm};
 static const struct scatter_policy policy = {
 	.data_centre = "local", .extra_percent = 20, .margin_us = 10 * MS};
 
@@ -626,6 +635,47 @@
 	testbed_finish (&testbed, &urgent);
 }
 
+/* Guards against requests that were queued at full targets and sleep on when these get busy. */
+static void
+test_queued_requests_wake_when_busy_targets_return (void)
+{
+	struct testbed testbed;
+	struct scatter running[3];
+	struct scatter queued;
+	struct scatter hopeless;
+	testbed_init (&testbed, 1, "non_idempotent", 2);
+	testbed.sets[0].connections = 1;
+	for (int i = 0; i < 3; i++)
+		testbed_start (&testbed, &running[i], "all");
+	testbed_start (&testbed, &queued, "one");
+	scatter_init (&hopeless, testbed.routing, routing_find_rule (testbed.routing, "one"),
+		&policy, &hooks, now_us, now_us + 300 * MS);
+	scatter_start (&hopeless, now_us);
+	CU_ASSERT_EQUAL (testbed.sets[0].waiting_count, 2);
+	CU_ASSERT_EQUAL (scatter_wake_us (&queued), queued.deadline_us);
+	rearmed = 0;
+	for (int i = 0; i < 3; i++) {
+		replica_note_busy (&testbed.replicas[0][i], now_us + (600 + 200 * i) * MS);
+		end_sub_request (&running[i], i, SUB_END_STATUS, "");
+	}
+	scatter_serve_waiting (&testbed.sets[0], now_us);
+	/* One has time until the first return; the other is refused at once. */
+	CU_ASSERT_EQUAL (rearmed, 1);
+	CU_ASSERT_EQUAL (scatter_wake_us (&queued), now_us + 600 * MS);
+	CU_ASSERT_EQUAL (hopeless.phase, SCATTER_DONE);
+	CU_ASSERT_EQUAL (hopeless.result, SCATTER_REFUSED);
+	CU_ASSERT_EQUAL (hopeless.retry_after_ms, 600);
+	now_us += 600 * MS;
+	CU_ASSERT_TRUE (scatter_has_returned (&queued, now_us));
+	scatter_serve_returned (&queued, now_us);
+	CU_ASSERT_EQUAL (send_count, 4);
+	CU_ASSERT_PTR_EQUAL (sends[3].replica, &testbed.replicas[0][0]);
+	for (int i = 0; i < 3; i++)
+		scatter_finish (&running[i]);
+	scatter_finish (&hopeless);
+	testbed_finish (&testbed, &queued);
+}
+
 static void
 test_times_to_return_are_decoded (void)
 {
@@ -1270,6 +1320,7 @@
 		TEST (request_without_usable_target_is_refused),
 		TEST (busy_target_gets_nothing_until_its_time),
 		TEST (busy_service_queues_or_refuses_at_once),
+		TEST (queued_requests_wake_when_busy_targets_return),
 		TEST (times_to_return_are_decoded),
 		TEST (announced_leaving_outlasts_any_list),
 		TEST (stalled_and_failing_replicas_go_last),
