daemon: the callers' server answers what it has begun to read

What callers saw: found while following the ends of connections at a planned stop. A call whose body was still being sent when the node stopped lost its connection, or was told that its body was too short, which is not to be repeated. Callers of kept connections learned of the stop by their end.

Cause: the stop waited for admitted requests, and a call is admitted once its body has been read, so mg_stop () ended the thread that read it. Nothing was refused before; the documented kind "stopping" was used nowhere.

Now a call counts from the end of its head on. Once other nodes can be reached, new calls get 503, "stopping", ran no, and their connections close.

Ruled out: the hand-over of targets and the deadline of the call.

--- a/daemon/callers.c
+++ b/daemon/callers.c
@@ -45,6 +45,18 @@
 	return index < call->segment_count && strcmp (call->segments[index], segment) == 0;
 }
 
+/* Refuses calls that come once other nodes can be reached and this one is about to close. */
+static enum filter_verdict
+filter_stopping (struct call *call)
+{
+	if (!atomic_load (&call->node->refusing_calls))
+		return FILTER_NEXT;
+	metric_add (METRIC_REFUSED, 1);
+	mg_disable_connection_keep_alive (call->connection);
+	return refuse (call, ERROR_STOPPING,
+		"this node is stopping and ran nothing; send the request to another node");
+}
+
 /* Determines the kind of request from path and method. */
 static enum filter_verdict
 filter_route (struct call *call)
@@ -145,7 +157,7 @@
 }
 
 static enum filter_verdict (*const chain[]) (struct call *) = {
-	filter_route, filter_parse, filter_admit, filter_run, filter_answer};
+	filter_stopping, filter_route, filter_parse, filter_admit, filter_run, filter_answer};
 
 static int
 handle_call (struct mg_connection *connection, void *user)
@@ -153,6 +165,7 @@
 	struct call *call = xcalloc (1, sizeof (*call));
 	call->node = user;
 	call->connection = connection;
+	atomic_fetch_add (&call->node->calls, 1);
 	buf_init (&call->body);
 	buf_init (&call->request.answer);
 	call->request.load_signal = ADMISSION_NEUTRAL;
@@ -167,6 +180,7 @@
 			clock_now_us (&call->node->clock));
 	buf_finish (&call->body);
 	buf_finish (&call->request.answer);
+	atomic_fetch_sub (&call->node->calls, 1);
 	free (call);
 	return 1;
 }
--- a/daemon/http.c
+++ b/daemon/http.c
@@ -94,10 +94,11 @@
 	int status = error_http_status (error->kind);
 	char *text = http_error_text (error);
 	const char *retry = status == 503 ? "Retry-After: " HTTP_RETRY_AFTER_S "\r\n" : "";
+	const char *close = error->kind == ERROR_STOPPING ? "Connection: close\r\n" : "";
 	mg_printf (connection,
-		"HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n%sContent-Length: "
+		"HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n%s%sContent-Length: "
 		"%zu\r\n\r\n%s",
-		status, reason_phrase (status), retry, strlen (text), text);
+		status, reason_phrase (status), retry, close, strlen (text), text);
 	free (text);
 }
 
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -285,7 +285,7 @@
 {
 	if (node->front && atomic_load (&node->front->in_flight) > 0)
 		return false;
-	return atomic_load (&node->admission.in_flight) == 0 && running_at_targets (node) == 0;
+	return atomic_load (&node->calls) == 0 && running_at_targets (node) == 0;
 }
 
 static bool
@@ -325,6 +325,8 @@
 		log_further_signal (node, signals);
 		sleep_ms (STOP_POLL_INTERVAL_MS);
 	}
+	atomic_store (&node->refusing_calls, true);
+	/* Includes calls whose body is still being sent; the server would cut them. */
 	wait_until (node, signals, is_idle, STOP_TIMEOUT_MS);
 	mg_stop (callers);
 	wait_until (node, signals, is_idle, STOP_TIMEOUT_MS);
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -35,6 +35,8 @@
 	_Atomic uint64_t settled_revision;
 	struct admission admission;       /**< of the callers' server, not of declared routes */
 	_Atomic bool stopping;            /**< a planned stop has begun */
+	_Atomic bool refusing_calls;      /**< the callers' server is about to close */
+	_Atomic int calls;                /**< calls that the callers' server is handling */
 	_Atomic uint64_t request_counter; /**< for request ids */
 	struct worker *workers;
 	int worker_count;
--- a/test/demo.sh
+++ b/test/demo.sh
@@ -45,8 +45,32 @@
 expect "query while b leaves" "$(query 1 register)" '"answered":3'
 "$BUILD/oleanderctl" status
 "$BUILD/oleanderctl" return DataCentre b || fail "return"
+# Guards against a call that is cut while its body is being sent, and against one that gets no answer
+# on a connection that its caller keeps open.
+echo "calls during a planned stop:"
+body='{"status":"accredited"}'
+post='POST /v1/collections/register/query HTTP/1.1\r\nHost: localhost\r\nContent-Length: 23\r\n\r\n'
+exec {slow}<> "/dev/tcp/127.0.0.1/$((BASE + 3))"
+exec {kept}<> "/dev/tcp/127.0.0.1/$((BASE + 3))"
+printf "$post%s" "$body" >&"$kept"
+expect "a kept connection" "$(timeout 2 head -n 1 <&"$kept")" 'HTTP/1.1 200'
+printf "$post%s" "${body:0:10}" >&"$slow"
+sleep 0.2
+kill -TERM "${PIDS[n3]}"
+sleep 4
+printf "$post%s" "$body" >&"$kept"
+answer=$(timeout 2 cat <&"$kept" | tr -d '\r')
+expect "a late call on a kept connection is refused" "$answer" '"kind":"stopping"'
+expect "which says that it did not run" "$answer" '"ran":"no"'
+expect "and that the connection closes" "$answer" '^Connection: close'
+kill -0 "${PIDS[n3]}" || fail "the node did not wait for a call whose body is being sent"
+printf '%s' "${body:10}" >&"$slow"
+expect "a call whose body was being sent is answered" "$(timeout 5 head -n 1 <&"$slow")" 'HTTP/1.1 200'
+exec {slow}>&- {kept}>&-
+wait "${PIDS[n3]}" || fail "node 3 exited with $?"
+unset "PIDS[n3]"
 echo "planned stops:"
-for n in 3 2 1; do
+for n in 2 1; do
 	stop "n$n" || fail "node $n exited with $?"
 done
 stop targets || fail "targets"
