query, daemon: a node that ends early accepts nothing more

What callers would see: a stopping entry node without connections ends early, 2.5 s after SIGTERM. A caller that connects at that moment and whose request is accepted gets 504 after 0.6 s, although its target works on and there were 2.5 s left.

Cause: the number of connections is read by another thread than the one that accepts, and the last step refused only what had not been sent.

Ruled out: the window cannot be closed by reading the number again, since a connection may come after any read of it.

From the last step on every new request is refused, and what was accepted before keeps its time until the end of the stop. unit-routes node_that_ends_early_accepts_nothing; the decision had no such state before.

--- a/daemon/front.c
+++ b/daemon/front.c
@@ -40,6 +40,7 @@
 {
 	int64_t began_us = atomic_load (&front->stop_began_us);
 	return (struct drain){.began_us = began_us,
+		.refusing = front->refusing,
 		.stop_us = began_us + front->node->options.front_stop_ms * US_PER_MS};
 }
 
@@ -470,6 +471,7 @@
 		return;
 	case FRONT_REFUSE_UNSENT:
 		free (mail);
+		front->refusing = true;
 		forward_refuse_unsent (front);
 		return;
 	case FRONT_STOP:
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -103,6 +103,7 @@
 	_Atomic int64_t view_confirmed_us; /**< when control last confirmed the declared state */
 	_Atomic int64_t stop_began_us;     /**< when a planned stop began; 0: none */
 	_Atomic bool stop;
+	bool refusing; /**< a planned stop accepts no more requests */
 };
 
 /** Starts the front's thread; messages may be posted from then on. */
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -308,11 +308,14 @@
 static void
 stop_front (struct node *node, const sigset_t *signals)
 {
-	atomic_store (&node->front->stop_began_us, clock_now_us (&node->clock));
-	wait_until (node, signals, is_front_drained, (int)node->options.front_stop_ms);
+	int64_t began_us = clock_now_us (&node->clock);
+	int stop_ms = (int)node->options.front_stop_ms;
+	atomic_store (&node->front->stop_began_us, began_us);
+	wait_until (node, signals, is_front_drained, stop_ms);
 	/* New requests are refused from now on; wait for those that were accepted before. */
 	front_refuse_unsent (node->front);
-	wait_until (node, signals, is_idle, DRAIN_END_MS);
+	int elapsed_ms = (int)((clock_now_us (&node->clock) - began_us) / US_PER_MS);
+	wait_until (node, signals, is_idle, stop_ms + DRAIN_END_MS - elapsed_ms);
 	front_stop (node->front);
 }
 
--- a/query/drain.c
+++ b/query/drain.c
@@ -11,6 +11,8 @@
 {
 	if (drain->began_us == 0)
 		return true;
+	if (drain->refusing)
+		return false;
 	if (drain_closes_connections (drain, now_us))
 		return deadline_us <= drain->stop_us;
 	return now_us + usual_us * DRAIN_LATENCY_FACTOR <= drain->stop_us;
--- a/query/drain.h
+++ b/query/drain.h
@@ -19,14 +19,17 @@
 	/** Until then, a request is accepted if this many usual latencies remain. */
 	DRAIN_LATENCY_FACTOR = 4,
 	/** Time to end requests once no more are accepted. */
-	DRAIN_END_MS = 600,
+	DRAIN_END_MS = 500,
 	/** Time to write the last answers to callers. */
-	DRAIN_FLUSH_US = 100000,
+	DRAIN_FLUSH_US = 150000,
+	/** Time for callers to read them and to close their connections. */
+	DRAIN_LINGER_US = 50000,
 };
 
 struct drain {
 	int64_t began_us; /**< 0: no planned stop has begun */
 	int64_t stop_us;  /**< no request is accepted from then on */
+	bool refusing;    /**< the node had no more connections and is about to end */
 };
 
 /** True once the load balancer uses other nodes, so that callers should reconnect. */
--- a/test/routes.c
+++ b/test/routes.c
@@ -443,6 +443,20 @@
 	CU_ASSERT_EQUAL (drain_retry_after_us (&drain, start_us + 1100 * MS), 1400 * MS);
 }
 
+/* Guards against a request that is accepted while a node without connections ends early. */
+static void
+test_node_that_ends_early_accepts_nothing (void)
+{
+	int64_t start_us = 100000 * MS;
+	struct drain drain = {.began_us = start_us, .stop_us = start_us + 5000 * MS};
+	int64_t at_us = start_us + DRAIN_BALANCER_LAG_US + 20 * MS;
+	CU_ASSERT_TRUE (drain_accepts (&drain, 10 * MS, at_us + 1100 * MS, at_us));
+	drain.refusing = true;
+	CU_ASSERT_FALSE (drain_accepts (&drain, 10 * MS, at_us + 1100 * MS, at_us));
+	CU_ASSERT_FALSE (drain_accepts (&drain, 10 * MS, at_us + 20 * MS, at_us));
+	CU_ASSERT_EQUAL (drain_retry_after_us (&drain, at_us), 0);
+}
+
 /* Guards against requests that a stopping node ends without a truthful last answer. */
 static void
 test_end_of_a_stop_tells_what_may_have_run (void)
@@ -1389,6 +1403,7 @@
 		TEST (refusal_uses_up_no_attempt),
 		TEST (non_idempotent_request_runs_at_most_once),
 		TEST (stopping_node_accepts_only_what_ends_in_time),
+		TEST (node_that_ends_early_accepts_nothing),
 		TEST (end_of_a_stop_tells_what_may_have_run),
 		TEST (error_reply_of_the_target_is_forwarded),
 		TEST (queue_is_ordered_by_priority),
