net, daemon: a planned stop ends each connection with an answer

A trial with more logs traces them to a loop that ended with requests in flight, and to sockets that stayed open for 0.2 s and more without a loop.

What was left, from following each end of a connection: callers in the queue of the listening socket and requests read in part were cut; an answer was cut after 0.1 s, or at once when the thread had not run for so long; closing a connection with unread bytes reset it and dropped what was not sent yet.

Now the stop takes the connections that the kernel has accepted, closes the listening socket, gives each socket a turn, writes answers for up to 150 ms, answers requests read in part with 503, ends its sending side and discards for up to 50 ms what callers still send. An answer that closes its connection outside of a stop gets the same care.

Evidence: unit-ingress with the three functions and the lingering taken out: read in part, unread bytes and closed listener failed; with them all pass. It works because nothing is left open that no loop serves, and because no connection is closed before the caller has ended its side or had 50 ms to do so.

--- a/daemon/front.c
+++ b/daemon/front.c
@@ -8,6 +8,7 @@
 #include "platform/manifest.h"
 
 #include <jansson.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
@@ -18,6 +19,8 @@
 enum {
 	EVENTS_PER_WAIT = 128,
 	IDLE_WAIT_MS = 200,
+	DRAIN_WAIT_MS = 5,
+	DRAIN_FLUSH_TURNS = 3, /* to accept, to read and to answer */
 	READINESS_MAX_CONNECTIONS = 16,
 	BATCH_MAX_CONNECTIONS = 1000,
 	BATCH_HEADER_MAX_BYTES = 4096,
@@ -530,9 +533,9 @@
 }
 
 static int
-wait_ms (const struct front *front)
+wait_ms (const struct front *front, int max_ms)
 {
-	int wait = IDLE_WAIT_MS;
+	int wait = max_ms;
 	int64_t next_us = timers_next_us (&front->timers);
 	int64_t now_us = front_now_us (front);
 	if (next_us <= now_us || fetch_loop_has_unread (&front->fetches))
@@ -585,12 +588,13 @@
 	return pending;
 }
 
+/* Waits for events for at most max_ms, and handles them. */
 static void
-iterate (struct front *front)
+iterate (struct front *front, int max_ms)
 {
 	struct epoll_event events[EVENTS_PER_WAIT];
 	struct mail *mail;
-	int count = epoll_wait (front->epoll_fd, events, EVENTS_PER_WAIT, wait_ms (front));
+	int count = epoll_wait (front->epoll_fd, events, EVENTS_PER_WAIT, wait_ms (front, max_ms));
 	int64_t woken_us = front_now_us (front);
 	if (front->woken_us != 0 && woken_us > front->woken_us + FRONT_SUSPENDED_US)
 		front->resumed_us = woken_us;
@@ -615,9 +619,15 @@
 	latency_observe (LATENCY_LOOP_ITERATION, front_now_us (front) - woken_us);
 }
 
+static int
+open_requests (const struct front *front)
+{
+	return front->callers.request_count + front->batches.request_count;
+}
+
 /*
- * Answers every request that was read, and waits until the answers are written. The listening
- * sockets are closed after that, so that callers whose request was not read reconnect elsewhere.
+ * Answers every request that was read, and waits until the answers are written. No connection is
+ * accepted after that; those that were, and requests that have been received in part, are refused.
  */
 static void
 end_requests (struct front *front)
@@ -625,9 +635,19 @@
 	int64_t end_us = front_now_us (front) + DRAIN_FLUSH_US;
 	int ended = forward_end_all (front);
 	log_event (&front->log, EVENT_REQUESTS_ENDED, "%d requests", ended);
-	while (front->callers.request_count + front->batches.request_count > 0 &&
+	ingress_stop_listening (&front->callers);
+	ingress_stop_listening (&front->batches);
+	/* Each socket gets a turn even if this thread did not run for a while. */
+	for (int i = 0; i < DRAIN_FLUSH_TURNS ||
+			(open_requests (front) > 0 && front_now_us (front) < end_us);
+		i++)
+		iterate (front, DRAIN_WAIT_MS);
+	ingress_shutdown (&front->callers);
+	ingress_shutdown (&front->batches);
+	end_us = front_now_us (front) + DRAIN_LINGER_US;
+	while (ingress_discard (&front->callers) + ingress_discard (&front->batches) > 0 &&
 		front_now_us (front) < end_us)
-		iterate (front);
+		poll (NULL, 0, DRAIN_WAIT_MS);
 	ingress_stop (&front->callers);
 	ingress_stop (&front->batches);
 	ingress_stop (&front->balancer);
@@ -639,7 +659,7 @@
 	struct front *front = arg;
 	rcu_register_thread ();
 	while (!atomic_load (&front->stop))
-		iterate (front);
+		iterate (front, IDLE_WAIT_MS);
 	if (serves_callers (front))
 		end_requests (front);
 	rcu_unregister_thread ();
@@ -685,11 +705,12 @@
 	fetch_loop_init (&front->fetches, front->epoll_fd, &node->clock, &front->timers);
 	discovery_start (&front->discovery, front);
 	if (options->front_address[0] &&
-		(!ingress_start (&front->callers, options->front_address, front->epoll_fd,
-			 (int)options->front_connections, &limits, &callers, error) ||
-			!ingress_start (&front->balancer, options->front_ready_address,
-				front->epoll_fd, READINESS_MAX_CONNECTIONS, &limits, &balancer,
-				error)))
+		(!ingress_start (&front->callers, &node->clock, options->front_address,
+			 front->epoll_fd, (int)options->front_connections, &limits, &callers,
+			 error) ||
+			!ingress_start (&front->balancer, &node->clock,
+				options->front_ready_address, front->epoll_fd,
+				READINESS_MAX_CONNECTIONS, &limits, &balancer, error)))
 		return false;
 	if (options->front_address[0] && options->front_batch_port_step > 0) {
 		struct ingress_limits batch_limits = {
@@ -698,7 +719,7 @@
 		char address[AGGREGATOR_NAME_SIZE];
 		batch_address (options->node_peer_address, options->front_batch_port_step, address,
 			sizeof (address));
-		if (!ingress_start (&front->batches, address, front->epoll_fd,
+		if (!ingress_start (&front->batches, &node->clock, address, front->epoll_fd,
 			    BATCH_MAX_CONNECTIONS, &batch_limits, &batches, error))
 			return false;
 	}
--- a/net/ingress.c
+++ b/net/ingress.c
@@ -4,11 +4,13 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -16,14 +18,75 @@
 	POOL_OVERHEAD_BYTES = 4096, /* the library stores its own data beside the headers */
 	FD_TABLE_STEP = 64,
 	TIMEOUT_MAX_MS = 1000,
+	DISCARD_BYTES = 16384, /* of one connection in one call */
 };
 
 /** A caller's connection. */
 struct ingress_client {
 	int fd;
-	struct ingress_request *request; /**< the request being handled; or NULL */
+	struct ingress_request *request;   /**< the request being handled; or NULL */
+	struct ingress_request *receiving; /**< the request being received or handled; or NULL */
+	bool closing;                      /**< its last answer closes the connection */
+	bool drained;                      /**< the caller has closed its side */
 };
 
+/** A connection that was closed while the caller was still sending. */
+struct lingering {
+	struct cds_list_head node; /**< in ingress.lingering */
+	int fd;
+	int64_t until_us;
+};
+
+static const char refusal[] = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
+			      "Retry-After: 0\r\nConnection: close\r\n\r\n";
+
+/* Returns false once nothing more will come. */
+static bool
+discard (int fd)
+{
+	char bytes[DISCARD_BYTES];
+	ssize_t n = recv (fd, bytes, sizeof (bytes), MSG_DONTWAIT);
+	return n > 0 || (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR));
+}
+
+/* The server closes its descriptor; this one keeps the connection until the bytes are read. */
+static void
+linger (struct ingress *ingress, int fd)
+{
+	int unread = 0;
+	if (ioctl (fd, FIONREAD, &unread) != 0 || unread == 0)
+		return;
+	struct lingering *lingering = xcalloc (1, sizeof (*lingering));
+	lingering->fd = fcntl (fd, F_DUPFD_CLOEXEC, 0);
+	lingering->until_us = clock_now_us (ingress->clock) + INGRESS_LINGER_US;
+	cds_list_add_tail (&lingering->node, &ingress->lingering);
+}
+
+static void
+end_lingering (struct lingering *lingering)
+{
+	if (lingering->fd >= 0)
+		close (lingering->fd);
+	cds_list_del (&lingering->node);
+	free (lingering);
+}
+
+/* Returns how many connections linger on. */
+static int
+discard_lingering (struct ingress *ingress)
+{
+	struct lingering *lingering;
+	struct lingering *next;
+	int count = 0;
+	cds_list_for_each_entry_safe (lingering, next, &ingress->lingering, node) {
+		if (clock_now_us (ingress->clock) < lingering->until_us && discard (lingering->fd))
+			count++;
+		else
+			end_lingering (lingering);
+	}
+	return count;
+}
+
 static void
 watch_client (struct ingress *ingress, struct ingress_client *client)
 {
@@ -60,6 +123,8 @@
 		*context = client;
 		return;
 	}
+	if (client->closing)
+		linger (ingress, client->fd);
 	ingress->clients[client->fd] = NULL;
 	epoll_ctl (ingress->epoll_fd, EPOLL_CTL_DEL, client->fd, NULL);
 	ingress->connection_count--;
@@ -80,6 +145,8 @@
 	buf_init (&request->head);
 	request->client = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
 				  ->socket_context;
+	if (request->client)
+		request->client->receiving = request;
 	ingress->request_count++;
 	return request;
 }
@@ -98,8 +165,10 @@
 		request->caller_left = true;
 		ingress->hooks.caller_left (request, ingress->hooks.user);
 	}
-	if (request->client)
+	if (request->client) {
 		request->client->request = NULL;
+		request->client->receiving = NULL;
+	}
 	ingress->request_count--;
 	free (request->uri);
 	free (request->answer);
@@ -149,6 +218,8 @@
 	}
 	if (request->close)
 		MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
+	if (request->close && request->client)
+		request->client->closing = true;
 	enum MHD_Result result =
 		MHD_queue_response (request->connection, (unsigned)request->status, response);
 	MHD_destroy_response (response);
@@ -216,14 +287,17 @@
 }
 
 bool
-ingress_start (struct ingress *ingress, const char *address, int epoll_fd, int max_connections,
-	const struct ingress_limits *limits, const struct ingress_hooks *hooks, struct error *error)
+ingress_start (struct ingress *ingress, struct clock *clock, const char *address, int epoll_fd,
+	int max_connections, const struct ingress_limits *limits, const struct ingress_hooks *hooks,
+	struct error *error)
 {
 	struct sockaddr_in socket_address;
 	memset (ingress, 0, sizeof (*ingress));
+	ingress->clock = clock;
 	ingress->epoll_fd = epoll_fd;
 	ingress->limits = *limits;
 	ingress->hooks = *hooks;
+	CDS_INIT_LIST_HEAD (&ingress->lingering);
 	if (!ingress_parse_address (address, &socket_address))
 		return error_set (
 			error, ERROR_CONFIG, "%s is not an IP:port address; correct it", address);
@@ -245,12 +319,64 @@
 	return true;
 }
 
+void
+ingress_stop_listening (struct ingress *ingress)
+{
+	int listen_fd = ingress->daemon ? MHD_quiesce_daemon (ingress->daemon) : -1;
+	if (listen_fd < 0)
+		return;
+	for (;;) {
+		struct sockaddr_in peer;
+		socklen_t len = sizeof (peer);
+		int fd = accept4 (
+			listen_fd, (struct sockaddr *)&peer, &len, SOCK_NONBLOCK | SOCK_CLOEXEC);
+		if (fd < 0)
+			break;
+		MHD_add_connection (ingress->daemon, fd, (struct sockaddr *)&peer, len);
+	}
+	close (listen_fd);
+}
+
+void
+ingress_shutdown (struct ingress *ingress)
+{
+	for (int i = 0; ingress->daemon && i < ingress->client_count; i++) {
+		struct ingress_client *client = ingress->clients[i];
+		if (!client)
+			continue;
+		bool is_partial =
+			client->receiving && !client->request && !client->receiving->answered;
+		if (is_partial && send (client->fd, refusal, sizeof (refusal) - 1,
+					  MSG_NOSIGNAL | MSG_DONTWAIT) < 0)
+			continue;
+		shutdown (client->fd, SHUT_WR);
+	}
+}
+
+int
+ingress_discard (struct ingress *ingress)
+{
+	int open = ingress->daemon ? discard_lingering (ingress) : 0;
+	for (int i = 0; ingress->daemon && i < ingress->client_count; i++) {
+		struct ingress_client *client = ingress->clients[i];
+		if (!client || client->drained)
+			continue;
+		client->drained = !discard (client->fd);
+		open += !client->drained;
+	}
+	return open;
+}
+
 void
 ingress_stop (struct ingress *ingress)
 {
+	struct lingering *lingering;
+	struct lingering *next;
 	if (!ingress->daemon)
 		return;
 	MHD_stop_daemon (ingress->daemon);
+	cds_list_for_each_entry_safe (lingering, next, &ingress->lingering, node)
+		end_lingering (lingering);
 	free (ingress->clients);
 	memset (ingress, 0, sizeof (*ingress));
 }
@@ -283,6 +409,7 @@
 {
 	ingress->resumed = false;
 	MHD_run (ingress->daemon);
+	discard_lingering (ingress);
 }
 
 bool
--- a/net/ingress.h
+++ b/net/ingress.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "core/buf.h"
+#include "core/clock.h"
 #include "core/error.h"
 
 #include <microhttpd.h>
@@ -15,10 +16,16 @@
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <urcu/list.h>
 
 struct ingress;
 struct ingress_client;
 
+enum {
+	/** How long bytes that a caller sends behind a closing answer are discarded. */
+	INGRESS_LINGER_US = 500000,
+};
+
 /** A request; valid until it is answered or the hook caller_left returns. */
 struct ingress_request {
 	struct ingress *ingress;
@@ -56,6 +63,7 @@
 
 struct ingress {
 	struct MHD_Daemon *daemon;
+	struct clock *clock;
 	int epoll_fd; /**< of the thread's event loop, which also watches the callers' sockets */
 	struct ingress_hooks hooks;
 	struct ingress_limits limits;
@@ -64,6 +72,7 @@
 	bool resumed;                    /**< a resumed request needs ingress_run */
 	struct ingress_client **clients; /**< indexed by socket */
 	int client_count;
+	struct cds_list_head lingering; /**< closed connections whose bytes are discarded */
 };
 
 /** Parses an IP:port address. */
@@ -72,12 +81,34 @@
 
 /** Starts to listen on an IP:port. */
 bool
-ingress_start (struct ingress *ingress, const char *address, int epoll_fd, int max_connections,
-	const struct ingress_limits *limits, const struct ingress_hooks *hooks,
+ingress_start (struct ingress *ingress, struct clock *clock, const char *address, int epoll_fd,
+	int max_connections, const struct ingress_limits *limits, const struct ingress_hooks *hooks,
 	struct error *error);
 void
 ingress_stop (struct ingress *ingress);
 
+/**
+ * Takes the connections that the kernel has accepted and closes the listening socket, so that
+ * callers without a connection are turned away at once. The other functions go on working.
+ */
+void
+ingress_stop_listening (struct ingress *ingress);
+
+/**
+ * Ends the sending side of all connections; to be called once the answers are written. A request
+ * that has been received in part gets an answer that says that it did not run. Only
+ * ingress_discard and ingress_stop may be called after it.
+ */
+void
+ingress_shutdown (struct ingress *ingress);
+
+/**
+ * Discards what callers send after ingress_shutdown: closing a connection with unread bytes resets
+ * it, and the caller may lose an answer on its way. Returns how many have not closed theirs.
+ */
+int
+ingress_discard (struct ingress *ingress);
+
 /** A descriptor that is readable when ingress_run has work. */
 int
 ingress_fd (const struct ingress *ingress);
--- /dev/null
+++ b/test/ingress.c
@@ -0,0 +1,327 @@
+/**
+ * @file ingress.c
+ * Tests of how callers' connections end when a node stops, with real sockets on loopback: what the
+ * kernel does with unread bytes does not show in a model.
+ */
+#include "net/ingress.h"
+#include "test/suite.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum {
+	MAX_CONNECTIONS = 16,
+	HELD_MAX = 8,
+	ANSWER_MAX_BYTES = 4 * 1024 * 1024,
+	SMALL_BUFFER = 4096,
+	READ_PAUSE_US = 200,
+	STOP_TURNS = 400,
+	STOP_WAIT_MS = 2,
+};
+
+static const char head[] = "POST /file/x HTTP/1.1\r\nHost: site.example\r\n";
+
+struct fixture {
+	struct clock clock;
+	struct ingress ingress;
+	int epoll_fd;
+	int port;
+	struct ingress_request *held[HELD_MAX]; /* received and not answered yet */
+	int held_count;
+	int received_count;
+	int left_count;
+};
+
+/* A caller that reads in a thread of its own until its connection ends. */
+struct reader {
+	pthread_t thread;
+	int fd;
+	int pause_us;
+	size_t len;
+	char *data;
+};
+
+static void
+hold_request (struct ingress_request *request, void *user)
+{
+	struct fixture *fixture = user;
+	request->user = fixture;
+	fixture->received_count++;
+	if (fixture->held_count < HELD_MAX)
+		fixture->held[fixture->held_count++] = request;
+}
+
+static void
+count_caller_left (struct ingress_request *request, void *user)
+{
+	struct fixture *fixture = user;
+	request->user = NULL;
+	fixture->left_count++;
+}
+
+static int
+free_port (void)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	socklen_t len = sizeof (address);
+	int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+	CU_ASSERT_EQUAL_FATAL (bind (fd, (struct sockaddr *)&address, sizeof (address)), 0);
+	getsockname (fd, (struct sockaddr *)&address, &len);
+	close (fd);
+	return ntohs (address.sin_port);
+}
+
+static void
+fixture_init (struct fixture *fixture)
+{
+	struct error error = {0};
+	char address[32];
+	struct ingress_limits limits = {16384, 262144, 20000000};
+	struct ingress_hooks hooks = {hold_request, count_caller_left, fixture};
+	memset (fixture, 0, sizeof (*fixture));
+	clock_init_system (&fixture->clock);
+	fixture->epoll_fd = epoll_create1 (EPOLL_CLOEXEC);
+	fixture->port = free_port ();
+	snprintf (address, sizeof (address), "127.0.0.1:%d", fixture->port);
+	CU_ASSERT_TRUE_FATAL (ingress_start (&fixture->ingress, &fixture->clock, address,
+		fixture->epoll_fd, MAX_CONNECTIONS, &limits, &hooks, &error));
+}
+
+/* Lets the server work for a number of turns. */
+static void
+run (struct fixture *fixture, int turns)
+{
+	for (int i = 0; i < turns; i++) {
+		ingress_run (&fixture->ingress);
+		poll (NULL, 0, 1);
+	}
+}
+
+/* The end of a planned stop, as the front does it. */
+static void
+stop (struct fixture *fixture)
+{
+	ingress_stop_listening (&fixture->ingress);
+	for (int i = 0; i < STOP_TURNS && (i < 3 || fixture->ingress.request_count > 0); i++) {
+		ingress_run (&fixture->ingress);
+		for (int j = 0; j < fixture->held_count; j++)
+			ingress_answer (fixture->held[j], 503, NULL, NULL, 0, true);
+		fixture->held_count = 0;
+		poll (NULL, 0, STOP_WAIT_MS);
+	}
+	ingress_shutdown (&fixture->ingress);
+	for (int i = 0; i < STOP_TURNS && ingress_discard (&fixture->ingress) > 0; i++)
+		poll (NULL, 0, STOP_WAIT_MS);
+	ingress_stop (&fixture->ingress);
+	close (fixture->epoll_fd);
+}
+
+static int
+connect_caller (const struct fixture *fixture, int receive_buffer)
+{
+	struct sockaddr_in peer = {
+		.sin_family = AF_INET, .sin_port = htons ((uint16_t)fixture->port)};
+	int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	peer.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+	if (receive_buffer)
+		setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof (receive_buffer));
+	CU_ASSERT_EQUAL_FATAL (connect (fd, (struct sockaddr *)&peer, sizeof (peer)), 0);
+	return fd;
+}
+
+static void
+send_text (int fd, const char *text)
+{
+	CU_ASSERT_EQUAL_FATAL (
+		send (fd, text, strlen (text), MSG_NOSIGNAL), (ssize_t)strlen (text));
+}
+
+static void *
+read_all (void *user)
+{
+	struct reader *reader = user;
+	ssize_t n = 0;
+	while (reader->len < ANSWER_MAX_BYTES && (n = recv (reader->fd, reader->data + reader->len,
+							  ANSWER_MAX_BYTES - reader->len, 0)) > 0) {
+		reader->len += (size_t)n;
+		if (reader->pause_us)
+			usleep ((useconds_t)reader->pause_us);
+	}
+	/* As callers do once they see the end. */
+	close (reader->fd);
+	return NULL;
+}
+
+static void
+reader_start (struct reader *reader, int fd, int pause_us)
+{
+	reader->fd = fd;
+	reader->pause_us = pause_us;
+	reader->len = 0;
+	reader->data = xcalloc (1, ANSWER_MAX_BYTES + 1);
+	pthread_create (&reader->thread, NULL, read_all, reader);
+}
+
+static void
+reader_join (struct reader *reader)
+{
+	pthread_join (reader->thread, NULL);
+	reader->data[reader->len] = '\0';
+}
+
+static bool
+is_refusal (const struct reader *reader)
+{
+	return strncmp (reader->data, "HTTP/1.1 503 ", 13) == 0 &&
+	       strstr (reader->data, "Connection: close\r\n") && strstr (reader->data, "\r\n\r\n");
+}
+
+/* Guards against requests that are reset because the node had not accepted their connection. */
+static void
+test_stop_refuses_connections_not_accepted (void)
+{
+	struct fixture fixture;
+	struct reader readers[3];
+	fixture_init (&fixture);
+	for (int i = 0; i < 3; i++) {
+		int fd = connect_caller (&fixture, 0);
+		send_text (fd, "GET /all/x HTTP/1.1\r\nHost: site.example\r\n\r\n");
+		reader_start (&readers[i], fd, 0);
+	}
+	stop (&fixture);
+	for (int i = 0; i < 3; i++) {
+		reader_join (&readers[i]);
+		CU_ASSERT_TRUE (is_refusal (&readers[i]));
+		free (readers[i].data);
+	}
+}
+
+/* Guards against requests that arrived after the last turn of the loop and are reset unread. */
+static void
+test_stop_refuses_requests_not_read (void)
+{
+	struct fixture fixture;
+	struct reader reader;
+	fixture_init (&fixture);
+	int fd = connect_caller (&fixture, 0);
+	run (&fixture, 3);
+	send_text (fd, "GET /all/x HTTP/1.1\r\nHost: site.example\r\n\r\n");
+	reader_start (&reader, fd, 0);
+	stop (&fixture);
+	reader_join (&reader);
+	CU_ASSERT_TRUE (is_refusal (&reader));
+	free (reader.data);
+}
+
+/* Guards against a connection that ends without an answer while its request is being sent. */
+static void
+test_stop_refuses_requests_read_in_part (void)
+{
+	static const char *const parts[] = {"", "Content-Length: 10\r\n\r\n",
+		"Content-Length: 10\r\n\r\n12345", "Transfer-Encoding: chunked\r\n\r\n5\r\n123"};
+	for (size_t i = 0; i < sizeof (parts) / sizeof (parts[0]); i++) {
+		struct fixture fixture;
+		struct reader reader;
+		fixture_init (&fixture);
+		int fd = connect_caller (&fixture, 0);
+		send_text (fd, head);
+		send_text (fd, parts[i]);
+		run (&fixture, 5);
+		reader_start (&reader, fd, 0);
+		stop (&fixture);
+		reader_join (&reader);
+		CU_ASSERT_TRUE (is_refusal (&reader));
+		CU_ASSERT_EQUAL (fixture.held_count, 0);
+		free (reader.data);
+	}
+}
+
+/* Guards against an answer that is cut because its caller reads slowly. */
+static void
+test_stop_waits_for_slow_readers (void)
+{
+	enum { LEN = 3000000 };
+	struct fixture fixture;
+	struct reader reader;
+	fixture_init (&fixture);
+	int fd = connect_caller (&fixture, SMALL_BUFFER);
+	send_text (fd, "GET /all/x HTTP/1.1\r\nHost: site.example\r\n\r\n");
+	run (&fixture, 3);
+	CU_ASSERT_EQUAL_FATAL (fixture.held_count, 1);
+	ingress_answer (fixture.held[0], 200, NULL, xcalloc (1, LEN), LEN, false);
+	fixture.held_count = 0;
+	reader_start (&reader, fd, READ_PAUSE_US);
+	stop (&fixture);
+	reader_join (&reader);
+	CU_ASSERT_TRUE (reader.len > LEN);
+	free (reader.data);
+}
+
+/*
+ * Guards against a closing answer that is lost because the caller has sent more bytes, so that the
+ * kernel resets the connection and drops what it has not sent.
+ */
+static void
+test_closing_answer_survives_unread_bytes (void)
+{
+	enum { LEN = 3000000, MORE = 200000 };
+	struct fixture fixture;
+	struct reader reader;
+	char *more = xcalloc (1, MORE);
+	fixture_init (&fixture);
+	int fd = connect_caller (&fixture, SMALL_BUFFER);
+	send_text (fd, "GET /all/x HTTP/1.1\r\nHost: site.example\r\n\r\n");
+	run (&fixture, 3);
+	CU_ASSERT_EQUAL_FATAL (fixture.held_count, 1);
+	fcntl (fd, F_SETFL, O_NONBLOCK);
+	CU_ASSERT_TRUE (send (fd, more, MORE, MSG_NOSIGNAL) > 0);
+	fcntl (fd, F_SETFL, 0);
+	ingress_answer (fixture.held[0], 200, NULL, xcalloc (1, LEN), LEN, true);
+	fixture.held_count = 0;
+	reader_start (&reader, fd, READ_PAUSE_US);
+	run (&fixture, STOP_TURNS);
+	reader_join (&reader);
+	CU_ASSERT_TRUE (reader.len > LEN);
+	stop (&fixture);
+	free (reader.data);
+	free (more);
+}
+
+/* Guards against connections that hang in the queue of a socket that nobody accepts from. */
+static void
+test_stopped_listener_turns_callers_away (void)
+{
+	struct fixture fixture;
+	struct sockaddr_in peer = {.sin_family = AF_INET};
+	fixture_init (&fixture);
+	ingress_stop_listening (&fixture.ingress);
+	int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	peer.sin_port = htons ((uint16_t)fixture.port);
+	peer.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+	CU_ASSERT_NOT_EQUAL (connect (fd, (struct sockaddr *)&peer, sizeof (peer)), 0);
+	close (fd);
+	stop (&fixture);
+}
+
+int
+main (void)
+{
+	static const struct suite_test tests[] = {
+		TEST (stop_refuses_connections_not_accepted),
+		TEST (stop_refuses_requests_not_read),
+		TEST (stop_refuses_requests_read_in_part),
+		TEST (stop_waits_for_slow_readers),
+		TEST (closing_answer_survives_unread_bytes),
+		TEST (stopped_listener_turns_callers_away),
+	};
+	return suite_run ("ingress", tests, sizeof (tests) / sizeof (tests[0]));
+}
