net: requests of callers that have left are not passed on

Cause: callers' sockets are watched with edge-triggered events. When a request and the end of its caller come on a kept connection while the thread does not run, the event is handled before the server reads the request, and is lost.

Ruled out: an aggregator that goes on after a cancel (none was sent); load alone (it only makes the pauses longer).

Evidence: unit-ingress request_of_a_caller_that_left_is_not_passed_on ended without the check (the request was suspended for good), and passes with it. The end of a caller is now kept with its connection and checked before a request is passed on, so that the order of the two events no longer matters.

--- a/daemon/batch_serve.c
+++ b/daemon/batch_serve.c
@@ -218,14 +218,13 @@
 }
 
 /*
- * A batch that had to wait, for example while this process was suspended, may have been sent again
- * since. Its sender has closed the connection by then, unless the close is held up in the network.
+ * A batch that had to wait while this process was suspended may have been sent again since. Its
+ * sender has closed the connection by then, but that may be held up in the network.
  */
 static bool
-is_outdated (const struct front *front, const struct ingress_request *request)
+is_outdated (const struct front *front)
 {
-	return front_now_us (front) < front->resumed_us + FRONT_RESUME_GUARD_US ||
-	       ingress_caller_has_left (request);
+	return front_now_us (front) < front->resumed_us + FRONT_RESUME_GUARD_US;
 }
 
 static void
@@ -264,7 +263,7 @@
 	if (!batch_decode_request (&batch, key, request->body.data, request->body.len)) {
 		metric_add (METRIC_PEER_DROPPED, 1);
 		answer_status (request, 400);
-	} else if (!front_has_view (front) || is_closing (front) || is_outdated (front, request)) {
+	} else if (!front_has_view (front) || is_closing (front) || is_outdated (front)) {
 		answer_status (request, 503);
 	} else {
 		struct routing_rule *rule = find_rule (front, &batch);
--- a/net/ingress.c
+++ b/net/ingress.c
@@ -27,7 +27,8 @@
 	struct ingress_request *request;   /**< the request being handled; or NULL */
 	struct ingress_request *receiving; /**< the request being received or handled; or NULL */
 	bool closing;                      /**< its last answer closes the connection */
-	bool drained;                      /**< the caller has closed its side */
+	bool left;                         /**< the caller has closed its side */
+	bool drained;                      /**< and nothing is unread */
 };
 
 /** A connection that was closed while the caller was still sending. */
@@ -235,6 +236,25 @@
 		buf_add (&request->body, data, len);
 }
 
+/*
+ * Whether the caller left before its request was read. The event of its leaving may have been
+ * handled already, or is about to be.
+ */
+static bool
+has_left (struct ingress_request *request)
+{
+	char byte = 0;
+	struct ingress_client *client = request->client;
+	if (!client)
+		return true;
+	if (!client->left) {
+		ssize_t n = recv (client->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+		client->left = n == 0 ||
+			       (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+	}
+	return client->left;
+}
+
 static enum MHD_Result
 on_request (void *user, struct MHD_Connection *connection, const char *url, const char *method,
 	const char *version, const char *data, size_t *data_len, void **context)
@@ -254,7 +274,7 @@
 		*data_len = 0;
 		return MHD_YES;
 	}
-	if (request->caller_left)
+	if (request->caller_left || has_left (request))
 		return MHD_NO;
 	if (request->too_large) {
 		ingress_answer (request, MHD_HTTP_CONTENT_TOO_LARGE, NULL, NULL, 0, true);
@@ -394,8 +414,10 @@
 	if (!client)
 		return false;
 	struct ingress_request *request = client->request;
-	if (!(events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) || !request || request->caller_left ||
-		request->answered)
+	if (!(events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)))
+		return true;
+	client->left = true;
+	if (!request || request->caller_left || request->answered)
 		return true;
 	request->caller_left = true;
 	ingress->hooks.caller_left (request, ingress->hooks.user);
@@ -441,16 +463,6 @@
 	resume (request);
 }
 
-bool
-ingress_caller_has_left (const struct ingress_request *request)
-{
-	char byte = 0;
-	if (!request->client)
-		return true;
-	ssize_t n = recv (request->client->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-	return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
-}
-
 const char *
 ingress_header (struct ingress_request *request, const char *name)
 {
--- a/net/ingress.h
+++ b/net/ingress.h
@@ -47,7 +47,10 @@
 };
 
 struct ingress_hooks {
-	/** A request was received completely; answer it now or later. */
+	/**
+	 * A request was received completely; answer it now or later. Not called when the caller has
+	 * left by then, for example while the process was suspended.
+	 */
 	void (*request) (struct ingress_request *request, void *user);
 	/** The caller left before the answer; the request must not be answered any more. */
 	void (*caller_left) (struct ingress_request *request, void *user);
@@ -138,13 +141,6 @@
 ingress_answer (struct ingress_request *request, int status, const struct buf *head, char *body,
 	size_t len, bool close);
 
-/**
- * Whether the caller has closed its connection. The hook caller_left reports that too, but only
- * after the request was passed on, when both have arrived before the thread got to read them.
- */
-bool
-ingress_caller_has_left (const struct ingress_request *request);
-
 /** The first value of a header; empty if the request lacks it. */
 const char *
 ingress_header (struct ingress_request *request, const char *name);
--- a/test/ingress.c
+++ b/test/ingress.c
@@ -185,6 +185,64 @@
 	       strstr (reader->data, "Connection: close\r\n") && strstr (reader->data, "\r\n\r\n");
 }
 
+/* One iteration of the front's loop: the callers' sockets first, then the server. */
+static void
+iterate (struct fixture *fixture)
+{
+	struct epoll_event events[MAX_CONNECTIONS];
+	int count = epoll_wait (fixture->epoll_fd, events, MAX_CONNECTIONS, 10);
+	for (int i = 0; i < count; i++)
+		ingress_socket_event (&fixture->ingress, events[i].data.fd, events[i].events);
+	ingress_run (&fixture->ingress);
+}
+
+/*
+ * Guards against a request that is passed on although its caller has left: both came while the
+ * thread did not run, on a connection that was open before.
+ */
+static void
+test_request_of_a_caller_that_left_is_not_passed_on (void)
+{
+	struct fixture fixture;
+	char answer[256];
+	fixture_init (&fixture);
+	int fd = connect_caller (&fixture, 0);
+	send_text (fd, "GET /all/x HTTP/1.1\r\nHost: site.example\r\n\r\n");
+	for (int i = 0; i < 5; i++)
+		iterate (&fixture);
+	CU_ASSERT_EQUAL_FATAL (fixture.held_count, 1);
+	ingress_answer (fixture.held[0], 200, NULL, NULL, 0, false);
+	fixture.held_count = 0;
+	for (int i = 0; i < 5; i++)
+		iterate (&fixture);
+	CU_ASSERT_TRUE (recv (fd, answer, sizeof (answer), 0) > 0);
+	send_text (fd, "GET /all/y HTTP/1.1\r\nHost: site.example\r\n\r\n");
+	close (fd);
+	for (int i = 0; i < 10; i++)
+		iterate (&fixture);
+	/* Passed on before the leaving is known, it would have to be reported at once. */
+	CU_ASSERT_EQUAL (fixture.received_count - 1, fixture.left_count);
+	CU_ASSERT_EQUAL (fixture.ingress.connection_count, 0);
+	fixture.held_count = 0;
+	stop (&fixture);
+}
+
+/* The same on a new connection. */
+static void
+test_caller_that_left_before_it_was_accepted (void)
+{
+	struct fixture fixture;
+	fixture_init (&fixture);
+	int fd = connect_caller (&fixture, 0);
+	send_text (fd, "GET /all/x HTTP/1.1\r\nHost: site.example\r\n\r\n");
+	close (fd);
+	for (int i = 0; i < 10; i++)
+		iterate (&fixture);
+	CU_ASSERT_EQUAL (fixture.received_count, 0);
+	CU_ASSERT_EQUAL (fixture.ingress.connection_count, 0);
+	stop (&fixture);
+}
+
 /* Guards against requests that are reset because the node had not accepted their connection. */
 static void
 test_stop_refuses_connections_not_accepted (void)
@@ -316,6 +374,8 @@
 main (void)
 {
 	static const struct suite_test tests[] = {
+		TEST (request_of_a_caller_that_left_is_not_passed_on),
+		TEST (caller_that_left_before_it_was_accepted),
 		TEST (stop_refuses_connections_not_accepted),
 		TEST (stop_refuses_requests_not_read),
 		TEST (stop_refuses_requests_read_in_part),
