net, query: the largest answer ends when answers do not end

The limit added since counted bytes instead of memory, and ended the response that met it, also a sound one.

Cause: the limit was checked where bytes arrived, and buffers grow by doubling. Parts of a fan-out were kept whole, whatever number of records was asked for.

Now 32 MB of memory hold all bodies that have not ended; beyond that the largest is dropped. Of each part of a fan-out the greatest top_k records are kept.

Ruled out: callers' bodies, which are limited by routing and connections.

--- a/core/buf.c
+++ b/core/buf.c
@@ -74,19 +74,33 @@
 		buf->data[0] = '\0';
 }
 
-static void
-reserve (struct buf *buf, size_t extra)
+/* The capacity that holds so many bytes more and a terminating NUL. */
+static size_t
+capacity_for (const struct buf *buf, size_t extra)
 {
 	size_t needed = buf->len + extra + 1;
-	if (needed <= buf->cap)
-		return;
 	size_t cap = buf->cap ? buf->cap : 64;
 	while (cap < needed)
 		cap *= 2;
+	return cap;
+}
+
+static void
+reserve (struct buf *buf, size_t extra)
+{
+	size_t cap = capacity_for (buf, extra);
+	if (cap == buf->cap)
+		return;
 	buf->data = xrealloc (buf->data, cap);
 	buf->cap = cap;
 }
 
+size_t
+buf_growth (const struct buf *buf, size_t len)
+{
+	return capacity_for (buf, len) - buf->cap;
+}
+
 void
 buf_add (struct buf *buf, const void *data, size_t len)
 {
--- a/core/buf.h
+++ b/core/buf.h
@@ -23,6 +23,9 @@
 buf_reset (struct buf *buf);
 void
 buf_add (struct buf *buf, const void *data, size_t len);
+/** Bytes that are allocated in addition when @p len bytes are added. */
+size_t
+buf_growth (const struct buf *buf, size_t len);
 void
 buf_addf (struct buf *buf, const char *format, ...) __attribute__ ((format (printf, 2, 3)));
 
--- a/daemon/batch_send.c
+++ b/daemon/batch_send.c
@@ -189,7 +189,7 @@
 	struct scatter *scatter = &batch->forward->scatter;
 	const char *records = result->records;
 	size_t records_len = result->records_len;
-	if (records_len % SCATTER_RECORD_BYTES != 0 || result->id.sender != batch->id.sender ||
+	if (records_len % RECORD_BYTES != 0 || result->id.sender != batch->id.sender ||
 		result->id.number != batch->id.number)
 		return false;
 	for (int i = 0; i < result->part_count; i++) {
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -265,18 +265,57 @@
 	return true;
 }
 
+static struct fetch *
+larger_body (struct fetch *largest, struct cds_list_head *pools)
+{
+	struct fetch_pool *pool;
+	struct fetch *fetch;
+	cds_list_for_each_entry (pool, pools, node) {
+		cds_list_for_each_entry (fetch, &pool->running, node) {
+			if (!fetch->dropped && fetch->body.cap > largest->body.cap)
+				largest = fetch;
+		}
+	}
+	return largest;
+}
+
+static void
+release_body (struct fetch *fetch)
+{
+	if (fetch->loop)
+		fetch->loop->body_bytes -= fetch->body.cap;
+	buf_finish (&fetch->body);
+}
+
+/* Drops larger bodies than that of this fetch; returns false if the bytes still do not fit. */
+static bool
+make_room (struct fetch *fetch, size_t len)
+{
+	struct fetch_loop *loop = fetch->loop;
+	size_t growth = buf_growth (&fetch->body, len);
+	while (loop->body_bytes + growth > loop->body_bytes_max) {
+		struct fetch *largest = larger_body (fetch, &loop->pools);
+		largest = larger_body (largest, &loop->retired);
+		if (largest == fetch)
+			return false;
+		release_body (largest);
+		largest->dropped = true;
+		fail_later (largest);
+	}
+	return true;
+}
+
 static bool
 store_body (void *user, const char *data, size_t len)
 {
 	struct fetch_conn *conn = user;
 	struct fetch *fetch = conn->fetch;
-	struct fetch_loop *loop = fetch->loop;
-	if (fetch->body.len + len > fetch->body_max_bytes ||
-		loop->body_bytes + len > loop->body_bytes_max) {
+	if (fetch->dropped || fetch->body.len + len > fetch->body_max_bytes ||
+		!make_room (fetch, len)) {
 		conn->too_large = true;
 		return false;
 	}
-	loop->body_bytes += len;
+	fetch->loop->body_bytes += buf_growth (&fetch->body, len);
 	buf_add (&fetch->body, data, len);
 	return true;
 }
@@ -446,7 +485,7 @@
 	fetch->conn = NULL;
 	fetch->status = 0;
 	fetch->active = true;
-	fetch->open_denied = fetch->opened_connection = fetch->sent = false;
+	fetch->open_denied = fetch->opened_connection = fetch->sent = fetch->dropped = false;
 	fetch->new_connection = request->new_connection;
 	fetch->head_only = request->method && strcmp (request->method, "HEAD") == 0;
 	fetch->connect_timeout_us = request->connect_timeout_us;
@@ -509,9 +548,7 @@
 void
 fetch_finish (struct fetch *fetch)
 {
-	if (fetch->loop)
-		fetch->loop->body_bytes -= fetch->body.len;
-	buf_finish (&fetch->body);
+	release_body (fetch);
 }
 
 static void
@@ -667,7 +704,9 @@
 fetch_timer_due (struct timer *timer)
 {
 	struct fetch *fetch = caa_container_of (timer, struct fetch, timer);
-	if (!fetch->sent)
+	if (fetch->dropped)
+		end_fetch (fetch, FETCH_TOO_LARGE, false);
+	else if (!fetch->sent)
 		end_fetch (fetch, FETCH_NOT_SENT, false);
 	else
 		end_fetch (fetch, fetch->deadline_us == 0 ? FETCH_FAILED : FETCH_SILENT, false);
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -9,7 +9,8 @@
  *
  * For targets that send faster than this thread can parse: each iteration of the loop reads a
  * limited number of bytes, of all connections together and in turn, so that timers and other
- * sockets are served meanwhile.
+ * sockets are served meanwhile. For targets that send without end: the bodies of all responses
+ * together have a limit, beyond which the largest one ends, so that other responses are complete.
  */
 #pragma once
 
@@ -29,8 +30,8 @@
 /** Kinds of timers that fetches embed; other timers of the loop use FETCH_TIMER_KIND_END and up. */
 enum { FETCH_TIMER = 1, FETCH_TIMER_KIND_END = 16 };
 
-/** Default of fetch_loop.body_bytes_max. */
-enum { FETCH_BODY_BYTES_MAX = 48 * 1024 * 1024 };
+/** Default of fetch_loop.body_bytes_max; a node has little more than 100 MB on the smallest VMs. */
+enum { FETCH_BODY_BYTES_MAX = 32 * 1024 * 1024 };
 
 /** How a fetch ended. */
 enum fetch_end {
@@ -58,6 +59,7 @@
 	bool active; /**< started and not ended */
 	bool new_connection;
 	bool head_only;   /**< HEAD: the reply has no body, whatever its headers say */
+	bool dropped;     /**< its body was dropped; the fetch ends in this iteration */
 	bool open_denied; /**< may_open_connection denied a new connection */
 	bool check_may_open_connection; /**< false: open connections regardless of
 					   may_open_connection (probes) */
@@ -106,8 +108,8 @@
 	struct cds_list_head closed; /**< connections to free at the end of the iteration */
 	struct cds_list_head unread; /**< connections that may have bytes to read, in turn */
 	size_t read_budget;          /**< bytes that may still be read in this iteration */
-	size_t body_bytes;           /**< received bodies that are held */
-	size_t body_bytes_max;       /**< limit of all of them; more ends a fetch as too large */
+	size_t body_bytes;           /**< memory of the bodies that are held */
+	size_t body_bytes_max;       /**< limit of that; beyond it the largest body is dropped */
 };
 
 struct fetch_pool {
--- a/query/scatter.c
+++ b/query/scatter.c
@@ -474,6 +474,18 @@
 	shard->body_len = answer->body_len;
 }
 
+/* Keeps what may be in the merged answer. */
+static void
+keep_greatest (struct scatter_shard *shard, size_t top_k)
+{
+	size_t len = records_keep_greatest (shard->body, shard->body_len, top_k);
+	if (len == shard->body_len)
+		return;
+	shard->body = xrealloc (shard->body, len + 1);
+	shard->body[len] = '\0';
+	shard->body_len = len;
+}
+
 /* An answer counts also after its shard was given up. */
 static void
 accept_answer (
@@ -485,6 +497,8 @@
 		scatter->closed--;
 	shard->closed = false;
 	store_reply (shard, answer);
+	if (is_fan_out (scatter))
+		keep_greatest (shard, (size_t)scatter->rule->top_k);
 	shard->answered = true;
 	scatter->answered++;
 	close_shard (scatter, shard);
@@ -750,7 +764,7 @@
 static int
 compare_records (const void *a, const void *b)
 {
-	return memcmp (*(const char *const *)b, *(const char *const *)a, SCATTER_RECORD_BYTES);
+	return memcmp (*(const char *const *)b, *(const char *const *)a, RECORD_BYTES);
 }
 
 static bool
@@ -765,26 +779,25 @@
 	size_t count = 0;
 	for (int i = 0; i < scatter->shard_count; i++) {
 		if (is_merged (&scatter->shards[i], unreported_only))
-			count += scatter->shards[i].body_len / SCATTER_RECORD_BYTES;
+			count += scatter->shards[i].body_len / RECORD_BYTES;
 	}
 	const char **records = xcalloc (count + 1, sizeof (*records));
 	size_t at = 0;
 	for (int i = 0; i < scatter->shard_count; i++) {
 		const struct scatter_shard *shard = &scatter->shards[i];
-		size_t shard_records = is_merged (shard, unreported_only)
-					       ? shard->body_len / SCATTER_RECORD_BYTES
-					       : 0;
+		size_t shard_records =
+			is_merged (shard, unreported_only) ? shard->body_len / RECORD_BYTES : 0;
 		for (size_t j = 0; j < shard_records; j++)
-			records[at++] = shard->body + j * SCATTER_RECORD_BYTES;
+			records[at++] = shard->body + j * RECORD_BYTES;
 	}
 	qsort (records, count, sizeof (*records), compare_records);
 	if (count > (size_t)scatter->rule->top_k)
 		count = (size_t)scatter->rule->top_k;
-	char *out = xmalloc (count * SCATTER_RECORD_BYTES + 1);
+	char *out = xmalloc (count * RECORD_BYTES + 1);
 	for (size_t i = 0; i < count; i++)
-		memcpy (out + i * SCATTER_RECORD_BYTES, records[i], SCATTER_RECORD_BYTES);
+		memcpy (out + i * RECORD_BYTES, records[i], RECORD_BYTES);
 	free (records);
-	*len = count * SCATTER_RECORD_BYTES;
+	*len = count * RECORD_BYTES;
 	return out;
 }
 
--- a/query/scatter.h
+++ b/query/scatter.h
@@ -11,6 +11,7 @@
 #pragma once
 
 #include "core/rng.h"
+#include "query/records.h"
 #include "query/replica.h"
 #include "query/routing.h"
 
@@ -20,8 +21,7 @@
 #include <urcu/list.h>
 
 enum {
-	SCATTER_MAX_ATTEMPTS = 6, /**< of one shard, including those that did not run */
-	SCATTER_RECORD_BYTES = 16,
+	SCATTER_MAX_ATTEMPTS = 6,         /**< of one shard, including those that did not run */
 	SCATTER_HEDGE_PERCENTILE = 92,    /**< sub-requests slower than this are hedged */
 	SCATTER_HEDGE_MAX_MEDIANS = 3,    /**< maximum hedge delay, reached when many are slow */
 	SCATTER_HEDGE_MIN_US = 4000,      /**< a reply over the network takes this long */
--- a/test/fetch.c
+++ b/test/fetch.c
@@ -625,6 +625,49 @@
 	fixture_finish (&fixture);
 }
 
+/* Guards against responses that fail because another target sends without end. */
+static void
+test_largest_body_is_dropped_first (void)
+{
+	enum { SOUND = 3, BOUND = 65536, BLOCK = 8000, BLOCKS_WITHOUT_END = 6 };
+	struct fetch_fixture fixture;
+	struct fetch_result results[SOUND + 1];
+	char text[1024];
+	char block[BLOCK + 1] = "";
+	int fds[SOUND + 1];
+	memset (block, 'b', BLOCK);
+	fixture_init (&fixture, SOUND + 1);
+	fixture.loop.body_bytes_max = BOUND;
+	for (int i = 0; i <= SOUND; i++) {
+		start_fetch (&fixture, &results[i], "GET", NULL, false);
+		results[i].fetch.body_max_bytes = BOUND;
+		fds[i] = read_request (&fixture, -1, text, sizeof (text));
+		send_reply (&fixture, fds[i],
+			i == 0 ? "HTTP/1.1 200 OK\r\n\r\n"
+			       : "HTTP/1.1 200 OK\r\nContent-Length: 16000\r\n\r\n");
+	}
+	for (int i = 0; i < BLOCKS_WITHOUT_END; i++)
+		send_reply (&fixture, fds[0], block);
+	CU_ASSERT_FALSE (results[0].done);
+	for (int part = 0; part < 2; part++) {
+		for (int i = 1; i <= SOUND; i++) {
+			send_reply (&fixture, fds[i], block);
+			CU_ASSERT_TRUE (fixture.loop.body_bytes <= BOUND);
+		}
+	}
+	CU_ASSERT_TRUE (results[0].done);
+	CU_ASSERT_EQUAL (results[0].end, FETCH_TOO_LARGE);
+	for (int i = 0; i <= SOUND; i++) {
+		CU_ASSERT_TRUE (i == 0 || (results[i].done && results[i].end == FETCH_OK));
+		CU_ASSERT_TRUE (i == 0 || results[i].fetch.body.len == 2 * BLOCK);
+		fetch_cancel (&results[i].fetch);
+		fetch_finish (&results[i].fetch);
+		close (fds[i]);
+	}
+	CU_ASSERT_EQUAL (fixture.loop.body_bytes, 0);
+	fixture_finish (&fixture);
+}
+
 int
 main (void)
 {
@@ -637,6 +680,7 @@
 		TEST (request_is_not_resent),
 		TEST (refused_connection_is_reported_as_not_sent),
 		TEST (waiting_for_a_free_connection),
+		TEST (largest_body_is_dropped_first),
 		TEST (deadline_and_cancel),
 		TEST (keep_alive_timeout_and_early_close),
 		TEST (endless_head_ends_the_fetch),
--- a/test/fuzz/scatter.c
+++ b/test/fuzz/scatter.c
@@ -97,10 +97,10 @@
 		check (answered >= scatter->rule->min_answered_ratio * scatter->shard_count - 1e-4);
 		check (answered == scatter->answered && answered > 0);
 		char *merged = scatter_merge (scatter, &len);
-		for (size_t i = SCATTER_RECORD_BYTES; i < len; i += SCATTER_RECORD_BYTES)
-			check (memcmp (merged + i - SCATTER_RECORD_BYTES, merged + i,
-				       SCATTER_RECORD_BYTES) >= 0);
-		check (len <= (size_t)scatter->rule->top_k * SCATTER_RECORD_BYTES);
+		for (size_t i = RECORD_BYTES; i < len; i += RECORD_BYTES)
+			check (memcmp (merged + i - RECORD_BYTES, merged + i,
+				       RECORD_BYTES) >= 0);
+		check (len <= (size_t)scatter->rule->top_k * RECORD_BYTES);
 		free (merged);
 		return;
 	case SCATTER_REFUSED:
--- a/test/platform.sh
+++ b/test/platform.sh
@@ -498,6 +498,29 @@
 done
 for t in 9 10 11; do set_fault stuck $t 0; done
 
+# Guards against answers without end that take all memory of a node, or another answer's place.
+echo "targets whose answers do not end:"
+peak_kb () {
+	sed -n 's/^VmHWM:[^0-9]*\([0-9]*\) kB$/\1/p' "/proc/${PIDS[n4]}/status"
+}
+for t in $(seq 0 11); do set_fault endless $t 1; done
+senders=()
+for i in $(seq 1 24); do
+	send_request 4 "ma$i" /all/x > "$RUN/x$i" &
+	senders+=($!)
+	send_request 4 "mb$i" /new/x > "$RUN/y$i" &
+	senders+=($!)
+done
+wait "${senders[@]}"
+for t in $(seq 0 11); do set_fault endless $t 0; done
+peak=$(peak_kb)
+# The smallest VMs have 112 MB.
+[ "$peak" -gt 0 ] && [ "$peak" -lt 112000 ] || fail "an entry node took $peak kB"
+echo "peak of the entry node: $peak kB"
+for i in 1 2 3; do grep -q '^HTTP/1.1 200' "$RUN/x$i" "$RUN/y$i" && fail "an answer without end was passed on"; done
+sleep 1
+expect "requests are answered afterwards" "$(send_request 4 mc /all/x)" '^Oleanderstile-Missing-Parts: 0'
+
 echo "routings with new services while the removal of a node settles:"
 for v in $(seq 30 69); do
 	parts=$(for i in 1 2 3; do printf '"v%s-%s",' "$v" "$i"; done)
--- a/test/routes.c
+++ b/test/routes.c
@@ -956,6 +956,36 @@
 	routing_unref (routing);
 }
 
+static int
+compare_falling (const void *a, const void *b)
+{
+	return memcmp (b, a, RECORD_BYTES);
+}
+
+/* Load: targets answer with more records than the route asks for, some of them equal. */
+static void
+test_greatest_records_of_a_part_are_kept (void)
+{
+	enum { RECORDS_MAX = 200 };
+	struct rng rng = {.state = 9};
+	char records[RECORDS_MAX * RECORD_BYTES + 5];
+	char sorted[RECORDS_MAX * RECORD_BYTES];
+	for (int round = 0; round < 2000; round++) {
+		size_t count = rng_below (&rng, RECORDS_MAX + 1);
+		size_t keep = rng_below (&rng, 2 * RECORD_BYTES);
+		size_t kept = count < keep ? count : keep;
+		for (size_t i = 0; i < count * RECORD_BYTES; i++)
+			records[i] = (char)rng_below (&rng, i % RECORD_BYTES < 14 ? 2 : 256);
+		memcpy (sorted, records, count * RECORD_BYTES);
+		qsort (sorted, count, RECORD_BYTES, compare_falling);
+		CU_ASSERT_EQUAL (records_keep_greatest (
+					 records, count * RECORD_BYTES + rng_below (&rng, 5), keep),
+			kept * RECORD_BYTES);
+		qsort (records, kept, RECORD_BYTES, compare_falling);
+		CU_ASSERT_EQUAL (memcmp (records, sorted, kept * RECORD_BYTES), 0);
+	}
+}
+
 /* The rule that routing_match has to find. */
 static struct routing_rule *
 match_by_search (const struct routing *routing, const char *host, const char *path)
@@ -1421,6 +1451,7 @@
 		TEST (cold_rate_holds_for_all_nodes),
 		TEST (share_of_the_connections),
 		TEST (routes_by_host_and_longest_prefix),
+		TEST (greatest_records_of_a_part_are_kept),
 		TEST (thousands_of_routes_are_found_by_hash),
 		TEST (invalid_manifests_are_rejected),
 		TEST (long_names_are_kept_whole_or_refused),
