--- a/test/fuzz/scatter.c
+++ b/test/fuzz/scatter.c
@@ -98,8 +98,7 @@
 		check (answered == scatter->answered && answered > 0);
 		char *merged = scatter_merge (scatter, &len);
 		for (size_t i = RECORD_BYTES; i < len; i += RECORD_BYTES)
-			check (memcmp (merged + i - RECORD_BYTES, merged + i,
-				       RECORD_BYTES) >= 0);
+			check (memcmp (merged + i - RECORD_BYTES, merged + i, RECORD_BYTES) >= 0);
 		check (len <= (size_t)scatter->rule->top_k * RECORD_BYTES);
 		free (merged);
 		return;
