--- a/soak/cluster.c
+++ b/soak/cluster.c
@@ -5,6 +5,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -160,13 +161,36 @@
 cluster_replace_routes (struct cluster *cluster, int control)
 {
 	static _Thread_local struct http_answer answer;
-	char *document = routes_document (++cluster->routing_version);
+	long version = ++cluster->routing_version;
+	char *document = routes_document (version);
 	int status = http_call (
 		cluster->base_port + 1 + control, "POST", "/config/replace", document, &answer);
 	free (document);
+	long accepted = cluster->accepted_version;
+	while (status == 200 && version > accepted &&
+		!atomic_compare_exchange_weak (&cluster->accepted_version, &accepted, version))
+		continue;
 	return status == 200;
 }
 
+long
+cluster_read_version (const struct cluster *cluster)
+{
+	static _Thread_local struct http_answer answer;
+	static const char field[] = "\"version\":";
+	for (int i = 0; i < CLUSTER_CONTROL_NODES; i++) {
+		if (http_call (cluster->base_port + 1 + i, "GET", "/config/get", "", &answer) !=
+			200)
+			continue;
+		answer.body[answer.body_len < sizeof (answer.body) ? answer.body_len
+								   : sizeof (answer.body) - 1] =
+			'\0';
+		const char *at = strstr (answer.body, field);
+		return at ? strtol (at + strlen (field), NULL, 10) : -1;
+	}
+	return -1;
+}
+
 void
 cluster_set_fault (const struct cluster *cluster, const char *fault, int target, bool on)
 {
--- a/soak/cluster.h
+++ b/soak/cluster.h
@@ -34,7 +34,8 @@
 	int base_port;
 	int entry_count;
 	pid_t platform_pid;
-	_Atomic long routing_version;
+	_Atomic long routing_version;  /**< sent last */
+	_Atomic long accepted_version; /**< the highest one that was accepted */
 	struct cluster_node nodes[CLUSTER_NODES_MAX];
 };
 
@@ -65,6 +66,10 @@
 bool
 cluster_replace_routes (struct cluster *cluster, int control);
 
+/** The version of the routes that a control node returns; -1 if none does. */
+long
+cluster_read_version (const struct cluster *cluster);
+
 /** Turns a fault of a target on or off; see test/platform.c. */
 void
 cluster_set_fault (const struct cluster *cluster, const char *fault, int target, bool on);
--- a/soak/main.c
+++ b/soak/main.c
@@ -20,6 +20,7 @@
 	PENDING_MAX = 64,
 	STEP_US = 10000,
 	PROBE_INTERVAL_US = 1000000,
+	READ_TIMEOUT_US = 8000000,
 	TAIL_US = 2500000, /* callers go on after the last restart, and calls end */
 	TARGETS = CLUSTER_SERVICES * CLUSTER_REPLICAS,
 };
@@ -33,6 +34,7 @@
 	ACTION_FREEZE_CONTROL,
 	ACTION_THAW_CONTROL,
 	ACTION_KILL_CONTROL,
+	ACTION_STOP_CONTROL,
 	ACTION_START_CONTROL,
 	ACTION_FAULT,
 	ACTION_HEAL,
@@ -41,7 +43,8 @@
 static const char *const action_names[] = {"SIGTERM to entry node", "second SIGTERM to entry node",
 	"SIGHUP to entry node", "start of entry node", "new routes through control node",
 	"SIGSTOP to control node", "SIGCONT to control node", "SIGKILL to control node",
-	"start of control node", "fault at target", "end of the fault at target"};
+	"SIGTERM to control node", "start of control node", "fault at target",
+	"end of the fault at target"};
 
 static const char *const faults[] = {"silent", "draining", "announce", "busy"};
 
@@ -72,7 +75,7 @@
 	struct pending pending[PENDING_MAX];
 	int pending_count;
 	int64_t start_us;
-	long failures; /* of processes */
+	long failures; /* of processes and orders */
 	_Atomic bool probing;
 	FILE *log;
 };
@@ -124,6 +127,9 @@
 	} else if (one_in (scenario, 5)) {
 		schedule (scenario, lost_us, ACTION_KILL_CONTROL, control, 0);
 		schedule (scenario, lost_us + 1000000, ACTION_START_CONTROL, control, 0);
+	} else if (one_in (scenario, 4)) {
+		schedule (scenario, lost_us, ACTION_STOP_CONTROL, control, 0);
+		schedule (scenario, lost_us + random_us (scenario, 500), ACTION_ROUTES, control, 0);
 	}
 	if (one_in (scenario, 2)) {
 		int target = (int)rng_below (&scenario->rng, TARGETS);
@@ -216,7 +222,11 @@
 	case ACTION_KILL_CONTROL:
 		cluster_signal (control, SIGKILL);
 		return;
+	case ACTION_STOP_CONTROL:
+		cluster_signal (control, SIGTERM);
+		return;
 	case ACTION_START_CONTROL:
+		control->stop_us = 0;
 		if (control->pid == 0)
 			cluster_start_node (cluster, control);
 		return;
@@ -287,8 +297,11 @@
 		struct cluster_node *node = &cluster->nodes[i];
 		if (node->pid == 0 || !cluster_reap (node, &status))
 			continue;
-		if (!WIFSIGNALED (status) || WTERMSIG (status) != SIGKILL)
-			fail (scenario, node, "ended by itself; status", status);
+		if (node->stop_us != 0 && WIFEXITED (status) && WEXITSTATUS (status) == 0)
+			schedule (scenario, http_now_us () + random_us (scenario, 1000),
+				ACTION_START_CONTROL, i, 0);
+		else if (!WIFSIGNALED (status) || WTERMSIG (status) != SIGKILL)
+			fail (scenario, node, "ended by itself or badly; status", status);
 	}
 }
 
@@ -322,6 +335,25 @@
 	pthread_join (prober, NULL);
 }
 
+/* An accepted version of the routes must be there, or a newer one. */
+static void
+check_routes (struct scenario *scenario)
+{
+	long version = -1;
+	int64_t end_us = http_now_us () + READ_TIMEOUT_US;
+	while (version < 0 && http_now_us () < end_us) {
+		version = cluster_read_version (&scenario->cluster);
+		http_sleep_us (STEP_US);
+	}
+	if (version >= scenario->cluster.accepted_version)
+		return;
+	scenario->failures++;
+	fprintf (scenario->log, "ORDER: version %ld was accepted, %ld is returned\n",
+		(long)scenario->cluster.accepted_version, version);
+	printf ("ORDER: version %ld was accepted, %ld is returned\n",
+		(long)scenario->cluster.accepted_version, version);
+}
+
 /* Returns whether all promises were kept. */
 static bool
 run_seed (const struct settings *settings, long seed)
@@ -352,6 +384,7 @@
 		play (&scenario);
 		callers_stop (&scenario.callers);
 		callers_check (&scenario.callers, scenario.log);
+		check_routes (&scenario);
 	}
 	cluster_kill (&scenario.cluster);
 	const struct callers_report *r = &scenario.callers.report;
