--- a/test/routes.c
+++ b/test/routes.c
@@ -1028,6 +1028,7 @@
 	static const char *const hosts[] = {"x.example", "y.example", "Z.example"};
 	struct rng rng = {.state = 5};
 	char path[32];
+	char request[64];
 	char name[16];
 	struct routing *routing = routing_new ();
 	routing_reserve (routing, ROUTES, 1);
@@ -1045,9 +1046,9 @@
 	for (int i = 0; i < ROUTES; i++) {
 		const char *host = hosts[rng_below (&rng, 3)];
 		random_path (&rng, path);
-		strcat (path, "end");
-		CU_ASSERT_PTR_EQUAL (
-			routing_match (routing, host, path), match_by_search (routing, host, path));
+		snprintf (request, sizeof (request), "%send", path);
+		CU_ASSERT_PTR_EQUAL (routing_match (routing, host, request),
+			match_by_search (routing, host, request));
 	}
 	for (int i = 0; i < routing->rule_count; i++) {
 		const struct routing_rule *found =
