soak: entry nodes stop while they start, and callers reach stopping nodes

The load balancer lags, or has no node in rotation: one new connection in eight goes to any node. One entry node in four is stopped within 1.5 s of its start.

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -21,6 +21,7 @@
 	LONGEST_WORK_MS = 1500,
 	USUAL_WORK_MAX_MS = 60,
 	PAUSE_MAX_MS = 60,
+	LAGGING_ONE_IN = 8,
 	IDLE_PAUSE_MAX_MS = 6000, /* longer than a planned stop takes */
 };
 
@@ -39,12 +40,14 @@
 	return 2 + (int)rng_below (rng, USUAL_WORK_MAX_MS);
 }
 
-/* The load balancer's choice for a new connection. */
+/* The load balancer's choice for a new connection; it may lag, or have no node in rotation. */
 static int
 choose_node (struct caller *caller)
 {
 	struct cluster *cluster = caller->callers->cluster;
 	int first = (int)rng_below (&caller->rng, (uint64_t)cluster->entry_count);
+	if (rng_below (&caller->rng, LAGGING_ONE_IN) == 0)
+		return first;
 	for (int i = 0; i < cluster->entry_count; i++) {
 		int index = (first + i) % cluster->entry_count;
 		if (cluster_entry (cluster, index)->in_rotation)
--- a/soak/main.c
+++ b/soak/main.c
@@ -283,7 +283,11 @@
 		(long long)(stopping_us / 1000));
 	if (ended && (node->stop_us == 0 || !WIFEXITED (status) || WEXITSTATUS (status) != 0))
 		fail (scenario, node, "ended by itself or badly; status", status);
-	schedule (scenario, http_now_us () + random_us (scenario, 1500), ACTION_START, index, 0);
+	int64_t start_us = http_now_us () + random_us (scenario, 1500);
+	schedule (scenario, start_us, ACTION_START, index, 0);
+	/* Some are stopped while they start. */
+	if (one_in (scenario, 4))
+		schedule (scenario, start_us + random_us (scenario, 1500), ACTION_STOP, index, 0);
 }
 
 static void
