--- a/test/platform.sh
+++ b/test/platform.sh
@@ -531,4 +531,22 @@
 done
 kill -0 "${PIDS[n4]}" 2> /dev/null || fail "entry node 4 has ended"
 expect "the other entry node serves" "$(send_request 4 y1 /all/x)" '^HTTP/1.1 200'
+# Guards against a held request that gets no answer when the node stops before it has a view.
+echo "a node without a view stops while it holds a request:"
+for n in 1 2 3; do kill -STOP "${PIDS[n$n]}"; done
+kill -KILL "${PIDS[n4]}"
+wait "${PIDS[n4]}" 2> /dev/null
+start_node 4
+wait_for 3 eval "exec 7<> /dev/tcp/127.0.0.1/$((BASE + 4))" || fail "entry node 4 does not listen"
+exec 7<> "/dev/tcp/127.0.0.1/$((BASE + 4))"
+printf 'POST /file/x HTTP/1.1\r\nHost: site.example\r\nOleanderstile-Attempt-Id: held\r\nOleanderstile-Deadline-Ms: 9000\r\nContent-Length: 1\r\n\r\nx' >&7
+sleep 0.2
+kill -TERM "${PIDS[n4]}"
+answer=$(timeout 7 head -n 1 <&7)
+exec 7>&-
+expect "the held request is refused" "$answer" '^HTTP/1.1 503'
+expect "and does not run" "$(runs held)" '^0$'
+wait "${PIDS[n4]}" || fail "entry node 4 exited with $?"
+unset "PIDS[n4]"
+for n in 1 2 3; do kill -CONT "${PIDS[n$n]}"; done
 echo "platform: $checks checks passed"
