daemon: log the steps of a planned stop and connections without an answer

Callers reported requests without a whole answer around SIGTERM. The log of a node told when its stop began and ended, but not how long each step took, which connections it ended while their callers waited, nor what paused the loop that serves them.

STOP_STEP names each step with its time since the signal. CONNECTION_UNANSWERED names the attempt, how far its request had come and its age; connections_unanswered_total counts by that state. A request read in part counts only if its refusal could not be sent. Callers that left are not counted. FRONT_PAUSED names the longest part of an iteration of 200 ms or more. No decision of the stop is changed.

unit-ingress provokes each state on real sockets, and ends that callers expect; unit-parts has the test of what a slow iteration is blamed on.

--- a/daemon/forward_log.c
+++ b/daemon/forward_log.c
@@ -156,3 +156,33 @@
 			    BUDGET_TOKENS_PER_EXTRA),
 		(long long)forward_list_age_ms (front));
 }
+
+static void
+read_attempt_id (void *user, const char *name, const char *value)
+{
+	caller_head_add (user, name, value);
+}
+
+void
+forward_log_unanswered (
+	const struct ingress_request *request, enum ingress_state state, int64_t age_us, void *user)
+{
+	static const struct {
+		enum metric metric;
+		const char *text;
+	} states[] = {
+		[INGRESS_UNREAD] = {METRIC_UNANSWERED_UNREAD, "not read"},
+		[INGRESS_PARTIAL] = {METRIC_UNANSWERED_PARTIAL, "received in part"},
+		[INGRESS_HANDLED] = {METRIC_UNANSWERED_HANDLED, "being handled"},
+		[INGRESS_WRITTEN] = {METRIC_UNANSWERED_WRITTEN, "answer not written whole"},
+	};
+	const struct front *front = user;
+	struct caller_head head;
+	caller_head_init (&head);
+	if (request)
+		ingress_headers (request, read_attempt_id, &head);
+	metric_add (states[state].metric, 1);
+	log_event (&front->log, EVENT_CONNECTION_UNANSWERED, "%s: %s, %lld ms old",
+		head.attempt_id[0] ? head.attempt_id : "unknown attempt", states[state].text,
+		(long long)(age_us / US_PER_MS));
+}
--- a/daemon/forward_log.h
+++ b/daemon/forward_log.h
@@ -18,6 +18,11 @@
 void
 forward_log_end (const struct forward *forward, int status);
 
+/** Logs and counts a connection that this node ended while its caller waited; see net/ingress.h. */
+void
+forward_log_unanswered (const struct ingress_request *request, enum ingress_state state,
+	int64_t age_us, void *user);
+
 /** Counts the end of a request by its outcome. */
 void
 forward_count_end (const struct scatter *scatter, int64_t took_us);
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -4,6 +4,7 @@
 #include "daemon/batch_send.h"
 #include "daemon/batch_serve.h"
 #include "daemon/forward.h"
+#include "daemon/forward_log.h"
 #include "daemon/front_dump.h"
 #include "platform/manifest.h"
 
@@ -484,6 +485,44 @@
 	}
 }
 
+static void
+handle_timed_mail (struct front *front, struct mail *mail)
+{
+	static const enum front_part parts[] = {
+		[FRONT_STATE] = FRONT_PART_STATE,
+		[FRONT_ROSTER] = FRONT_PART_ROSTER,
+		[FRONT_DUMP] = FRONT_PART_DUMP,
+		[FRONT_REFUSE_UNSENT] = FRONT_PART_END,
+		[FRONT_STOP] = FRONT_PART_END,
+	};
+	enum front_part part = parts[mail->kind];
+	handle_mail (front, mail);
+	turn_mark (&front->turn, (int)part, front_now_us (front));
+}
+
+static void
+end_turn (struct front *front)
+{
+	static const char *const names[] = {
+		[FRONT_PART_SOCKETS] = "events of sockets",
+		[FRONT_PART_STATE] = "a declared state",
+		[FRONT_PART_ROSTER] = "a target list",
+		[FRONT_PART_DUMP] = "a dump",
+		[FRONT_PART_END] = "ending requests",
+		[FRONT_PART_TARGETS] = "replies of targets",
+		[FRONT_PART_TIMERS] = "timers",
+		[FRONT_PART_CALLERS] = "callers",
+	};
+	const struct turn *turn = &front->turn;
+	latency_observe (LATENCY_LOOP_ITERATION, turn_total_us (turn));
+	if (!turn_is_slow (turn))
+		return;
+	int longest = turn_longest (turn);
+	log_event (&front->log, EVENT_FRONT_PAUSED, "%lld ms, of which %lld ms for %s",
+		(long long)(turn_total_us (turn) / US_PER_MS),
+		(long long)(turn->parts_us[longest] / US_PER_MS), names[longest]);
+}
+
 static void
 answer_readiness (struct ingress_request *request, void *user)
 {
@@ -599,13 +638,17 @@
 	if (front->woken_us != 0 && woken_us > front->woken_us + FRONT_SUSPENDED_US)
 		front->resumed_us = woken_us;
 	front->woken_us = woken_us;
+	turn_begin (&front->turn, woken_us);
 	struct pending pending = handle_events (front, events, count);
+	turn_mark (&front->turn, FRONT_PART_SOCKETS, front_now_us (front));
 	if (pending.mail)
 		mailbox_clear (&front->mailbox);
 	while (pending.mail && (mail = mailbox_take (&front->mailbox)))
-		handle_mail (front, mail);
+		handle_timed_mail (front, mail);
 	fetch_loop_read (&front->fetches);
+	turn_mark (&front->turn, FRONT_PART_TARGETS, front_now_us (front));
 	run_timers (front);
+	turn_mark (&front->turn, FRONT_PART_TIMERS, front_now_us (front));
 	if (serves_callers (front) && (pending.callers || ingress_has_work (&front->callers)))
 		ingress_run (&front->callers);
 	if (serves_batches (front) && (pending.batches || ingress_has_work (&front->batches)))
@@ -613,10 +656,11 @@
 	if (serves_callers (front) && (pending.balancer || ingress_has_work (&front->balancer)))
 		ingress_run (&front->balancer);
 	fetch_loop_clean (&front->fetches);
+	turn_mark (&front->turn, FRONT_PART_CALLERS, front_now_us (front));
 	atomic_store (&front->connections, front->callers.connection_count);
 	atomic_store (&front->list_read_us, front->discovery.read_us);
 	atomic_store (&front->sharing_nodes, shares_count (&front->shares));
-	latency_observe (LATENCY_LOOP_ITERATION, front_now_us (front) - woken_us);
+	end_turn (front);
 }
 
 static int
@@ -634,7 +678,10 @@
 {
 	int64_t end_us = front_now_us (front) + DRAIN_FLUSH_US;
 	int ended = forward_end_all (front);
-	log_event (&front->log, EVENT_REQUESTS_ENDED, "%d requests", ended);
+	log_event (&front->log, EVENT_REQUESTS_ENDED, "%d requests, %lld ms after the stop began",
+		ended,
+		(long long)((front_now_us (front) - atomic_load (&front->stop_began_us)) /
+			    US_PER_MS));
 	ingress_stop_listening (&front->callers);
 	ingress_stop_listening (&front->batches);
 	/* Each socket gets a turn even if this thread did not run for a while. */
@@ -658,6 +705,8 @@
 {
 	struct front *front = arg;
 	rcu_register_thread ();
+	ingress_watch_unanswered (&front->callers, forward_log_unanswered);
+	ingress_watch_unanswered (&front->batches, forward_log_unanswered);
 	while (!atomic_load (&front->stop))
 		iterate (front, IDLE_WAIT_MS);
 	if (serves_callers (front))
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -12,6 +12,7 @@
 #include "control/shares.h"
 #include "control/state.h"
 #include "core/timers.h"
+#include "core/turn.h"
 #include "daemon/discovery.h"
 #include "daemon/node.h"
 #include "daemon/route_stats.h"
@@ -42,6 +43,18 @@
 /** Kinds of messages to the front's thread. */
 enum front_mail { FRONT_STATE, FRONT_ROSTER, FRONT_DUMP, FRONT_REFUSE_UNSENT, FRONT_STOP };
 
+/** Parts of an iteration of the front's loop. */
+enum front_part {
+	FRONT_PART_SOCKETS,
+	FRONT_PART_STATE,
+	FRONT_PART_ROSTER,
+	FRONT_PART_DUMP,
+	FRONT_PART_END, /**< ending requests at a planned stop */
+	FRONT_PART_TARGETS,
+	FRONT_PART_TIMERS,
+	FRONT_PART_CALLERS, /**< also batches of other nodes and readiness */
+};
+
 /** The part of the declared state that the front uses. */
 struct front_state {
 	struct mail mail;
@@ -70,6 +83,7 @@
 	int epoll_fd;
 	struct mailbox mailbox;
 	struct timers timers;
+	struct turn turn; /**< of the loop, without its wait */
 	struct fetch_loop fetches;
 	struct ingress callers;
 	struct ingress balancer; /**< readiness probes of the load balancer */
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -304,6 +304,13 @@
 	       atomic_load (&node->front->connections) == 0;
 }
 
+static void
+log_stop_step (struct node *node, int64_t began_us, const char *step)
+{
+	log_event (&node->log, EVENT_STOP_STEP, "%s after %lld ms", step,
+		(long long)((clock_now_us (&node->clock) - began_us) / US_PER_MS));
+}
+
 /* Serves open connections until their callers have closed them or front.stop_ms has passed. */
 static void
 stop_front (struct node *node, const sigset_t *signals)
@@ -313,9 +320,11 @@
 	atomic_store (&node->front->stop_began_us, began_us);
 	wait_until (node, signals, is_front_drained, stop_ms);
 	/* New requests are refused from now on; wait for those that were accepted before. */
+	log_stop_step (node, began_us, "front drained");
 	front_refuse_unsent (node->front);
 	int elapsed_ms = (int)((clock_now_us (&node->clock) - began_us) / US_PER_MS);
 	wait_until (node, signals, is_idle, stop_ms + DRAIN_END_MS - elapsed_ms);
+	log_stop_step (node, began_us, "last answers begun");
 	front_stop (node->front);
 }
 
@@ -342,24 +351,34 @@
 static void
 stop_node (struct node *node, struct servers *servers, const sigset_t *signals)
 {
+	int64_t began_us = clock_now_us (&node->clock);
 	log_event (&node->log, EVENT_NODE_STOPPING, "%d requests in flight",
 		atomic_load (&node->admission.in_flight));
 	atomic_store (&node->stopping, true);
 	control_set_leaving (node->control, false);
-	if (servers->callers)
+	log_stop_step (node, began_us, "leaving announced");
+	if (servers->callers) {
 		stop_callers (node, servers->callers, signals);
+		log_stop_step (node, began_us, "callers' server ended");
+	}
 	if (node->front && node->options.front_address[0])
 		stop_front (node, signals);
 	else if (node->front)
 		front_stop (node->front);
+	log_stop_step (node, began_us, "front ended");
 	control_set_leaving (node->control, true);
 	wait_until (node, signals, is_exit_acknowledged,
 		node->front ? EXIT_ACK_FRONT_TIMEOUT_MS : EXIT_ACK_TIMEOUT_MS);
+	log_stop_step (node, began_us, "exit announced");
 	orders_stop (&servers->orders);
+	log_stop_step (node, began_us, "orders ended");
 	for (int i = 0; i < node->worker_count; i++)
 		worker_stop (&node->workers[i]);
+	log_stop_step (node, began_us, "workers ended");
 	control_stop (node->control);
+	log_stop_step (node, began_us, "control ended");
 	peer_stop (&node->peer);
+	log_stop_step (node, began_us, "peer links ended");
 	log_event (&node->log, EVENT_NODE_STOPPED, "%s", node->options.node_name);
 }
 
--- a/net/ingress.c
+++ b/net/ingress.c
@@ -29,6 +29,7 @@
 	bool closing;                      /**< its last answer closes the connection */
 	bool left;                         /**< the caller has closed its side */
 	bool drained;                      /**< and nothing is unread */
+	bool ended;                        /**< its fate at the end of the server is settled */
 };
 
 /** A connection that was closed while the caller was still sending. */
@@ -133,6 +134,38 @@
 	*context = NULL;
 }
 
+static enum ingress_state
+request_state (const struct ingress_request *request)
+{
+	if (request->answered)
+		return INGRESS_WRITTEN;
+	return request->client && request->client->request ? INGRESS_HANDLED : INGRESS_PARTIAL;
+}
+
+/* Whether the caller has closed its side. The event may not have been handled yet. */
+static bool
+is_closed_by_caller (const struct ingress_client *client)
+{
+	char byte = 0;
+	if (client->left)
+		return true;
+	ssize_t n = recv (client->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+static void
+report_unanswered (struct ingress *ingress, const struct ingress_client *client)
+{
+	const struct ingress_request *request = client->receiving;
+	if (!ingress->unanswered || is_closed_by_caller (client))
+		return;
+	if (request)
+		ingress->unanswered (request, request_state (request),
+			clock_now_us (ingress->clock) - request->began_us, ingress->hooks.user);
+	else
+		ingress->unanswered (NULL, INGRESS_UNREAD, 0, ingress->hooks.user);
+}
+
 /* Called with the first line of a request, before its headers are read. */
 static void *
 on_first_line (void *user, const char *uri, struct MHD_Connection *connection)
@@ -141,6 +174,7 @@
 	struct ingress_request *request = xcalloc (1, sizeof (*request));
 	request->ingress = ingress;
 	request->connection = connection;
+	request->began_us = clock_now_us (ingress->clock);
 	request->uri = xstrdup (uri);
 	buf_init (&request->body);
 	buf_init (&request->head);
@@ -159,9 +193,12 @@
 	struct ingress *ingress = user;
 	struct ingress_request *request = *context;
 	(void)connection;
-	(void)code;
 	if (!request)
 		return;
+	if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK &&
+		code != MHD_REQUEST_TERMINATED_CLIENT_ABORT && !request->caller_left &&
+		request->client && !request->client->ended)
+		report_unanswered (ingress, request->client);
 	if (request->user && !request->caller_left && !request->answered) {
 		request->caller_left = true;
 		ingress->hooks.caller_left (request, ingress->hooks.user);
@@ -236,23 +273,14 @@
 		buf_add (&request->body, data, len);
 }
 
-/*
- * Whether the caller left before its request was read. The event of its leaving may have been
- * handled already, or is about to be.
- */
+/* Whether the caller left before its request was read. */
 static bool
 has_left (struct ingress_request *request)
 {
-	char byte = 0;
 	struct ingress_client *client = request->client;
-	if (!client)
-		return true;
-	if (!client->left) {
-		ssize_t n = recv (client->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-		client->left = n == 0 ||
-			       (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
-	}
-	return client->left;
+	if (client)
+		client->left = is_closed_by_caller (client);
+	return !client || client->left;
 }
 
 static enum MHD_Result
@@ -357,6 +385,21 @@
 	close (listen_fd);
 }
 
+void
+ingress_watch_unanswered (struct ingress *ingress, ingress_unanswered unanswered)
+{
+	ingress->unanswered = unanswered;
+}
+
+/* Whether the caller of a connection that gets nothing more still waits for an answer. */
+static bool
+is_awaited (const struct ingress_client *client)
+{
+	int unread = 0;
+	return client->receiving ||
+	       (!client->closing && ioctl (client->fd, FIONREAD, &unread) == 0 && unread > 0);
+}
+
 void
 ingress_shutdown (struct ingress *ingress)
 {
@@ -366,8 +409,12 @@
 			continue;
 		bool is_partial =
 			client->receiving && !client->request && !client->receiving->answered;
-		if (is_partial && send (client->fd, refusal, sizeof (refusal) - 1,
-					  MSG_NOSIGNAL | MSG_DONTWAIT) < 0)
+		bool is_refused = is_partial && send (client->fd, refusal, sizeof (refusal) - 1,
+							MSG_NOSIGNAL | MSG_DONTWAIT) >= 0;
+		if (!is_refused && is_awaited (client))
+			report_unanswered (ingress, client);
+		client->ended = true;
+		if (is_partial && !is_refused)
 			continue;
 		shutdown (client->fd, SHUT_WR);
 	}
@@ -486,7 +533,7 @@
 }
 
 void
-ingress_headers (struct ingress_request *request,
+ingress_headers (const struct ingress_request *request,
 	void (*callback) (void *user, const char *name, const char *value), void *user)
 {
 	struct each_header call = {callback, user};
--- a/net/ingress.h
+++ b/net/ingress.h
@@ -42,10 +42,23 @@
 	struct buf head; /**< header lines of the answer, as "Name: value\n" */
 	char *answer;
 	size_t answer_len;
-	bool close; /**< close the connection after the answer */
-	void *user; /**< for the hooks */
+	bool close;       /**< close the connection after the answer */
+	int64_t began_us; /**< when its first line was read */
+	void *user;       /**< for the hooks */
 };
 
+/** How far a request had come when its connection ended without a whole answer. */
+enum ingress_state {
+	INGRESS_UNREAD, /**< its bytes were not read from the socket */
+	INGRESS_PARTIAL,
+	INGRESS_HANDLED,
+	INGRESS_WRITTEN, /**< its answer was not written whole */
+};
+
+/** Reports a connection that this side ended; @p request is NULL if nothing was read. */
+typedef void (*ingress_unanswered) (const struct ingress_request *request, enum ingress_state state,
+	int64_t age_us, void *user);
+
 struct ingress_hooks {
 	/**
 	 * A request was received completely; answer it now or later. Not called when the caller has
@@ -76,6 +89,7 @@
 	struct ingress_client **clients; /**< indexed by socket */
 	int client_count;
 	struct cds_list_head lingering; /**< closed connections whose bytes are discarded */
+	ingress_unanswered unanswered;  /**< NULL: not reported */
 };
 
 /** Parses an IP:port address. */
@@ -90,6 +104,10 @@
 void
 ingress_stop (struct ingress *ingress);
 
+/** Reports connections that this side ends without a whole answer although the caller waits. */
+void
+ingress_watch_unanswered (struct ingress *ingress, ingress_unanswered unanswered);
+
 /**
  * Takes the connections that the kernel has accepted and closes the listening socket, so that
  * callers without a connection are turned away at once. The other functions go on working.
@@ -147,5 +165,5 @@
 
 /** Calls a function for each header of a request. */
 void
-ingress_headers (struct ingress_request *request,
+ingress_headers (const struct ingress_request *request,
 	void (*callback) (void *user, const char *name, const char *value), void *user);
--- a/test/ingress.c
+++ b/test/ingress.c
@@ -38,6 +38,7 @@
 	int held_count;
 	int received_count;
 	int left_count;
+	int unanswered[INGRESS_WRITTEN + 1]; /* by state */
 };
 
 /* A caller that reads in a thread of its own until its connection ends. */
@@ -67,6 +68,25 @@
 	fixture->left_count++;
 }
 
+static void
+count_unanswered (
+	const struct ingress_request *request, enum ingress_state state, int64_t age_us, void *user)
+{
+	struct fixture *fixture = user;
+	CU_ASSERT_EQUAL (request == NULL, state == INGRESS_UNREAD);
+	CU_ASSERT_TRUE (age_us >= 0 && age_us < 10 * US_PER_S);
+	fixture->unanswered[state]++;
+}
+
+static int
+unanswered_count (const struct fixture *fixture)
+{
+	int count = 0;
+	for (int i = 0; i <= INGRESS_WRITTEN; i++)
+		count += fixture->unanswered[i];
+	return count;
+}
+
 static int
 free_port (void)
 {
@@ -94,6 +114,7 @@
 	snprintf (address, sizeof (address), "127.0.0.1:%d", fixture->port);
 	CU_ASSERT_TRUE_FATAL (ingress_start (&fixture->ingress, &fixture->clock, address,
 		fixture->epoll_fd, MAX_CONNECTIONS, &limits, &hooks, &error));
+	ingress_watch_unanswered (&fixture->ingress, count_unanswered);
 }
 
 /* Lets the server work for a number of turns. */
@@ -354,6 +375,68 @@
 	free (more);
 }
 
+/* Ends a server without the steps before it, as a fault would. */
+static void
+end_abruptly (struct fixture *fixture)
+{
+	ingress_shutdown (&fixture->ingress);
+	/* The library does not stop while requests are suspended. */
+	for (int i = 0; i < fixture->held_count; i++)
+		ingress_answer (fixture->held[i], 503, NULL, NULL, 0, true);
+	ingress_stop (&fixture->ingress);
+	close (fixture->epoll_fd);
+}
+
+/* Guards against a lost answer that leaves no trace: each state of a request has its own count. */
+static void
+test_connections_ended_without_an_answer_are_reported (void)
+{
+	enum { LEN = 3000000 };
+	for (int state = INGRESS_UNREAD; state <= INGRESS_WRITTEN; state++) {
+		struct fixture fixture;
+		fixture_init (&fixture);
+		int fd = connect_caller (&fixture, SMALL_BUFFER);
+		run (&fixture, 3);
+		send_text (fd, head);
+		if (state != INGRESS_PARTIAL)
+			send_text (fd, "Content-Length: 0\r\n\r\n");
+		run (&fixture, state == INGRESS_UNREAD ? 0 : 3);
+		if (state == INGRESS_WRITTEN) {
+			ingress_answer (fixture.held[0], 200, NULL, xcalloc (1, LEN), LEN, false);
+			fixture.held_count = 0;
+			run (&fixture, 3);
+		}
+		end_abruptly (&fixture);
+		/* A request read in part gets a refusal. */
+		CU_ASSERT_EQUAL (fixture.unanswered[state], state != INGRESS_PARTIAL);
+		CU_ASSERT_EQUAL (unanswered_count (&fixture), state != INGRESS_PARTIAL);
+		close (fd);
+	}
+}
+
+/* Guards against false alarms: callers that left, idle connections, and answers that were read. */
+static void
+test_ends_that_callers_expect_are_not_reported (void)
+{
+	struct fixture fixture;
+	fixture_init (&fixture);
+	int idle = connect_caller (&fixture, 0);
+	int answered = connect_caller (&fixture, 0);
+	send_text (answered, "GET /all/x HTTP/1.1\r\nHost: site.example\r\n\r\n");
+	run (&fixture, 3);
+	ingress_answer (fixture.held[0], 200, NULL, NULL, 0, true);
+	fixture.held_count = 0;
+	int leaves = connect_caller (&fixture, 0);
+	send_text (leaves, "GET /all/x HTTP/1.1\r\nHost: site.example\r\n\r\n");
+	run (&fixture, 3);
+	close (leaves);
+	end_abruptly (&fixture);
+	CU_ASSERT_EQUAL (fixture.received_count, 2);
+	CU_ASSERT_EQUAL (unanswered_count (&fixture), 0);
+	close (idle);
+	close (answered);
+}
+
 /* Guards against connections that hang in the queue of a socket that nobody accepts from. */
 static void
 test_stopped_listener_turns_callers_away (void)
@@ -381,6 +464,8 @@
 		TEST (stop_refuses_requests_read_in_part),
 		TEST (stop_waits_for_slow_readers),
 		TEST (closing_answer_survives_unread_bytes),
+		TEST (connections_ended_without_an_answer_are_reported),
+		TEST (ends_that_callers_expect_are_not_reported),
 		TEST (stopped_listener_turns_callers_away),
 	};
 	return suite_run ("ingress", tests, sizeof (tests) / sizeof (tests[0]));
--- a/test/units.c
+++ b/test/units.c
@@ -13,6 +13,7 @@
 #include "core/pack.h"
 #include "core/packed.h"
 #include "core/timers.h"
+#include "core/turn.h"
 #include "options/options.h"
 #include "query/merge.h"
 #include "query/once.h"
@@ -954,6 +955,25 @@
 	timers_finish (&timers);
 }
 
+/* Guards against a pause of a loop that is attributed to the wrong part, or not noticed. */
+static void
+test_slow_turn_names_its_longest_part (void)
+{
+	struct turn turn;
+	turn_begin (&turn, 1000 * MS);
+	turn_mark (&turn, 0, 1010 * MS);
+	turn_mark (&turn, 2, 1100 * MS);
+	turn_mark (&turn, 1, 1160 * MS);
+	turn_mark (&turn, 0, 1199 * MS);
+	CU_ASSERT_FALSE (turn_is_slow (&turn));
+	turn_mark (&turn, 1, 1240 * MS);
+	CU_ASSERT_TRUE (turn_is_slow (&turn));
+	CU_ASSERT_EQUAL (turn_total_us (&turn), 240 * MS);
+	CU_ASSERT_EQUAL (turn_longest (&turn), 1);
+	turn_begin (&turn, 2000 * MS);
+	CU_ASSERT_EQUAL (turn_total_us (&turn), 0);
+}
+
 int
 main (void)
 {
@@ -990,6 +1010,7 @@
 		TEST (packed_documents_round_trip),
 		TEST (excessive_length_and_depth_are_rejected),
 		TEST (timers_fire_in_order),
+		TEST (slow_turn_names_its_longest_part),
 	};
 	hint_table_init (&hints);
 	return suite_run ("units", tests, sizeof (tests) / sizeof (tests[0]));
