peer: a message has at most 32 MB and 262,144 items

A node read messages of up to 128 MB, where the smallest VMs have 112 MB in all, and a decoded message took 32 bytes for each byte that stands for an item: 16 MB of nils took 512 MB. A message over the receiver's limit was still sent; ZeroMQ then closes the connection, and nothing was logged or counted.

The limit is now 32 MB: a VM of 112 MB holds a message twice, as received and as decoded. The greatest legitimate message, a routing document of 8 MB and a list of 32,768 targets with names of 255 bytes that hardly compress, in one reply to a poll, is below it. The sender drops, logs and counts what is larger, so that other messages on the link are not lost.

Ruled out: checking the size at the receiver only, since ZeroMQ has read the message by then. Left open, in the last table of docs/design/inputs.md: messages of many frames, and resources of more than 32 MB.

--- a/control/state.c
+++ b/control/state.c
@@ -159,7 +159,7 @@
 state_decode (struct state *state, const void *data, size_t len)
 {
 	struct pack_tree tree;
-	struct pack_node root = pack_parse (&tree, data, len);
+	struct pack_node root = pack_parse_document (&tree, data, len);
 	state->applied = pack_get_u64 (pack_at (root, 0));
 	state->epoch = pack_get_u64 (pack_at (root, 1));
 	state->log_time_ms = pack_get_i64 (pack_at (root, 2));
--- a/core/pack.c
+++ b/core/pack.c
@@ -139,7 +139,8 @@
 read_array (struct cursor *cursor, uint32_t index, uint32_t count, int depth)
 {
 	/* Each item takes at least one byte; this limits what a forged count can allocate. */
-	if (count > cursor->left || depth >= PACK_MAX_DEPTH)
+	if (count > cursor->left || depth >= PACK_MAX_DEPTH ||
+		count > cursor->tree->max_items - cursor->tree->count)
 		return false;
 	uint32_t first = append_items (cursor->tree, count);
 	cursor->tree->items[index].type = ITEM_ARRAY;
@@ -185,10 +186,11 @@
 	}
 }
 
-struct pack_node
-pack_parse (struct pack_tree *tree, const void *data, size_t len)
+static struct pack_node
+parse (struct pack_tree *tree, const void *data, size_t len, uint32_t max_items)
 {
 	memset (tree, 0, sizeof (*tree));
+	tree->max_items = max_items;
 	struct cursor cursor = {.tree = tree, .data = data, .left = len};
 	mpack_tokbuf_init (&cursor.tokens);
 	uint32_t root = append_items (tree, 1);
@@ -196,6 +198,18 @@
 	return (struct pack_node){tree, root};
 }
 
+struct pack_node
+pack_parse (struct pack_tree *tree, const void *data, size_t len)
+{
+	return parse (tree, data, len, PACK_MAX_ITEMS);
+}
+
+struct pack_node
+pack_parse_document (struct pack_tree *tree, const void *data, size_t len)
+{
+	return parse (tree, data, len, UINT32_MAX);
+}
+
 bool
 pack_free (struct pack_tree *tree)
 {
--- a/core/pack.h
+++ b/core/pack.h
@@ -14,7 +14,11 @@
 #include <stddef.h>
 #include <stdint.h>
 
-enum { PACK_MAX_DEPTH = 12 };
+enum {
+	PACK_MAX_DEPTH = 12,
+	/** Items of a message: an item may stand in one byte, but takes far more once decoded. */
+	PACK_MAX_ITEMS = 262144,
+};
 
 /** Encodes into a growing buffer. */
 struct pack_writer {
@@ -51,6 +55,7 @@
 	struct pack_item *items;
 	uint32_t count;
 	uint32_t cap;
+	uint32_t max_items;
 	bool failed;
 };
 
@@ -60,10 +65,14 @@
 	uint32_t index;
 };
 
-/** Decodes bytes and returns the root. Always call pack_free afterwards. */
+/** Decodes a message and returns the root. Always call pack_free afterwards. */
 struct pack_node
 pack_parse (struct pack_tree *tree, const void *data, size_t len);
 
+/** As pack_parse, for a document of any number of items. */
+struct pack_node
+pack_parse_document (struct pack_tree *tree, const void *data, size_t len);
+
 /** Frees the tree; returns false if it is marked as failed. */
 bool
 pack_free (struct pack_tree *tree);
--- a/daemon/discovery.c
+++ b/daemon/discovery.c
@@ -378,7 +378,7 @@
 listed_targets_decode (struct listed_targets *list, const void *data, size_t len)
 {
 	struct pack_tree tree;
-	struct pack_node root = pack_parse (&tree, data, len);
+	struct pack_node root = pack_parse_document (&tree, data, len);
 	size_t count = pack_length (root);
 	list->items = xcalloc (count + 1, sizeof (*list->items));
 	list->cap = (int)count + 1;
--- a/net/peer.c
+++ b/net/peer.c
@@ -259,6 +259,17 @@
 	return true;
 }
 
+static void
+drop_oversized (struct peer *peer, const struct peer_route *route, enum peer_message_class class,
+	size_t len)
+{
+	metric_add (METRIC_PEER_DROPPED, 1);
+	log_event (&peer->log, EVENT_PEER_MESSAGE_DROPPED,
+		"not sent to %s: class %d, %zu bytes, at most %d",
+		route->kind == PEER_ROUTE_ADDRESS ? route->id : "a caller", (int)class, len,
+		PEER_MESSAGE_MAX_BYTES);
+}
+
 void
 peer_send (struct peer *peer, const struct peer_route *route, enum peer_message_class class,
 	const void *data, size_t len)
@@ -270,6 +281,10 @@
 		peer->handler (peer->user, class, &own_route, data, len);
 		return;
 	}
+	if (PREFIX_BYTES + key_len + len > PEER_MESSAGE_MAX_BYTES) {
+		drop_oversized (peer, route, class, len);
+		return;
+	}
 	struct outgoing_mail *mail = xmalloc (sizeof (*mail) + PREFIX_BYTES + key_len + len);
 	mail->mail.kind = 0;
 	mail->route = *route;
--- a/net/peer.h
+++ b/net/peer.h
@@ -26,7 +26,8 @@
 	PEER_HEARTBEAT_TIMEOUT_MS = 1000,
 	PEER_LINK_IDLE_TIMEOUT_US = 60000000, /**< an unused link is closed after this */
 	PEER_QUEUE_MAX_MESSAGES = 10000,      /**< queued for one peer, in each direction */
-	PEER_MESSAGE_MAX_BYTES = 128 * 1024 * 1024,
+	/** With its prefix. A VM of 112 MB holds one twice, as it arrives and as it is decoded. */
+	PEER_MESSAGE_MAX_BYTES = 32 * 1024 * 1024,
 };
 
 /** The content of a message: control/wire.h for control messages, else query/subwire.h. */
@@ -75,7 +76,8 @@
 
 /**
  * Sends a message from any thread; the data is copied. A message to the own address goes directly
- * to the handler, on the calling thread.
+ * to the handler, on the calling thread. A message over the limit is dropped, logged and counted:
+ * the receiver would close the link, and lose what else is on its way.
  */
 void
 peer_send (struct peer *peer, const struct peer_route *route, enum peer_message_class class,
