net: a request that arrives before the last step of a stop is refused

What callers may see: their request reaches a stopping node after the last turn of its loop and before it ends the sending side of its connections. The connection ends without an answer. With a thread that does not run for tens of milliseconds just then (a busy processor), that is more than a race of packets.

Ruled out: answering what comes later, since the end has been sent by then.

Unread requests now get the refusal that requests read in part get. unit-ingress stop_refuses_requests_that_arrive_before_its_last_step failed before (no refusal), passes now. connections_ended_without_an_answer_are_reported expected a report for an unread request; it now expects the refusal to be read by the caller, and no report.

--- a/net/ingress.c
+++ b/net/ingress.c
@@ -391,13 +391,20 @@
 	ingress->unanswered = unanswered;
 }
 
-/* Whether the caller of a connection that gets nothing more still waits for an answer. */
 static bool
-is_awaited (const struct ingress_client *client)
+has_unread (const struct ingress_client *client)
 {
 	int unread = 0;
-	return client->receiving ||
-	       (!client->closing && ioctl (client->fd, FIONREAD, &unread) == 0 && unread > 0);
+	return ioctl (client->fd, FIONREAD, &unread) == 0 && unread > 0;
+}
+
+/* Whether a caller has sent a request, or a part of one, of which nothing was handled. */
+static bool
+is_refusable (const struct ingress_client *client)
+{
+	if (client->receiving)
+		return !client->request && !client->receiving->answered;
+	return !client->closing && has_unread (client);
 }
 
 void
@@ -407,14 +414,13 @@
 		struct ingress_client *client = ingress->clients[i];
 		if (!client)
 			continue;
-		bool is_partial =
-			client->receiving && !client->request && !client->receiving->answered;
-		bool is_refused = is_partial && send (client->fd, refusal, sizeof (refusal) - 1,
-							MSG_NOSIGNAL | MSG_DONTWAIT) >= 0;
-		if (!is_refused && is_awaited (client))
+		bool refuse = is_refusable (client);
+		bool refused = refuse && send (client->fd, refusal, sizeof (refusal) - 1,
+						 MSG_NOSIGNAL | MSG_DONTWAIT) > 0;
+		if ((client->receiving || refuse) && !refused)
 			report_unanswered (ingress, client);
 		client->ended = true;
-		if (is_partial && !is_refused)
+		if (refuse && !refused)
 			continue;
 		shutdown (client->fd, SHUT_WR);
 	}
--- a/net/ingress.h
+++ b/net/ingress.h
@@ -117,7 +117,7 @@
 
 /**
  * Ends the sending side of all connections; to be called once the answers are written. A request
- * that has been received in part gets an answer that says that it did not run. Only
+ * that has not been read, or only in part, gets an answer that says that it did not run. Only
  * ingress_discard and ingress_stop may be called after it.
  */
 void
--- a/test/ingress.c
+++ b/test/ingress.c
@@ -301,6 +301,30 @@
 	free (reader.data);
 }
 
+/* Guards against a request that arrives while the thread does not run, before the last step. */
+static void
+test_stop_refuses_requests_that_arrive_before_its_last_step (void)
+{
+	struct fixture fixture;
+	struct reader reader;
+	fixture_init (&fixture);
+	int fd = connect_caller (&fixture, 0);
+	run (&fixture, 3);
+	send_text (fd, "GET /all/x HTTP/1.1\r\nHost: site.example\r\n\r\n");
+	reader_start (&reader, fd, 0);
+	poll (NULL, 0, STOP_WAIT_MS);
+	ingress_shutdown (&fixture.ingress);
+	for (int i = 0; i < STOP_TURNS && ingress_discard (&fixture.ingress) > 0; i++)
+		poll (NULL, 0, STOP_WAIT_MS);
+	ingress_stop (&fixture.ingress);
+	reader_join (&reader);
+	CU_ASSERT_TRUE (is_refusal (&reader));
+	CU_ASSERT_EQUAL (fixture.received_count, 0);
+	CU_ASSERT_EQUAL (unanswered_count (&fixture), 0);
+	free (reader.data);
+	close (fixture.epoll_fd);
+}
+
 /* Guards against a connection that ends without an answer while its request is being sent. */
 static void
 test_stop_refuses_requests_read_in_part (void)
@@ -394,6 +418,7 @@
 	enum { LEN = 3000000 };
 	for (int state = INGRESS_UNREAD; state <= INGRESS_WRITTEN; state++) {
 		struct fixture fixture;
+		struct reader reader;
 		fixture_init (&fixture);
 		int fd = connect_caller (&fixture, SMALL_BUFFER);
 		run (&fixture, 3);
@@ -407,10 +432,14 @@
 			run (&fixture, 3);
 		}
 		end_abruptly (&fixture);
-		/* A request read in part gets a refusal. */
-		CU_ASSERT_EQUAL (fixture.unanswered[state], state != INGRESS_PARTIAL);
-		CU_ASSERT_EQUAL (unanswered_count (&fixture), state != INGRESS_PARTIAL);
-		close (fd);
+		/* A request that was not read, or only in part, gets a refusal. */
+		bool is_refused = state == INGRESS_UNREAD || state == INGRESS_PARTIAL;
+		CU_ASSERT_EQUAL (fixture.unanswered[state], !is_refused);
+		CU_ASSERT_EQUAL (unanswered_count (&fixture), !is_refused);
+		reader_start (&reader, fd, 0);
+		reader_join (&reader);
+		CU_ASSERT_EQUAL (is_refusal (&reader), is_refused);
+		free (reader.data);
 	}
 }
 
@@ -461,6 +490,7 @@
 		TEST (caller_that_left_before_it_was_accepted),
 		TEST (stop_refuses_connections_not_accepted),
 		TEST (stop_refuses_requests_not_read),
+		TEST (stop_refuses_requests_that_arrive_before_its_last_step),
 		TEST (stop_refuses_requests_read_in_part),
 		TEST (stop_waits_for_slow_readers),
 		TEST (closing_answer_survives_unread_bytes),
