net, daemon: a port belongs to one process, ports open last

Callers of a running entry node saw connections that ended without an answer while another process with the same settings was started beside it (a restart that comes too early, a left-over process), or with another node's callers' port (a wrong settings file). The log of the running node has no line about these requests.

Cause: net/ingress.c and daemon/orders.c set MHD_OPTION_LISTENING_ADDRESS_REUSE, with which libmicrohttpd sets SO_REUSEPORT: the kernel divides new connections among all processes that listen. The callers' port was opened before the peer port, on which the start then failed; the exit closed what the kernel had accepted.

Callers', readiness, batch and orders ports are opened when threads, peer links and the operators' server have started. Two processes that are bound at the same time cannot both open the port. A process that cannot start exits at once.

--- a/daemon/front.c
+++ b/daemon/front.c
@@ -32,6 +32,14 @@
 	IDLE_TIMEOUT_US = 20000000, /* longer than callers keep an idle connection for reuse */
 };
 
+/** An order to the front's thread to serve; the sender waits for its completion. */
+struct front_serve {
+	struct mail mail;
+	struct error *error;
+	bool started;
+	struct completion completion;
+};
+
 int64_t
 front_now_us (const struct front *front)
 {
@@ -334,6 +342,16 @@
 	}
 }
 
+static void
+apply_caller_limits (struct front *front)
+{
+	const struct routing *routing = front->state ? front->state->routing : NULL;
+	if (!routing)
+		return;
+	front->callers.limits.body_bytes = routing->limits.body_bytes;
+	front->callers.limits.idle_timeout_us = routing->limits.idle_timeout_us + IDLE_MARGIN_US;
+}
+
 static void
 apply_state (struct front *front, struct front_state *state)
 {
@@ -352,11 +370,7 @@
 	update_share (front);
 	update_evacuation (front);
 	front_update_fan_outs (front);
-	if (state->routing) {
-		front->callers.limits.body_bytes = state->routing->limits.body_bytes;
-		front->callers.limits.idle_timeout_us =
-			state->routing->limits.idle_timeout_us + IDLE_MARGIN_US;
-	}
+	apply_caller_limits (front);
 	if (state->routing && state->routing != old_routing)
 		log_event (&front->log, EVENT_ROUTING_IN_FORCE,
 			"version %llu at revision %llu: %d routes, %d services",
@@ -459,6 +473,60 @@
 	free (roster);
 }
 
+static void
+answer_readiness (struct ingress_request *request, void *user)
+{
+	const struct front *front = user;
+	bool ready = front_has_view (front) && atomic_load (&front->stop_began_us) == 0;
+	ingress_answer (request, ready ? 200 : 503, NULL, NULL, 0, false);
+}
+
+static void
+ignore_caller_left (struct ingress_request *request, void *user)
+{
+	(void)request;
+	(void)user;
+}
+
+static bool
+start_batches (struct front *front, struct error *error)
+{
+	struct listener *listener = &front->node->ports.listeners[PORT_BATCHES];
+	struct ingress_limits limits = {
+		BATCH_HEADER_MAX_BYTES, BATCH_MAX_BYTES, BATCH_IDLE_TIMEOUT_US};
+	struct ingress_hooks hooks = {batch_serve_request, forward_caller_left, front};
+	return listener->fd < 0 ||
+	       ingress_start (&front->batches, &front->node->clock, listener, front->epoll_fd,
+		       BATCH_MAX_CONNECTIONS, &limits, &hooks, error);
+}
+
+static bool
+start_ingresses (struct front *front, struct error *error)
+{
+	struct node *node = front->node;
+	struct listener *listeners = node->ports.listeners;
+	struct ingress_limits limits = {HEADER_MAX_BYTES, BODY_MAX_BYTES, IDLE_TIMEOUT_US};
+	struct ingress_hooks callers = {forward_request, forward_caller_left, front};
+	struct ingress_hooks balancer = {answer_readiness, ignore_caller_left, front};
+	bool started =
+		start_batches (front, error) &&
+		ingress_start (&front->balancer, &node->clock, &listeners[PORT_READINESS],
+			front->epoll_fd, READINESS_MAX_CONNECTIONS, &limits, &balancer, error) &&
+		ingress_start (&front->callers, &node->clock, &listeners[PORT_CALLERS],
+			front->epoll_fd, (int)node->options.front_connections, &limits, &callers,
+			error);
+	/* A routing may have been received before. */
+	apply_caller_limits (front);
+	return started;
+}
+
+static void
+serve (struct front *front, struct front_serve *call)
+{
+	call->started = start_ingresses (front, call->error);
+	completion_signal (&call->completion);
+}
+
 static void
 handle_mail (struct front *front, struct mail *mail)
 {
@@ -472,6 +540,9 @@
 	case FRONT_DUMP:
 		front_write_dump (front, caa_container_of (mail, struct front_dump, mail));
 		return;
+	case FRONT_SERVE:
+		serve (front, caa_container_of (mail, struct front_serve, mail));
+		return;
 	case FRONT_REFUSE_UNSENT:
 		free (mail);
 		front->refusing = true;
@@ -484,21 +555,6 @@
 	}
 }
 
-static void
-answer_readiness (struct ingress_request *request, void *user)
-{
-	const struct front *front = user;
-	bool ready = front_has_view (front) && atomic_load (&front->stop_began_us) == 0;
-	ingress_answer (request, ready ? 200 : 503, NULL, NULL, 0, false);
-}
-
-static void
-ignore_caller_left (struct ingress_request *request, void *user)
-{
-	(void)request;
-	(void)user;
-}
-
 static void
 run_timers (struct front *front)
 {
@@ -678,10 +734,6 @@
 bool
 front_start (struct front *front, struct node *node, struct error *error)
 {
-	struct ingress_limits limits = {HEADER_MAX_BYTES, BODY_MAX_BYTES, IDLE_TIMEOUT_US};
-	struct ingress_hooks callers = {forward_request, forward_caller_left, front};
-	struct ingress_hooks balancer = {answer_readiness, ignore_caller_left, front};
-	const struct options *options = &node->options;
 	memset (front, 0, sizeof (*front));
 	front->node = node;
 	front->started_us = clock_now_us (&node->clock);
@@ -693,9 +745,9 @@
 	route_table_init (&front->routes);
 	CDS_INIT_LIST_HEAD (&front->forwards);
 	CDS_INIT_LIST_HEAD (&front->served);
-	aggregators_init (&front->aggregators, name_hash (options->node_name));
+	aggregators_init (&front->aggregators, name_hash (node->options.node_name));
 	timers_init (&front->timers);
-	shares_init (&front->shares, name_hash (options->node_name));
+	shares_init (&front->shares, name_hash (node->options.node_name));
 	set_policy (front);
 	front->epoll_fd = epoll_create1 (EPOLL_CLOEXEC);
 	if (front->epoll_fd < 0 || !mailbox_init (&front->mailbox))
@@ -704,30 +756,21 @@
 	epoll_ctl (front->epoll_fd, EPOLL_CTL_ADD, front->mailbox.event_fd, &event);
 	fetch_loop_init (&front->fetches, front->epoll_fd, &node->clock, &front->timers);
 	discovery_start (&front->discovery, front);
-	if (options->front_address[0] &&
-		(!ingress_start (&front->callers, &node->clock, options->front_address,
-			 front->epoll_fd, (int)options->front_connections, &limits, &callers,
-			 error) ||
-			!ingress_start (&front->balancer, &node->clock,
-				options->front_ready_address, front->epoll_fd,
-				READINESS_MAX_CONNECTIONS, &limits, &balancer, error)))
-		return false;
-	if (options->front_address[0] && options->front_batch_port_step > 0) {
-		struct ingress_limits batch_limits = {
-			BATCH_HEADER_MAX_BYTES, BATCH_MAX_BYTES, BATCH_IDLE_TIMEOUT_US};
-		struct ingress_hooks batches = {batch_serve_request, forward_caller_left, front};
-		char address[AGGREGATOR_NAME_SIZE];
-		batch_address (options->node_peer_address, options->front_batch_port_step, address,
-			sizeof (address));
-		if (!ingress_start (&front->batches, &node->clock, address, front->epoll_fd,
-			    BATCH_MAX_CONNECTIONS, &batch_limits, &batches, error))
-			return false;
-	}
 	if (pthread_create (&front->thread, NULL, run, front) != 0)
 		return error_set (error, ERROR_IO, "cannot start a thread; raise the limit");
 	return true;
 }
 
+bool
+front_serve (struct front *front, struct error *error)
+{
+	struct front_serve call = {.mail.kind = FRONT_SERVE, .error = error};
+	completion_init (&call.completion);
+	mailbox_post (&front->mailbox, &call.mail);
+	completion_wait (&call.completion);
+	return call.started;
+}
+
 static void
 post_signal (struct front *front, enum front_mail kind)
 {
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -40,7 +40,14 @@
 enum { FORWARD_TIMER = FETCH_TIMER_KIND_END, DISCOVERY_TIMER };
 
 /** Kinds of messages to the front's thread. */
-enum front_mail { FRONT_STATE, FRONT_ROSTER, FRONT_DUMP, FRONT_REFUSE_UNSENT, FRONT_STOP };
+enum front_mail {
+	FRONT_STATE,
+	FRONT_ROSTER,
+	FRONT_DUMP,
+	FRONT_SERVE,
+	FRONT_REFUSE_UNSENT,
+	FRONT_STOP,
+};
 
 /** The part of the declared state that the front uses. */
 struct front_state {
@@ -110,6 +117,10 @@
 bool
 front_start (struct front *front, struct node *node, struct error *error);
 
+/** Serves callers, batches and readiness probes at the node's ports, which must be open; blocks. */
+bool
+front_serve (struct front *front, struct error *error);
+
 /** Refuses the requests of which nothing was sent to a target, so that they run elsewhere. */
 void
 front_refuse_unsent (struct front *front);
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -430,17 +430,50 @@
 	servers->operators = operators_start (node, error);
 	if (!servers->operators)
 		return false;
-	if (options->node_caller_address[0]) {
-		servers->callers = callers_start (node, error);
-		if (!servers->callers)
-			return false;
-	}
 	if (options->node_metrics_address[0]) {
 		servers->metrics = monitoring_start (node, error);
 		if (!servers->metrics)
 			return false;
 	}
-	return !options->control_orders_address[0] || orders_start (&servers->orders, node, error);
+	return true;
+}
+
+/* Opens the addresses of callers, of operators' orders and of other nodes' batches. */
+static bool
+open_ports (struct node *node, struct servers *servers, struct error *error)
+{
+	const struct options *options = &node->options;
+	if (!ports_open (&node->ports, error))
+		return false;
+	if (options->control_orders_address[0] && !orders_start (&servers->orders, node, error))
+		return false;
+	if (options->front_address[0] && !front_serve (node->front, error))
+		return false;
+	if (!options->node_caller_address[0])
+		return true;
+	servers->callers = callers_start (node, error);
+	return servers->callers != NULL;
+}
+
+static void
+log_started (struct node *node)
+{
+	log_event (&node->log, EVENT_NODE_STARTED, "%s: callers %s, routes %s, orders %s, log %s",
+		node->options.node_name, node->options.node_caller_address,
+		node->options.front_address, node->options.control_orders_address,
+		node->options.control_data_dir);
+}
+
+static bool
+start_node (struct node *node, struct servers *servers, struct control *control,
+	struct front *front, bool bootstrap, struct error *error)
+{
+	if (!ports_bind (&node->ports, &node->options, error) ||
+		!start_threads (node, control, front, bootstrap, error) ||
+		!start_servers (node, servers, error) || !open_ports (node, servers, error))
+		return false;
+	log_started (node);
+	return true;
 }
 
 static int
@@ -459,16 +492,11 @@
 	pthread_sigmask (SIG_BLOCK, &signals, NULL);
 	signal (SIGPIPE, SIG_IGN);
 	node->control = &control;
-	bool started = start_threads (node, &control, &front, bootstrap, &error) &&
-		       start_servers (node, &servers, &error);
-	if (!started) {
+	if (!start_node (node, &servers, &control, &front, bootstrap, &error)) {
 		log_event (&node->log, EVENT_NODE_START_FAILED, "%s", error.message);
-		return EXIT_FAILURE;
+		/* Threads may be running, and exit() would not end them first. */
+		_exit (EXIT_FAILURE);
 	}
-	log_event (&node->log, EVENT_NODE_STARTED, "%s: callers %s, routes %s, orders %s, log %s",
-		node->options.node_name, node->options.node_caller_address,
-		node->options.front_address, node->options.control_orders_address,
-		node->options.control_data_dir);
 	serve (node, &signals);
 	stop_node (node, &servers, &signals);
 	/* Stopping the operators' server would take up to 2 s, and it has no state to save. */
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -9,6 +9,7 @@
 #include "control/view.h"
 #include "core/clock.h"
 #include "core/log.h"
+#include "daemon/ports.h"
 #include "net/peer.h"
 #include "options/options.h"
 #include "query/admission.h"
@@ -40,6 +41,7 @@
 	_Atomic uint64_t request_counter; /**< for request ids */
 	struct worker *workers;
 	int worker_count;
+	struct ports ports; /**< until the servers take them over */
 	struct peer peer;
 	struct control *control;
 	struct front *front; /**< serves declared routes; NULL when it is not configured */
--- a/daemon/orders.c
+++ b/daemon/orders.c
@@ -3,7 +3,6 @@
 #include "core/packed.h"
 #include "daemon/control.h"
 #include "daemon/http.h"
-#include "net/ingress.h"
 #include "platform/manifest.h"
 #include "platform/orders.h"
 
@@ -255,22 +254,21 @@
 bool
 orders_start (struct orders *orders, struct node *node, struct error *error)
 {
-	struct sockaddr_in address;
-	const char *text = node->options.control_orders_address;
+	struct listener *listener = &node->ports.listeners[PORT_ORDERS];
 	orders->node = node;
 	orders->log = node->log;
-	if (ingress_parse_address (text, &address))
-		orders->daemon = MHD_start_daemon (
-			MHD_USE_POLL_INTERNAL_THREAD | MHD_USE_THREAD_PER_CONNECTION | MHD_USE_ITC,
-			0, NULL, NULL, on_request, orders, MHD_OPTION_SOCK_ADDR, &address,
-			MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_NOTIFY_COMPLETED,
-			on_completed, orders, MHD_OPTION_CONNECTION_LIMIT,
-			(unsigned)ORDER_MAX_CONNECTIONS, MHD_OPTION_CONNECTION_TIMEOUT,
-			(unsigned)ORDER_IDLE_TIMEOUT_S, MHD_OPTION_END);
-	if (orders->daemon)
-		return true;
-	return error_set (
-		error, ERROR_IO, "cannot listen on %s; correct the address or free the port", text);
+	orders->daemon = MHD_start_daemon (
+		MHD_USE_POLL_INTERNAL_THREAD | MHD_USE_THREAD_PER_CONNECTION | MHD_USE_ITC, 0, NULL,
+		NULL, on_request, orders, MHD_OPTION_LISTEN_SOCKET, listener->fd,
+		MHD_OPTION_NOTIFY_COMPLETED, on_completed, orders, MHD_OPTION_CONNECTION_LIMIT,
+		(unsigned)ORDER_MAX_CONNECTIONS, MHD_OPTION_CONNECTION_TIMEOUT,
+		(unsigned)ORDER_IDLE_TIMEOUT_S, MHD_OPTION_END);
+	if (!orders->daemon)
+		return error_set (error, ERROR_IO,
+			"%s %s: the server cannot start; raise the limits of memory and threads",
+			listener->setting, listener->address);
+	listener->fd = -1;
+	return true;
 }
 
 void
--- a/daemon/orders.h
+++ b/daemon/orders.h
@@ -22,7 +22,7 @@
 	_Atomic int in_progress;
 };
 
-/** Starts the server; false with an error if the address cannot be bound. */
+/** Serves the address, which must be open; false with an error if the server cannot start. */
 bool
 orders_start (struct orders *orders, struct node *node, struct error *error);
 
--- a/net/ingress.c
+++ b/net/ingress.c
@@ -2,7 +2,6 @@
 
 #include "core/clock.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <netinet/in.h>
@@ -291,49 +290,30 @@
 }
 
 bool
-ingress_parse_address (const char *address, struct sockaddr_in *out)
+ingress_start (struct ingress *ingress, struct clock *clock, struct listener *listener,
+	int epoll_fd, int max_connections, const struct ingress_limits *limits,
+	const struct ingress_hooks *hooks, struct error *error)
 {
-	char host[64];
-	const char *colon = strrchr (address, ':');
-	size_t len = colon ? (size_t)(colon - address) : 0;
-	if (!colon || len >= sizeof (host))
-		return false;
-	memcpy (host, address, len);
-	host[len] = '\0';
-	memset (out, 0, sizeof (*out));
-	out->sin_family = AF_INET;
-	out->sin_port = htons ((uint16_t)strtoul (colon + 1, NULL, 10));
-	return inet_pton (AF_INET, host, &out->sin_addr) == 1;
-}
-
-bool
-ingress_start (struct ingress *ingress, struct clock *clock, const char *address, int epoll_fd,
-	int max_connections, const struct ingress_limits *limits, const struct ingress_hooks *hooks,
-	struct error *error)
-{
-	struct sockaddr_in socket_address;
 	memset (ingress, 0, sizeof (*ingress));
 	ingress->clock = clock;
 	ingress->epoll_fd = epoll_fd;
 	ingress->limits = *limits;
 	ingress->hooks = *hooks;
 	CDS_INIT_LIST_HEAD (&ingress->lingering);
-	if (!ingress_parse_address (address, &socket_address))
-		return error_set (
-			error, ERROR_CONFIG, "%s is not an IP:port address; correct it", address);
 	ingress->daemon = MHD_start_daemon (MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
-		on_request, ingress, MHD_OPTION_SOCK_ADDR, &socket_address,
-		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_NOTIFY_CONNECTION, on_connection,
-		ingress, MHD_OPTION_NOTIFY_COMPLETED, on_completed, ingress,
-		MHD_OPTION_URI_LOG_CALLBACK, on_first_line, ingress, MHD_OPTION_UNESCAPE_CALLBACK,
-		keep_escapes, NULL, MHD_OPTION_CONNECTION_LIMIT, (unsigned)max_connections,
-		MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+		on_request, ingress, MHD_OPTION_LISTEN_SOCKET, listener->fd,
+		MHD_OPTION_NOTIFY_CONNECTION, on_connection, ingress, MHD_OPTION_NOTIFY_COMPLETED,
+		on_completed, ingress, MHD_OPTION_URI_LOG_CALLBACK, on_first_line, ingress,
+		MHD_OPTION_UNESCAPE_CALLBACK, keep_escapes, NULL, MHD_OPTION_CONNECTION_LIMIT,
+		(unsigned)max_connections, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
 		(size_t)limits->header_bytes + POOL_OVERHEAD_BYTES, MHD_OPTION_CONNECTION_TIMEOUT,
 		(unsigned)(limits->idle_timeout_us / US_PER_S), MHD_OPTION_STRICT_FOR_CLIENT, 1,
 		MHD_OPTION_END);
 	if (!ingress->daemon)
 		return error_set (error, ERROR_IO,
-			"cannot listen on %s; correct the address or free the port", address);
+			"%s %s: the server cannot start; raise the limits of memory and files",
+			listener->setting, listener->address);
+	listener->fd = -1;
 	struct epoll_event event = {.events = EPOLLIN, .data.fd = ingress_fd (ingress)};
 	epoll_ctl (epoll_fd, EPOLL_CTL_ADD, ingress_fd (ingress), &event);
 	return true;
--- a/net/ingress.h
+++ b/net/ingress.h
@@ -10,9 +10,9 @@
 #include "core/buf.h"
 #include "core/clock.h"
 #include "core/error.h"
+#include "net/listener.h"
 
 #include <microhttpd.h>
-#include <netinet/in.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -78,15 +78,11 @@
 	struct cds_list_head lingering; /**< closed connections whose bytes are discarded */
 };
 
-/** Parses an IP:port address. */
+/** Serves the connections of an address that is open, and takes its socket over. */
 bool
-ingress_parse_address (const char *text, struct sockaddr_in *address);
-
-/** Starts to listen on an IP:port. */
-bool
-ingress_start (struct ingress *ingress, struct clock *clock, const char *address, int epoll_fd,
-	int max_connections, const struct ingress_limits *limits, const struct ingress_hooks *hooks,
-	struct error *error);
+ingress_start (struct ingress *ingress, struct clock *clock, struct listener *listener,
+	int epoll_fd, int max_connections, const struct ingress_limits *limits,
+	const struct ingress_hooks *hooks, struct error *error);
 void
 ingress_stop (struct ingress *ingress);
 
--- a/test/ingress.c
+++ b/test/ingress.c
@@ -84,6 +84,7 @@
 fixture_init (struct fixture *fixture)
 {
 	struct error error = {0};
+	struct listener listener;
 	char address[32];
 	struct ingress_limits limits = {16384, 262144, 20000000};
 	struct ingress_hooks hooks = {hold_request, count_caller_left, fixture};
@@ -92,7 +93,9 @@
 	fixture->epoll_fd = epoll_create1 (EPOLL_CLOEXEC);
 	fixture->port = free_port ();
 	snprintf (address, sizeof (address), "127.0.0.1:%d", fixture->port);
-	CU_ASSERT_TRUE_FATAL (ingress_start (&fixture->ingress, &fixture->clock, address,
+	CU_ASSERT_TRUE_FATAL (listener_bind (&listener, "address", address, &error));
+	CU_ASSERT_TRUE_FATAL (listener_open (&listener, &error));
+	CU_ASSERT_TRUE_FATAL (ingress_start (&fixture->ingress, &fixture->clock, &listener,
 		fixture->epoll_fd, MAX_CONNECTIONS, &limits, &hooks, &error));
 }
 
@@ -370,10 +373,102 @@
 	stop (&fixture);
 }
 
+/* Guards against a second process that takes a share of the connections of a running one. */
+static void
+test_second_server_on_the_same_port_is_refused (void)
+{
+	struct fixture fixture;
+	struct listener second;
+	struct error error = {0};
+	char address[32];
+	fixture_init (&fixture);
+	snprintf (address, sizeof (address), "127.0.0.1:%d", fixture.port);
+	CU_ASSERT_FALSE (listener_bind (&second, "front.address", address, &error));
+	CU_ASSERT_PTR_NOT_NULL (strstr (error.message, "front.address"));
+	CU_ASSERT_PTR_NOT_NULL (strstr (error.message, address));
+	CU_ASSERT_PTR_NOT_NULL (strstr (error.message, "in use by another process"));
+	stop (&fixture);
+}
+
+/* Guards against two processes that start together, are both bound and then both accept. */
+static void
+test_second_of_two_bound_listeners_cannot_open (void)
+{
+	struct listener first;
+	struct listener second;
+	struct error error = {0};
+	char address[32];
+	snprintf (address, sizeof (address), "127.0.0.1:%d", free_port ());
+	CU_ASSERT_TRUE_FATAL (listener_bind (&first, "front.address", address, &error));
+	CU_ASSERT_TRUE_FATAL (listener_bind (&second, "front.address", address, &error));
+	CU_ASSERT_TRUE (listener_open (&first, &error));
+	CU_ASSERT_FALSE (listener_open (&second, &error));
+	CU_ASSERT_PTR_NOT_NULL (strstr (error.message, address));
+	CU_ASSERT_PTR_NOT_NULL (strstr (error.message, "in use by another process"));
+	listener_close (&first);
+	listener_close (&second);
+}
+
+/* Guards against connections that are accepted, and then lost, by a process that cannot start. */
+static void
+test_bound_listener_accepts_nothing (void)
+{
+	struct fixture fixture;
+	struct listener listener;
+	struct error error = {0};
+	struct sockaddr_in peer = {.sin_family = AF_INET};
+	char address[32];
+	fixture.port = free_port ();
+	snprintf (address, sizeof (address), "127.0.0.1:%d", fixture.port);
+	CU_ASSERT_TRUE_FATAL (listener_bind (&listener, "front.address", address, &error));
+	int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	peer.sin_port = htons ((uint16_t)fixture.port);
+	peer.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+	CU_ASSERT_NOT_EQUAL (connect (fd, (struct sockaddr *)&peer, sizeof (peer)), 0);
+	close (fd);
+	CU_ASSERT_TRUE_FATAL (listener_open (&listener, &error));
+	close (connect_caller (&fixture, 0));
+	listener_close (&listener);
+}
+
+/* Guards against a restart that fails because of connections that its predecessor has closed. */
+static void
+test_successor_starts_right_after_its_predecessor (void)
+{
+	struct fixture fixture;
+	struct listener successor;
+	struct error error = {0};
+	char address[32];
+	char answer[256];
+	fixture_init (&fixture);
+	snprintf (address, sizeof (address), "127.0.0.1:%d", fixture.port);
+	int kept = connect_caller (&fixture, 0);
+	int ended = connect_caller (&fixture, 0);
+	send_text (ended, "GET /all/x HTTP/1.1\r\nHost: site.example\r\n\r\n");
+	run (&fixture, 5);
+	CU_ASSERT_EQUAL_FATAL (fixture.held_count, 1);
+	/* The server closes first, so that its side stays in TIME_WAIT. */
+	ingress_answer (fixture.held[0], 200, NULL, NULL, 0, true);
+	fixture.held_count = 0;
+	run (&fixture, 5);
+	CU_ASSERT_TRUE (recv (ended, answer, sizeof (answer), 0) > 0);
+	CU_ASSERT_EQUAL (recv (ended, answer, sizeof (answer), 0), 0);
+	close (ended);
+	stop (&fixture);
+	CU_ASSERT_TRUE_FATAL (listener_bind (&successor, "front.address", address, &error));
+	CU_ASSERT_TRUE (listener_open (&successor, &error));
+	listener_close (&successor);
+	close (kept);
+}
+
 int
 main (void)
 {
 	static const struct suite_test tests[] = {
+		TEST (second_server_on_the_same_port_is_refused),
+		TEST (second_of_two_bound_listeners_cannot_open),
+		TEST (bound_listener_accepts_nothing),
+		TEST (successor_starts_right_after_its_predecessor),
 		TEST (request_of_a_caller_that_left_is_not_passed_on),
 		TEST (caller_that_left_before_it_was_accepted),
 		TEST (stop_refuses_connections_not_accepted),
--- a/test/platform.sh
+++ b/test/platform.sh
@@ -146,6 +146,53 @@
 expect "the target's stamp is forwarded" "$answer" '^Oleanderstile-Server-Stamp: s3.b1'
 expect "a request that is not idempotent runs once" "$(runs b1)" '^1$'
 
+# Guards against a process that takes connections of a running node: both listened on the port, and
+# the second one closed its share when its start failed.
+echo "a second process beside a running node:"
+# second WHAT PORT FILE: starts a process, which must end at once and say which port is in use.
+second () {
+	sleep 0.2
+	timeout -s KILL 3 "$BUILD/oleanderstiled" -c "$3" > "$RUN/second.log" 2>&1
+	expect "a second process with the same $1 ends with an error" "$?" '^1$'
+	expect "that names the port" "$(cat "$RUN/second.log")" "NODE_START_FAILED.* 127.0.0.1:$2 is in use by another process"
+}
+# second_with FILE SETTING PORT: the same for a node with all settings of its own but this one.
+second_with () {
+	sed "s/^$2 = .*/$2 = 127.0.0.1:$3/" "$RUN/$1" > "$RUN/second.ini"
+	second "$2" "$3" "$RUN/second.ini"
+}
+# call_until_end N: sends requests until the file exists, and prints the status of each.
+call_until_end () {
+	local i=0 status
+	while [ ! -e "$RUN/seconds_end" ]; do
+		i=$((i + 1))
+		status=$(send_request 4 "sc$1-$i" /all/x | head -n 1)
+		echo "${status:-no answer}"
+	done
+}
+settings 9 entry
+settings 8 control
+seconds_callers=()
+for i in 1 2 3 4; do
+	call_until_end "$i" > "$RUN/seconds$i" &
+	seconds_callers+=($!)
+done
+for i in $(seq 1 10); do second "settings" $((BASE + 204)) "$RUN/n4.ini"; done
+second_with n9.ini address $((BASE + 4))
+second_with n9.ini ready_address $((BASE + 54))
+second_with n9.ini operator_address $((BASE + 104))
+second_with n9.ini metrics_address $((BASE + 304))
+second_with n9.ini address $((BASE + 904))
+sed -i "s/^batch_port_step = .*/batch_port_step = 695/" "$RUN/n9.ini"
+second "batch port" $((BASE + 904)) "$RUN/n9.ini"
+second_with n8.ini orders_address $((BASE + 1))
+second_with n8.ini peer_address $((BASE + 204))
+touch "$RUN/seconds_end"
+wait "${seconds_callers[@]}"
+[ "$(cat "$RUN"/seconds[1-4] | wc -l)" -ge 100 ] || fail "too few requests were sent beside the second processes"
+lost=$(cat "$RUN"/seconds[1-4] | grep -vc '^HTTP/1.1 200')
+expect "callers of the running node lose nothing" "$lost" '^0$'
+
 echo "forms and sizes of requests:"
 expect "a chunked body" "$(send_request 4 j1 /file/x -H 'Transfer-Encoding: chunked' -d chunked)" '^chunked'
 expect "a caller that expects 100 Continue" "$(send_request 4 j2 /file/x -H 'Expect: 100-continue' -d expected)" '^expected'
@@ -549,4 +596,42 @@
 wait "${PIDS[n4]}" || fail "entry node 4 exited with $?"
 unset "PIDS[n4]"
 for n in 1 2 3; do kill -CONT "${PIDS[n$n]}"; done
+# Guards against a restart that disturbs the process that is stopping, or fails because of its
+# connections.
+echo "nodes are started again before and after their predecessors have ended:"
+is_running () {
+	grep -q '^State:.[^Z]' "/proc/$1/status" 2> /dev/null
+}
+# restart_at_once N: stops a node, and starts its successor again and again until it stays.
+restart_at_once () {
+	local n=$1 predecessor=${PIDS[n$1]} attempts=0
+	kill -TERM "$predecessor"
+	while :; do
+		attempts=$((attempts + 1))
+		"$BUILD/oleanderstiled" -c "$RUN/n$n.ini" > "$RUN/successor.log" 2>&1 &
+		PIDS[n$n]=$!
+		until grep -q '"NODE_START' "$RUN/successor.log"; do sleep 0.01; done
+		grep -q '"NODE_STARTED"' "$RUN/successor.log" && break
+		wait "${PIDS[n$n]}"
+		expect "a successor that is early ends with an error" "$?" '^1$'
+		expect "that names a port" "$(cat "$RUN/successor.log")" 'NODE_START_FAILED.* 127.0.0.1:[0-9]+ is in use by another process'
+	done
+	is_running "$predecessor" && fail "node $n was started beside its predecessor"
+	wait "$predecessor" || fail "node $n exited with $?"
+	[ "$attempts" -gt 1 ] || fail "no successor of node $n was early"
+	echo "node $n: attempt $attempts started"
+}
+for t in 9 10 11; do set_fault stuck $t 0; done
+start_node 5
+wait_for 10 is_ready 5 || fail "entry node 5 is not ready"
+send_request 5 ra /file/x -d x > "$RUN/x"
+exec {kept0}<> "/dev/tcp/127.0.0.1/$((BASE + 5))"
+send_kept "$kept0" rb
+expect "a connection that its caller keeps" "$(timeout 2 head -n 1 <&"$kept0")" '^HTTP/1.1 200'
+restart_at_once 5
+exec {kept0}>&-
+wait_for 10 is_ready 5 || fail "the successor of entry node 5 is not ready"
+expect "the successor serves" "$(send_request 5 rc /file/x -d x)" '^HTTP/1.1 200'
+restart_at_once 3
+wait_for 10 eval "[ \"\$(order 3 GET /config/get)\" = 200 ]" || fail "control node 3 did not restart"
 echo "platform: $checks checks passed"
