test, bench: mock targets and callers play both announcements

Each can announce that it leaves, refuse in turns, all at once or with a fixed value of Retry-After, take another id at its address, and counts late arrivals and arrivals in a time for which it asked for none.

--- a/bench/load.c
+++ b/bench/load.c
@@ -3,6 +3,10 @@
  * Load generator. It sends requests to callers' addresses and checks every answer to a query, or
  * calls the targets directly to measure the same fan-out without the tier.
  *
+ * With --route it sends to a declared route instead. A caller that is refused waits as Retry-After
+ * says, for a third of its remaining time at most, and tries again, a few times in all. Its latency
+ * includes these waits.
+ *
  * Prints one JSON line: the numbers of requests by outcome (complete, partial, refused, unknown,
  * failed), of wrong and of mixed answers, and quantiles of the latency in microseconds.
  */
@@ -19,9 +23,15 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 #include <time.h>
 
-enum { MAX_ADDRESSES = 64, MAX_SAMPLES = 1 << 20 };
+enum {
+	MAX_ADDRESSES = 64,
+	MAX_SAMPLES = 1 << 20,
+	ROUTE_ATTEMPTS = 4,
+	ROUTE_WAIT_PART = 3, /* a caller waits for this part of its remaining time at most */
+};
 
 struct settings {
 	char addresses[MAX_ADDRESSES][64];
@@ -31,9 +41,11 @@
 	long seconds;
 	long rate_per_s; /* requests per second over all threads; 0: unlimited */
 	long first_port;
-	long fan_out; /* > 0: call this number of targets directly, one connection each */
-	long stride;  /* distance between the ports of two shards */
-	bool once;    /* send at-most-once requests */
+	long fan_out;      /* > 0: call this number of targets directly, one connection each */
+	long stride;       /* distance between the ports of two shards */
+	bool once;         /* send at-most-once requests */
+	const char *route; /* "HOST/PATH": send to this declared route */
+	long deadline_ms;  /* of requests to a declared route */
 };
 
 struct result {
@@ -46,12 +58,13 @@
 	_Atomic long mixed; /* a row is not of the answer's snapshot */
 	_Atomic long failed;
 	_Atomic long unknown; /* status 504 */
+	_Atomic long repeats; /* attempts of callers that were refused before */
 	_Atomic long samples;
 	int64_t *latency_us;
 };
 
 static struct settings settings = {
-	.collection = "register", .threads = 8, .seconds = 5, .stride = 3};
+	.collection = "register", .threads = 8, .seconds = 5, .stride = 3, .deadline_ms = 1000};
 static struct result result;
 static struct clock system_clock;
 static _Atomic long scheduled; /* requests scheduled so far, with settings.rate_per_s */
@@ -163,6 +176,104 @@
 		check_answer (body);
 }
 
+/* What a caller reads in the headers of an answer on a declared route. */
+struct route_answer {
+	long status; /* 0: none */
+	long missing;
+	int64_t retry_after_us;
+};
+
+static size_t
+read_route_header (char *data, size_t size, size_t count, void *user)
+{
+	struct route_answer *answer = user;
+	char line[128];
+	size_t len = size * count < sizeof (line) - 1 ? size * count : sizeof (line) - 1;
+	memcpy (line, data, len);
+	line[len] = '\0';
+	if (strncasecmp (line, "Retry-After:", 12) == 0)
+		answer->retry_after_us = (int64_t)(strtod (line + 12, NULL) * US_PER_S);
+	if (strncasecmp (line, "Oleanderstile-Missing-Parts:", 28) == 0)
+		answer->missing = strtol (line + 28, NULL, 10);
+	return size * count;
+}
+
+static struct route_answer
+try_route (CURL *easy, struct rng *rng, int64_t remaining_us)
+{
+	struct route_answer answer = {0};
+	char text[256];
+	const char *path = strchr (settings.route, '/');
+	struct curl_slist *headers = curl_slist_append (NULL, "Expect:");
+	snprintf (text, sizeof (text), "Host: %.*s", (int)(path - settings.route), settings.route);
+	headers = curl_slist_append (headers, text);
+	snprintf (text, sizeof (text), "Oleanderstile-Attempt-Id: %016llx",
+		(unsigned long long)rng_next (rng));
+	headers = curl_slist_append (headers, text);
+	snprintf (text, sizeof (text), "Oleanderstile-Deadline-Ms: %lld",
+		(long long)(remaining_us / US_PER_MS));
+	headers = curl_slist_append (headers, text);
+	snprintf (text, sizeof (text), "http://%s%s",
+		settings.addresses[rng_below (rng, (uint64_t)settings.address_count)], path);
+	curl_easy_setopt (easy, CURLOPT_URL, text);
+	curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
+	curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, read_route_header);
+	curl_easy_setopt (easy, CURLOPT_HEADERDATA, &answer);
+	curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)(remaining_us / US_PER_MS) + 1);
+	if (curl_easy_perform (easy) == CURLE_OK)
+		curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &answer.status);
+	curl_slist_free_all (headers);
+	return answer;
+}
+
+static void
+count_route_answer (const struct route_answer *answer, int64_t took_us)
+{
+	switch (answer->status) {
+	case 200:
+		atomic_fetch_add (&result.answers, 1);
+		atomic_fetch_add (answer->missing > 0 ? &result.partial : &result.complete, 1);
+		atomic_fetch_add (&result.missing, answer->missing);
+		record_latency (took_us);
+		return;
+	case 503:
+		atomic_fetch_add (&result.refused, 1);
+		return;
+	case 504:
+		atomic_fetch_add (&result.unknown, 1);
+		return;
+	default:
+		atomic_fetch_add (&result.failed, 1);
+	}
+}
+
+static void
+call_route (CURL *easy, struct rng *rng, struct buf *body)
+{
+	int64_t before_us = clock_now_us (&system_clock);
+	int64_t deadline_us = before_us + settings.deadline_ms * US_PER_MS;
+	struct route_answer answer = {0};
+	for (int i = 0; i < ROUTE_ATTEMPTS; i++) {
+		int64_t remaining_us = deadline_us - clock_now_us (&system_clock);
+		if (remaining_us <= US_PER_MS)
+			break;
+		if (i > 0)
+			atomic_fetch_add (&result.repeats, 1);
+		buf_reset (body);
+		answer = try_route (easy, rng, remaining_us);
+		if (answer.status != 503)
+			break;
+		remaining_us = deadline_us - clock_now_us (&system_clock);
+		int64_t wait_us = remaining_us / ROUTE_WAIT_PART;
+		if (answer.retry_after_us < wait_us)
+			wait_us = answer.retry_after_us;
+		struct timespec wait = {
+			.tv_sec = wait_us / US_PER_S, .tv_nsec = wait_us % US_PER_S * 1000};
+		nanosleep (&wait, NULL);
+	}
+	count_route_answer (&answer, clock_now_us (&system_clock) - before_us);
+}
+
 /* Delays a thread until the next request is due at the given rate; false once the run is over. */
 static bool
 wait_until_due (void)
@@ -194,8 +305,12 @@
 	curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, 10000L);
 	curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, append_body);
 	curl_easy_setopt (easy, CURLOPT_WRITEDATA, &body);
-	while (wait_until_due ())
-		call_tier (easy, &rng, &body, headers);
+	while (wait_until_due ()) {
+		if (settings.route)
+			call_route (easy, &rng, &body);
+		else
+			call_tier (easy, &rng, &body, headers);
+	}
 	curl_easy_cleanup (easy);
 	curl_slist_free_all (headers);
 	buf_finish (&body);
@@ -275,14 +390,16 @@
 	qsort (result.latency_us, (size_t)count, sizeof (int64_t), compare_latencies);
 	printf ("{\"answers\":%ld,\"per_s\":%.0f,\"complete\":%ld,\"partial\":%ld,\"missing\":%ld,"
 		"\"refused\":%ld,\"unknown\":%ld,\"failed\":%ld,\"wrong\":%ld,\"mixed\":%ld,"
+		"\"repeats\":%ld,"
 		"\"p50\":%lld,\"p90\":%lld,\"p99\":%lld,\"p999\":%lld}\n",
 		atomic_load (&result.answers),
 		(double)atomic_load (&result.answers) / (double)settings.seconds,
 		atomic_load (&result.complete), atomic_load (&result.partial),
 		atomic_load (&result.missing), atomic_load (&result.refused),
 		atomic_load (&result.unknown), atomic_load (&result.failed),
-		atomic_load (&result.wrong), atomic_load (&result.mixed), quantile (count, 0.5),
-		quantile (count, 0.9), quantile (count, 0.99), quantile (count, 0.999));
+		atomic_load (&result.wrong), atomic_load (&result.mixed),
+		atomic_load (&result.repeats), quantile (count, 0.5), quantile (count, 0.9),
+		quantile (count, 0.99), quantile (count, 0.999));
 }
 
 static void
@@ -325,6 +442,12 @@
 	case 'd':
 		settings.stride = strtol (arg, NULL, 10);
 		return 0;
+	case 'R':
+		settings.route = arg;
+		return strchr (arg, '/') ? 0 : ARGP_ERR_UNKNOWN;
+	case 'D':
+		settings.deadline_ms = strtol (arg, NULL, 10);
+		return 0;
 	case 'o':
 		settings.once = true;
 		return 0;
@@ -342,6 +465,8 @@
 	{"direct-port", 'p', "PORT", 0, "Port of the first target for --fan-out", 0},
 	{"fan-out", 'f', "N", 0, "Call N targets directly, without the tier", 0},
 	{"stride", 'd', "N", 0, "Distance between the ports of two targets for --fan-out", 0},
+	{"route", 'R', "HOST/PATH", 0, "Send to a declared route", 0},
+	{"deadline-ms", 'D', "MS", 0, "Time that a caller has, for --route", 0},
 	{"once", 'o', NULL, 0, "Send at-most-once requests", 0},
 	{0},
 };
--- a/bench/run.sh
+++ b/bench/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Runs all benchmarks one after the other; the head of each script says what it measures.
 cd "$(dirname "$0")/.." || exit 1
-for run in latency throughput hedge faults stops overload control; do
+for run in latency throughput hedge faults stops overload busy control; do
 	echo "== bench/$run.sh"
 	bash "bench/$run.sh"
 done
--- a/test/target.c
+++ b/test/target.c
@@ -5,6 +5,11 @@
  *
  * One process serves many targets on one thread, each on its own port. POST /control changes the
  * behaviour of a target; GET /counters returns its counters.
+ *
+ * With --replicas they are targets of declared routes instead: they speak the platform's protocol,
+ * each of them serves the list of all of them at /instances, and they announce in their answers
+ * that they leave ("announce") or refuse with a time to return ("busy_ms", "busy_every_ms",
+ * "busy_offset_ms", "busy_value").
  */
 #include "core/buf.h"
 #include "core/clock.h"
@@ -32,6 +37,8 @@
 	PENDING_CHECK_US = 200,    /* interval of checks for due requests */
 	CLOSE_CHECK_US = 2000,     /* interval of checks for connections closed by the caller */
 	ONCE_ID_SLOTS = 1 << 16,
+	BUSY_SLACK_US = 500000, /* a request on its way may still arrive for so long */
+	MAX_SPANS = 4096,
 };
 
 struct settings {
@@ -47,6 +54,7 @@
 	long rows;
 	long max_connections;
 	const char *held_snapshots;
+	long replicas; /* > 0: targets of declared routes, so many of each service */
 };
 
 struct counters {
@@ -62,6 +70,24 @@
 	long after_leaving; /* requests later than LEAVING_GRACE_US after leaving began */
 	long silenced;      /* requests left without a reply */
 	long max_running;
+	long after_announce; /* requests later than LEAVING_GRACE_US after the first announcement */
+	long busy;           /* requests refused with a time to return */
+	long early;          /* requests in one time for which none was asked for, at most */
+};
+
+/* A time for which a target asked for no requests. */
+struct span {
+	int64_t refused_us;
+	int64_t until_us;
+	long early; /* requests that arrived in it, after BUSY_SLACK_US */
+};
+
+/* When a target refuses with a time to return. */
+struct busy {
+	int64_t from_us;  /* 0: never */
+	int64_t long_us;  /* duration */
+	int64_t every_us; /* repeats after; 0: does not */
+	char value[32];   /* Retry-After in each refusal; empty: what is left of the duration */
 };
 
 struct target {
@@ -79,6 +105,11 @@
 	bool malformed;     /* replies are not valid JSON */
 	bool wrong_shard;   /* replies name another shard */
 	char held_snapshots[128];
+	bool announces;       /* its answers say that it leaves */
+	int64_t announced_us; /* when one first did; 0: none has */
+	struct busy busy;
+	struct span spans[MAX_SPANS];
+	int span_count;
 	struct counters counters;
 };
 
@@ -131,6 +162,10 @@
 	target->cold_reported = false;
 	target->down_until_us = now () + down_us;
 	target->cold_until_us = target->down_until_us + settings.cold_ms * US_PER_MS;
+	target->announces = false;
+	target->announced_us = 0;
+	target->busy.from_us = 0;
+	target->span_count = 0;
 }
 
 static const char *
@@ -140,6 +175,85 @@
 	return value ? value : "";
 }
 
+/* How long the target still refuses requests; 0: it takes them. */
+static int64_t
+busy_left_us (const struct target *target)
+{
+	const struct busy *busy = &target->busy;
+	int64_t since_us = now () - busy->from_us;
+	if (busy->from_us == 0 || since_us < 0)
+		return 0;
+	if (busy->every_us > 0)
+		since_us %= busy->every_us;
+	return since_us < busy->long_us ? busy->long_us - since_us : 0;
+}
+
+static void
+count_early (struct target *target)
+{
+	for (int i = 0; i < target->span_count; i++) {
+		struct span *span = &target->spans[i];
+		if (now () <= span->refused_us + BUSY_SLACK_US || now () >= span->until_us)
+			continue;
+		span->early++;
+		if (span->early > target->counters.early)
+			target->counters.early = span->early;
+	}
+}
+
+/* Writes the Retry-After of a refusal and remembers what it asks for. */
+static void
+ask_for_no_requests (struct target *target, int64_t left_us, char *value, size_t size)
+{
+	snprintf (value, size, "%.3f", (double)left_us / US_PER_S);
+	if (target->busy.value[0])
+		str_copy (value, size, target->busy.value);
+	target->counters.busy++;
+	if (target->span_count == MAX_SPANS)
+		target->span_count = 0;
+	target->spans[target->span_count++] = (struct span){
+		.refused_us = now (),
+		.until_us = now () + (int64_t)(strtod (value, NULL) * US_PER_S),
+	};
+}
+
+static void
+name_of (const struct target *target, char *name, size_t size)
+{
+	snprintf (name, size, "i-%td-%04x", target - targets, (unsigned)(target->boot_id >> 48));
+}
+
+/* A reply in the platform's protocol; one that did not run has a status other than 200. */
+static enum MHD_Result
+reply_to_route (struct request *request, unsigned status, const char *text)
+{
+	struct MHD_Connection *connection = request->connection;
+	struct target *target = request->target;
+	char value[64];
+	int64_t left_us = status == 503 ? busy_left_us (target) : 0;
+	struct MHD_Response *response = MHD_create_response_from_buffer (
+		strlen (text), (void *)text, MHD_RESPMEM_MUST_COPY);
+	const char *id = header (connection, "Oleanderstile-Attempt-Id");
+	MHD_add_response_header (response, "Oleanderstile-Attempt-Id", id);
+	name_of (target, value, sizeof (value));
+	MHD_add_response_header (response, "Oleanderstile-Instance-Id", value);
+	if (status == 200)
+		MHD_add_response_header (response, "Oleanderstile-Server-Stamp", id);
+	else
+		MHD_add_response_header (response, "Oleanderstile-Not-Executed", "1");
+	if (target->announces) {
+		MHD_add_response_header (response, "Server-Leaving", "1");
+		target->announced_us = target->announced_us ? target->announced_us : now ();
+	}
+	if (left_us > 0) {
+		ask_for_no_requests (target, left_us, value, sizeof (value));
+		MHD_add_response_header (response, "Retry-After", value);
+	}
+	enum MHD_Result result = MHD_queue_response (connection, status, response);
+	MHD_destroy_response (response);
+	return result;
+}
+
 static enum MHD_Result
 reply (struct request *request, unsigned status, const char *text, const char *snapshot, bool ran)
 {
@@ -188,18 +302,43 @@
 reply_counters (struct request *request)
 {
 	const struct counters *c = &request->target->counters;
-	char text[512];
+	char text[1024];
 	snprintf (text, sizeof (text),
 		"{\"port\":%d,\"requests\":%ld,\"overloads\":%ld,\"cold_overloads\":%ld,"
 		"\"unreported_cold_overloads\":%ld,\"sheds\":%ld,\"snapshot_misses\":%ld,"
 		"\"cancelled\":%ld,\"once\":%ld,\"duplicates\":%ld,"
-		"\"after_leaving\":%ld,\"silenced\":%ld,\"max_running\":%ld}",
+		"\"after_leaving\":%ld,\"silenced\":%ld,\"max_running\":%ld,"
+		"\"after_announce\":%ld,\"busy\":%ld,\"early\":%ld}",
 		request->target->port, c->requests, c->overloads, c->cold_overloads,
 		c->unreported_cold_overloads, c->sheds, c->snapshot_misses, c->cancelled, c->once,
-		c->duplicates, c->after_leaving, c->silenced, c->max_running);
+		c->duplicates, c->after_leaving, c->silenced, c->max_running, c->after_announce,
+		c->busy, c->early);
 	return reply (request, 200, text, "", true);
 }
 
+/* The list of all targets, each of which is ready, whatever it announces in its answers. */
+static enum MHD_Result
+reply_list (struct request *request)
+{
+	struct buf list;
+	char name[64];
+	buf_init (&list);
+	buf_addf (&list, "{\"instances\":[");
+	for (int i = 0; i < settings.count; i++) {
+		name_of (&targets[i], name, sizeof (name));
+		buf_addf (&list,
+			"%s{\"id\":\"%s\",\"service\":\"s%ld\",\"address\":\"127.0.0.1:%d\","
+			"\"zone\":\"z%ld\",\"version\":\"v1\",\"slots\":%ld,\"state\":\"ready\","
+			"\"warmup_left_ms\":0,\"born\":1700000000000}",
+			i ? "," : "", name, i / settings.replicas, targets[i].port,
+			i % settings.replicas, settings.slots);
+	}
+	buf_addf (&list, "],\"next_page_token\":null}");
+	enum MHD_Result result = reply (request, 200, list.data, "", true);
+	buf_finish (&list);
+	return result;
+}
+
 /* Closes the connections of the pending requests, as the end of a process does. */
 static void
 drop_pending (struct target *target)
@@ -211,6 +350,17 @@
 	}
 }
 
+static void
+set_busy (struct busy *busy, const json_t *body)
+{
+	const char *value = json_string_value (json_object_get (body, "busy_value"));
+	busy->from_us =
+		now () + json_integer_value (json_object_get (body, "busy_offset_ms")) * US_PER_MS;
+	busy->long_us = json_integer_value (json_object_get (body, "busy_ms")) * US_PER_MS;
+	busy->every_us = json_integer_value (json_object_get (body, "busy_every_ms")) * US_PER_MS;
+	str_copy (busy->value, sizeof (busy->value), value ? value : "");
+}
+
 static enum MHD_Result
 apply_control (struct request *request)
 {
@@ -238,6 +388,10 @@
 	if ((value = json_object_get (body, "hold")))
 		str_copy (target->held_snapshots, sizeof (target->held_snapshots),
 			json_string_value (value));
+	if ((value = json_object_get (body, "announce")))
+		target->announces = json_is_true (value);
+	if (json_object_get (body, "busy_ms"))
+		set_busy (&target->busy, body);
 	if (json_is_true (json_object_get (body, "clear")))
 		memset (&target->counters, 0, sizeof (target->counters));
 	json_decref (body);
@@ -297,6 +451,8 @@
 	release (request);
 	if (request->silent || request->dropped)
 		return MHD_NO;
+	if (settings.replicas > 0)
+		return reply_to_route (request, 200, "0123456789abcdef");
 	if (strcmp (url, "/once") == 0)
 		return reply (request, 200, "{\"filed\":true}", "", true);
 	return reply_rows (request, url);
@@ -349,6 +505,51 @@
 	return true;
 }
 
+static enum MHD_Result
+wait_until_due (struct request *request, int64_t time_us)
+{
+	request->due_us = request->silent ? INT64_MAX : now () + time_us;
+	request->is_pending = true;
+	cds_list_add (&request->node, &pending);
+	MHD_suspend_connection (request->connection);
+	return MHD_YES;
+}
+
+static void
+take_slot (struct request *request)
+{
+	struct target *target = request->target;
+	request->holds_slot = true;
+	target->running++;
+	if (target->running > target->counters.max_running)
+		target->counters.max_running = target->running;
+}
+
+static enum MHD_Result
+start_for_route (struct request *request)
+{
+	struct target *target = request->target;
+	const char *intended = header (request->connection, "Oleanderstile-Target-Instance");
+	char name[64];
+	request->started = true;
+	int64_t time_us = service_time_us (request);
+	name_of (target, name, sizeof (name));
+	if (strcmp (intended, name) != 0)
+		return reply_to_route (request, 421, "");
+	target->counters.requests++;
+	count_early (target);
+	if (target->announced_us && now () > target->announced_us + LEAVING_GRACE_US)
+		target->counters.after_announce++;
+	if (busy_left_us (target) > 0)
+		return reply_to_route (request, 503, "");
+	if (target->running >= settings.slots) {
+		target->counters.sheds++;
+		return reply_to_route (request, 503, "");
+	}
+	take_slot (request);
+	return wait_until_due (request, time_us);
+}
+
 static enum MHD_Result
 start (struct request *request, const char *url)
 {
@@ -371,20 +572,13 @@
 		return reply (request, 409, "{}", "", false);
 	}
 	if (!request->silent) {
-		target->running++;
-		request->holds_slot = true;
-		if (target->running > target->counters.max_running)
-			target->counters.max_running = target->running;
+		take_slot (request);
 		if (once)
 			record_once (request);
 	}
 	if (time_us == 0 && !request->silent)
 		return answer (request, url);
-	request->due_us = request->silent ? INT64_MAX : now_us + time_us;
-	request->is_pending = true;
-	cds_list_add (&request->node, &pending);
-	MHD_suspend_connection (request->connection);
-	return MHD_YES;
+	return wait_until_due (request, time_us);
 }
 
 static enum MHD_Result
@@ -412,6 +606,9 @@
 		return apply_control (request);
 	if (strcmp (url, "/counters") == 0)
 		return reply_counters (request);
+	if (settings.replicas > 0)
+		return strncmp (url, "/instances", 10) == 0 ? reply_list (request)
+							    : start_for_route (request);
 	request->from_tier = true;
 	if (strcmp (url, "/load") == 0 || strcmp (url, "/health") == 0)
 		return reply (request, 200, "{}", "", true);
@@ -526,6 +723,9 @@
 	case 'H':
 		settings.held_snapshots = arg;
 		return 0;
+	case 'R':
+		settings.replicas = number;
+		return 0;
 	default:
 		return ARGP_ERR_UNKNOWN;
 	}
@@ -543,6 +743,7 @@
 	{"connect-us", 'x', "US", 0, "Additional time of the first request of a connection", 0},
 	{"rows", 'r', "N", 0, "Rows in each reply", 0},
 	{"max-connections", 'm', "N", 0, "Concurrent connections", 0},
+	{"replicas", 'R', "N", 0, "Be targets of declared routes, N of each service", 0},
 	{"hold", 'H', "LIST", 0, "Snapshots held, such as 1.1,1.2", 0},
 	{0},
 };
