platform: attempt ids are forwarded whole, up to 16,000 bytes

An attempt id of over 127 bytes was cut. Targets saw two ids that begin alike as one, callers got an id back that they had not sent, and an answer to the one was taken as an answer to the other.

The id is kept whole from the caller's head to the targets, in batches, in the comparison with the answer's head and in the answer to the caller. The limit is that of a line in an answer, where targets return the id; a longer one gets a 431 that names the field and the limit. Log lines give the first 127 bytes.

--- a/daemon/batch_send.c
+++ b/daemon/batch_send.c
@@ -99,6 +99,7 @@
 	struct batch_request request = {
 		.routing_version = scatter->routing->version,
 		.digest = scatter->rule->digest,
+		.attempt_id = forward->head.attempt_id,
 		.uri = forward->uri,
 		.remaining_us = remaining_us (batch),
 		.attempts_used = batch->failover.attempts_used,
@@ -111,7 +112,6 @@
 	batch->id.number = ++front->batch_number;
 	request.id = batch->id;
 	str_copy (request.route, sizeof (request.route), scatter->rule->name);
-	str_copy (request.attempt_id, sizeof (request.attempt_id), forward->head.attempt_id);
 	str_copy (request.method, sizeof (request.method), forward->method);
 	for (int i = 0; i < scatter->shard_count; i++) {
 		if (is_of_batch (batch, i))
@@ -319,7 +319,8 @@
 	if (outcome == AGGREGATOR_FAILED) {
 		metric_add (METRIC_BATCHES_FAILED, 1);
 		log_event (&front->log, EVENT_BATCH_FAILED,
-			"%s: no valid answer from %s%s: fetch %d, status %ld, sent %d, group %d",
+			"%.127s: no valid answer from %s%s: fetch %d, status %ld, sent %d, group "
+			"%d",
 			forward->head.attempt_id, batch->aggregator->entry.address,
 			batch->failover.has_result ? " to a request for the rest" : "", (int)end,
 			fetch->status, fetch->sent, batch->group);
--- a/daemon/batch_serve.c
+++ b/daemon/batch_serve.c
@@ -238,11 +238,13 @@
 	forward->served->id = batch->id;
 	section_init (&forward->served->section, rule->objective_us, forward->arrived_us);
 	cds_list_add (&forward->served->node, &front->served);
-	str_copy (forward->head.attempt_id, sizeof (forward->head.attempt_id), batch->attempt_id);
+	caller_head_finish (&forward->head);
+	forward->head.attempt_id = batch->attempt_id;
 	str_copy (forward->method, sizeof (forward->method), batch->method);
 	forward->uri = batch->uri;
 	forward->lines = batch->lines;
 	forward->line_count = batch->line_count;
+	batch->attempt_id = NULL;
 	batch->uri = NULL;
 	batch->lines = NULL;
 	batch->line_count = 0;
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -34,7 +34,7 @@
 	int shard;
 	bool fan_out;
 	struct reply_head head;
-	char attempt_id[ATTEMPT_ID_SIZE];
+	char *attempt_id; /* owned, since the request may end first */
 };
 
 static void
@@ -87,6 +87,7 @@
 	free (forward->lines);
 	free (forward->body);
 	free (forward->uri);
+	caller_head_finish (&forward->head);
 	cds_list_del (&forward->node);
 	atomic_fetch_sub (&forward->front->in_flight, 1);
 	scatter_finish (&forward->scatter);
@@ -248,10 +249,12 @@
 		return;
 	metric_add (result == FETCH_SILENT ? METRIC_SUB_END_SILENT : metrics[end], 1);
 	log_event (&sub->front->log, EVENT_SUB_REQUEST_FAILED,
-		"%s: %s of %s at %s: %s; status %ld, reply to '%s', %lld ms, %d in flight, list "
+		"%.127s: %s of %s at %s: %s; status %ld, reply to '%.127s', %lld ms, %d in flight, "
+		"list "
 		"%lld ms old",
 		sub->attempt_id, replica->id, replica->set->name, replica->address,
-		descriptions[end], sub->fetch.status, sub->head.attempt_id,
+		descriptions[end], sub->fetch.status,
+		sub->head.attempt_id ? sub->head.attempt_id : "",
 		(long long)((now_us - sub->use.sent_us) / US_PER_MS), replica->in_flight,
 		(long long)((now_us - sub->front->discovery.read_us) / US_PER_MS));
 }
@@ -262,8 +265,9 @@
 	if (!replica_note_leaving (replica, front_now_us (front)))
 		return;
 	metric_add (METRIC_TARGETS_LEAVING, 1);
-	log_event (&front->log, EVENT_TARGET_LEAVES, "%s: %s of %s at %s, %d in flight, listed %s",
-		attempt_id, replica->id, replica->set->name, replica->address, replica->in_flight,
+	log_event (&front->log, EVENT_TARGET_LEAVES,
+		"%.127s: %s of %s at %s, %d in flight, listed %s", attempt_id, replica->id,
+		replica->set->name, replica->address, replica->in_flight,
 		replica->state == REPLICA_LEAVING ? "as leaving" : "as ready");
 	if (replica->pool)
 		fetch_pool_end_waiting (replica->pool);
@@ -285,7 +289,7 @@
 static void
 read_announcements (const struct sub *sub, enum fetch_end result)
 {
-	bool is_own = strcmp (sub->head.attempt_id, sub->attempt_id) == 0;
+	bool is_own = reply_head_is_of (&sub->head, sub->attempt_id);
 	if (result != FETCH_OK || !is_own || sub->fetch.status == 421)
 		return;
 	if (sub->head.leaving)
@@ -304,7 +308,7 @@
 	if (busy_us < 0) {
 		metric_add (METRIC_RETRY_AFTER_UNREADABLE, 1);
 		log_event (&front->log, EVENT_TARGET_BUSY,
-			"%s: %s of %s at %s: unreadable, ignored", sub->attempt_id, replica->id,
+			"%.127s: %s of %s at %s: unreadable, ignored", sub->attempt_id, replica->id,
 			replica->set->name, replica->address);
 		return;
 	}
@@ -313,8 +317,9 @@
 	int64_t jitter_us = (int64_t)rng_below (&front->rng, (uint64_t)jitter_max_us + 1);
 	replica_note_busy (replica, now_us + busy_us + jitter_us);
 	metric_add (METRIC_TARGETS_BUSY, 1);
-	log_event (&front->log, EVENT_TARGET_BUSY, "%s: %s of %s at %s: no requests for %lld ms",
-		sub->attempt_id, replica->id, replica->set->name, replica->address,
+	log_event (&front->log, EVENT_TARGET_BUSY,
+		"%.127s: %s of %s at %s: no requests for %lld ms", sub->attempt_id, replica->id,
+		replica->set->name, replica->address,
 		(long long)((busy_us + jitter_us) / US_PER_MS));
 	if (replica->pool)
 		fetch_pool_end_waiting (replica->pool);
@@ -350,9 +355,9 @@
 		replica->state = REPLICA_LEAVING;
 	/* After a shorter time, the fetch ended because of the caller's deadline. */
 	if (result == FETCH_SILENT && forward && now_us >= sub->use.sent_us + SUB_SILENCE_MIN_US) {
-		log_event (&front->log, EVENT_TARGET_SUSPECT, "%s at %s: no reply to %s in %lld ms",
-			replica->id, replica->address, sub->attempt_id,
-			(long long)((now_us - sub->use.sent_us) / US_PER_MS));
+		log_event (&front->log, EVENT_TARGET_SUSPECT,
+			"%s at %s: no reply to %.127s in %lld ms", replica->id, replica->address,
+			sub->attempt_id, (long long)((now_us - sub->use.sent_us) / US_PER_MS));
 		forward_drop_connections (replica);
 	}
 	replica_end (&sub->use, target_outcome (end, sub, result, now_us), now_us);
@@ -362,6 +367,8 @@
 		scatter_sub_ended (&forward->scatter, sub->shard, end, &answer, now_us);
 	}
 	fetch_finish (fetch);
+	reply_head_finish (&sub->head);
+	free (sub->attempt_id);
 	free (sub);
 	scatter_serve_waiting (set, now_us);
 }
@@ -375,8 +382,7 @@
 		return true;
 	}
 	/* A reply to another request closes the connection: later replies may not match either. */
-	return sub->head.attempt_id[0] == '\0' ||
-	       strcmp (sub->head.attempt_id, sub->attempt_id) == 0;
+	return !sub->head.attempt_id || reply_head_is_of (&sub->head, sub->attempt_id);
 }
 
 static int64_t
@@ -395,21 +401,21 @@
 	struct front *front = forward->front;
 	int64_t now_us = front_now_us (front);
 	int64_t remaining_us = scatter->deadline_us - now_us;
-	char own_lines[3][SUB_REQUEST_LINE_SIZE];
+	struct buf own_lines[SUB_REQUEST_LINES];
 	struct sub *sub = xcalloc (1, sizeof (*sub));
 	sub->front = front;
 	sub->forward = forward;
 	sub->shard = shard;
 	sub->fan_out = scatter->rule->shape == ROUTE_FAN_OUT;
-	str_copy (sub->attempt_id, sizeof (sub->attempt_id), forward->head.attempt_id);
+	sub->attempt_id = xstrdup (forward->head.attempt_id);
 	reply_head_init (&sub->head);
 	sub_request_header_lines (&forward->head, replica->id, remaining_us, own_lines);
 	const char **lines =
 		xcalloc ((size_t)forward->line_count + SUB_EXTRA_LINES, sizeof (*lines));
 	for (int i = 0; i < forward->line_count; i++)
 		lines[i] = forward->lines[i];
-	for (int i = 0; i < 3; i++)
-		lines[forward->line_count + i] = own_lines[i];
+	for (int i = 0; i < SUB_REQUEST_LINES; i++)
+		lines[forward->line_count + i] = own_lines[i].data;
 	bool idempotent = scatter->rule->idempotency == ROUTE_IDEMPOTENT;
 	int64_t silent_us = silence_timeout_us (scatter);
 	struct fetch_request request = {
@@ -429,6 +435,8 @@
 	cds_list_add (&sub->node, &forward->subs);
 	fetch_start (&sub->fetch, get_pool (front, replica), &request, on_sub_done);
 	free (lines);
+	for (int i = 0; i < SUB_REQUEST_LINES; i++)
+		buf_finish (&own_lines[i]);
 	metric_add (METRIC_TARGET_STARTED, 1);
 }
 
@@ -506,17 +514,37 @@
 	buf_finish (&lines);
 }
 
+static void
+refuse_long_id (struct ingress_request *request)
+{
+	struct buf lines;
+	struct buf text;
+	buf_init (&lines);
+	buf_init (&text);
+	buf_addf (&lines, "Content-Type: text/plain\n");
+	buf_addf (&text, "%s: at most %d bytes\n", caller_head_id_name (), ATTEMPT_ID_MAX_BYTES);
+	ingress_answer (request, 431, &lines, text.data, text.len, true);
+	buf_finish (&lines);
+}
+
 static void
 free_unstarted (struct forward *forward)
 {
 	for (int i = 0; i < forward->line_count; i++)
 		free (forward->lines[i]);
 	free (forward->lines);
+	caller_head_finish (&forward->head);
 	free (forward);
 }
 
 /* Why a request is refused before any target is chosen. */
-enum early_refusal { EARLY_NO_VIEW, EARLY_NO_ROUTE, EARLY_HEADERS_TOO_LARGE, EARLY_STOPPING };
+enum early_refusal {
+	EARLY_NO_VIEW,
+	EARLY_NO_ROUTE,
+	EARLY_HEADERS_TOO_LARGE,
+	EARLY_ID_TOO_LONG,
+	EARLY_STOPPING
+};
 
 static void
 refuse_early (struct forward *forward, struct ingress_request *request, int status,
@@ -529,19 +557,24 @@
 		[EARLY_NO_VIEW] = {METRIC_REFUSED_NO_VIEW, "no confirmed view"},
 		[EARLY_NO_ROUTE] = {METRIC_REFUSED_NO_ROUTE, "no such route"},
 		[EARLY_HEADERS_TOO_LARGE] = {METRIC_REFUSED_HEADERS, "headers too large"},
+		[EARLY_ID_TOO_LONG] = {METRIC_REFUSED_HEADERS, "attempt id too long"},
 		[EARLY_STOPPING] = {METRIC_REFUSED_STOPPING, "this node is stopping"},
 	};
 	const struct front *front = forward->front;
 	const struct routing *routing = front->state ? front->state->routing : NULL;
 	metric_add (reasons[reason].metric, 1);
 	log_event (&front->log, EVENT_REQUEST_REFUSED,
-		"%s: status %d, %s; host %.64s, path %.80s; routing %llu, view %lld ms old, list "
+		"%.127s: status %d, %s; host %.64s, path %.80s; routing %llu, view %lld ms old, "
+		"list "
 		"%lld ms old",
 		forward->head.attempt_id, status, reasons[reason].text, forward->host, request->uri,
 		(unsigned long long)(routing ? routing->version : 0),
 		(long long)forward_view_age_ms (front), (long long)forward_list_age_ms (front));
 	free_unstarted (forward);
-	refuse (front, request, status, close);
+	if (reason == EARLY_ID_TOO_LONG)
+		refuse_long_id (request);
+	else
+		refuse (front, request, status, close);
 }
 
 /* When the request ends: the caller's deadline less a margin, or the route's timeout if sooner. */
@@ -628,6 +661,8 @@
 	bool close = should_close_connections (front);
 	if ((int64_t)forward->header_bytes > routing->limits.header_bytes)
 		refuse_early (forward, request, 431, EARLY_HEADERS_TOO_LARGE, true);
+	else if (forward->head.id_too_long)
+		refuse_early (forward, request, 431, EARLY_ID_TOO_LONG, true);
 	else if (!rule && is_view_stale (front))
 		refuse_early (forward, request, 503, EARLY_NO_VIEW, close);
 	else if (!rule)
--- a/daemon/forward_log.c
+++ b/daemon/forward_log.c
@@ -59,7 +59,8 @@
 		scatter->answered == scatter->shard_count) {
 		if (is_sampled (forward->head.attempt_id))
 			log_event (&forward->front->log, EVENT_REQUEST_ANSWERED,
-				"%s: status %d on route %s after %lld ms; %d shards, %d hedges, %d "
+				"%.127s: status %d on route %s after %lld ms; %d shards, %d "
+				"hedges, %d "
 				"retries, waited %lld ms; routing %llu, view %lld ms old, list "
 				"%lld ms old",
 				forward->head.attempt_id, status, scatter->rule->name,
@@ -74,7 +75,7 @@
 	const struct scatter_shard *shard = find_cause (scatter);
 	log_event (&forward->front->log,
 		status >= 400 ? EVENT_REQUEST_FAILED : EVENT_REQUEST_DEGRADED,
-		"%s: status %d on route %s%s after %lld ms; %d of %d shards, %d hedges, %d "
+		"%.127s: status %d on route %s%s after %lld ms; %d of %d shards, %d hedges, %d "
 		"retries; "
 		"shard %s tried %d, running %d, queued %d of %d%s%s%s; routing %llu, view %lld ms "
 		"old, list %lld ms old",
@@ -145,7 +146,7 @@
 	if (shard_state->tried_count < 2)
 		return;
 	log_event (&front->log, EVENT_SUB_REQUEST_EXTRA,
-		"%s: %s %d of %s to %s at %s after %lld ms; %d in flight, reported load %d, "
+		"%.127s: %s %d of %s to %s at %s after %lld ms; %d in flight, reported load %d, "
 		"latency %lld ms, %lld extra left, list %lld ms old",
 		forward->head.attempt_id, shard_state->running > 1 ? "hedge" : "retry",
 		shard_state->tried_count - 1, shard_state->set->name, replica->id, replica->address,
--- a/query/batch.c
+++ b/query/batch.c
@@ -85,11 +85,13 @@
 static void
 read_request (struct batch_request *request, struct pack_node root)
 {
+	size_t id_len = 0;
 	size_t uri_len = 0;
 	request->routing_version = pack_get_u64 (pack_at (root, 4));
 	request->digest = pack_get_u64 (pack_at (root, 5));
 	pack_copy_str (pack_at (root, 6), request->route, sizeof (request->route));
-	pack_copy_str (pack_at (root, 7), request->attempt_id, sizeof (request->attempt_id));
+	pack_get_bytes (pack_at (root, 7), &id_len);
+	request->attempt_id = pack_dup_str (pack_at (root, 7));
 	pack_copy_str (pack_at (root, 8), request->method, sizeof (request->method));
 	pack_get_bytes (pack_at (root, 9), &uri_len);
 	request->uri = pack_dup_str (pack_at (root, 9));
@@ -98,8 +100,9 @@
 	struct pack_node list = pack_at (root, 12);
 	size_t shards = pack_get_below (pack_at (list, 0), BATCH_MAX_SHARDS + 1);
 	size_t items = pack_length (list);
-	if (uri_len > BATCH_TEXT_MAX_BYTES || shards == 0 || items < shards + 1 ||
-		items - shards - 1 > BATCH_MAX_LINES || request->remaining_us < 0) {
+	if (id_len > BATCH_TEXT_MAX_BYTES || uri_len > BATCH_TEXT_MAX_BYTES || shards == 0 ||
+		items < shards + 1 || items - shards - 1 > BATCH_MAX_LINES ||
+		request->remaining_us < 0) {
 		pack_fail (root);
 		return;
 	}
@@ -126,6 +129,7 @@
 		free (request->lines[i]);
 	free (request->lines);
 	free (request->shards);
+	free (request->attempt_id);
 	free (request->uri);
 	memset (request, 0, sizeof (*request));
 }
--- a/query/batch.h
+++ b/query/batch.h
@@ -20,7 +20,7 @@
 	BATCH_MAX_SHARDS = 4096,
 	BATCH_MAX_COUNT = 65536, /**< of hedges or retries in one result */
 	BATCH_MAX_LINES = 128,
-	BATCH_TEXT_MAX_BYTES = 32768, /**< of a path or header line */
+	BATCH_TEXT_MAX_BYTES = 32768, /**< of a path, an attempt id or a header line */
 	BATCH_NAME_SIZE = 256,
 	BATCH_METHOD_SIZE = 32,
 };
@@ -37,8 +37,8 @@
 	uint64_t routing_version;
 	uint64_t digest; /**< of the route's shards, see routing_rule.digest */
 	char route[BATCH_NAME_SIZE];
-	char attempt_id[BATCH_NAME_SIZE];
 	char method[BATCH_METHOD_SIZE];
+	char *attempt_id;     /**< owned */
 	char *uri;            /**< owned */
 	int64_t remaining_us; /**< until the deadline, when it was sent */
 	int attempts_used;    /**< of each shard, which another aggregator may have sent */
--- a/test/fuzz/platform.c
+++ b/test/fuzz/platform.c
@@ -105,8 +105,9 @@
 		text += line_len;
 	}
 	/* A reply without the request's id must not count as its answer. */
-	if (strcmp (head.attempt_id, "id") != 0)
+	if (!head.attempt_id || strcmp (head.attempt_id, "id") != 0)
 		check (reply_head_classify (&head, "id", 200, true) != SUB_END_ANSWERED);
+	reply_head_finish (&head);
 }
 
 int
--- a/test/platform.c
+++ b/test/platform.c
@@ -34,6 +34,7 @@
 enum {
 	MAX_TARGETS = 128,
 	MAX_RUNS = 65536,
+	RUN_ID_SIZE = 512,
 	PAGE_ENTRIES = 5,
 	SLOW_MS = 400,
 	SILENT_MS = 3000, /* longer than any caller waits */
@@ -80,7 +81,7 @@
 static int base_port;
 static int replicas_per_service;
 static int work_ms;
-static char run_ids[MAX_RUNS][40];
+static char run_ids[MAX_RUNS][RUN_ID_SIZE];
 static int worked_ms[MAX_RUNS]; /* until the run ended or its connection was closed */
 static int run_count;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
@@ -186,7 +187,7 @@
 count_repeated (const char *text)
 {
 	int count = 0;
-	char (*ids)[40] = xmemdup (run_ids, (size_t)run_count * sizeof (run_ids[0]));
+	char (*ids)[RUN_ID_SIZE] = xmemdup (run_ids, (size_t)run_count * sizeof (run_ids[0]));
 	qsort (ids, (size_t)run_count, sizeof (ids[0]), compare_ids);
 	for (int i = 1; i < run_count; i++)
 		count += strcmp (ids[i], ids[i - 1]) == 0 && strstr (ids[i], text);
--- a/test/platform.sh
+++ b/test/platform.sh
@@ -151,6 +151,20 @@
 expect "a caller that expects 100 Continue" "$(send_request 4 j2 /file/x -H 'Expect: 100-continue' -d expected)" '^expected'
 expect "a body above the size limit" "$(head -c 300000 /dev/zero | send_request 4 j3 /file/x --data-binary @-)" '^HTTP/1.1 413'
 expect "headers above the size limit" "$(send_request 4 j4 /file/x -H "X-Long: $(head -c 20000 /dev/zero | tr '\0' x)" -d x)" '^HTTP/1.1 431'
+long_id=$(head -c 300 /dev/zero | tr '\0' i)
+# Two ids that begin alike are two requests to a target.
+for id in "${long_id}1" "${long_id}2"; do
+	answer=$(send_request 4 "$id" /file/x -d x)
+	expect "an attempt id of 301 bytes is served" "$answer" '^HTTP/1.1 200'
+	expect "and returned whole" "$answer" "^Oleanderstile-Attempt-Id: $id\$"
+	expect "and reaches the target whole" "$(runs "$id")" '^1$'
+done
+answer=$(send_request 4 "${long_id}3" /all/x)
+expect "a fan-out with an attempt id of 301 bytes" "$answer" '^HTTP/1.1 200'
+expect "has all parts" "$answer" '^Oleanderstile-Missing-Parts: 0'
+answer=$(send_request 4 "$(head -c 16001 /dev/zero | tr '\0' i)" /file/x -d x)
+expect "an attempt id above the limit" "$answer" '^HTTP/1.1 431'
+expect "is refused with the field and its limit" "$answer" '^Oleanderstile-Attempt-Id: at most 16000 bytes'
 for id in j3 j4; do expect "a request above a size limit does not run" "$(runs $id)" '^0$'; done
 head='Host: site.example\r\nOleanderstile-Deadline-Ms: 2000\r\nOleanderstile-Attempt-Id:'
 exec 8<> "/dev/tcp/127.0.0.1/$((BASE + 4))"
--- a/test/routes.c
+++ b/test/routes.c
@@ -9,6 +9,7 @@
 #include "platform/manifest.h"
 #include "platform/orders.h"
 #include "platform/replies.h"
+#include "query/batch.h"
 #include "query/drain.h"
 #include "query/scatter.h"
 #include "test/suite.h"
@@ -1093,7 +1094,7 @@
 test_long_names_are_kept_whole_or_refused (void)
 {
 	struct listed_targets list;
-	char lines[3][SUB_REQUEST_LINE_SIZE];
+	struct buf lines[SUB_REQUEST_LINES];
 	struct caller_head caller;
 	char next[64];
 	caller_head_init (&caller);
@@ -1137,12 +1138,71 @@
 		if (list.count == 1) {
 			CU_ASSERT_STRING_EQUAL (list.items[0].id, name);
 			sub_request_header_lines (&caller, list.items[0].id, 0, lines);
-			CU_ASSERT_PTR_NOT_NULL (strstr (lines[2], name));
+			CU_ASSERT_PTR_NOT_NULL (strstr (lines[2].data, name));
+			for (int i = 0; i < SUB_REQUEST_LINES; i++)
+				buf_finish (&lines[i]);
 		}
 		listed_targets_finish (&list);
 		buf_finish (&text);
 		free (name);
 	}
+	caller_head_finish (&caller);
+}
+
+/* Two ids that differ only in their last byte. */
+static void
+check_attempt_ids (size_t len)
+{
+	struct buf lines[SUB_REQUEST_LINES];
+	struct caller_head caller;
+	struct reply_head reply;
+	struct batch_request batch;
+	size_t batch_len = 0;
+	int shards[] = {0};
+	char *id = xmalloc (len + 1);
+	char *other = xmalloc (len + 1);
+	memset (id, 'i', len);
+	memset (other, 'i', len);
+	other[len - 1] = 'j';
+	id[len] = other[len] = '\0';
+	caller_head_init (&caller);
+	CU_ASSERT_TRUE (caller_head_add (&caller, "Oleanderstile-Attempt-Id", id));
+	CU_ASSERT_STRING_EQUAL (caller.attempt_id, id);
+	CU_ASSERT_EQUAL (caller.id_too_long, len > ATTEMPT_ID_MAX_BYTES);
+	sub_request_header_lines (&caller, "t", 0, lines);
+	CU_ASSERT_STRING_EQUAL (strchr (lines[0].data, ' ') + 1, id);
+	reply_head_init (&reply);
+	reply_head_add_line (&reply, lines[0].data, lines[0].len);
+	CU_ASSERT_TRUE (reply_head_is_of (&reply, id));
+	CU_ASSERT_FALSE (reply_head_is_of (&reply, other));
+	CU_ASSERT_EQUAL (reply_head_classify (&reply, other, 400, false), SUB_END_BROKEN);
+	struct batch_request request = {.attempt_id = id,
+		.route = "r",
+		.method = "GET",
+		.uri = other,
+		.shards = shards,
+		.shard_count = 1};
+	void *bytes = batch_encode_request (&request, "k", &batch_len);
+	CU_ASSERT_TRUE (batch_decode_request (&batch, "k", bytes, batch_len));
+	CU_ASSERT_STRING_EQUAL (batch.attempt_id, id);
+	batch_request_finish (&batch);
+	reply_head_finish (&reply);
+	caller_head_finish (&caller);
+	for (int i = 0; i < SUB_REQUEST_LINES; i++)
+		buf_finish (&lines[i]);
+	free (bytes);
+	free (id);
+	free (other);
+}
+
+/* Guards against two attempts that begin alike and are one to targets. */
+static void
+test_long_attempt_ids_are_kept_whole_or_refused (void)
+{
+	static const size_t lengths[] = {1, 126, 127, 128, 129, 255, 256, 257, 511, 512, 4096,
+		ATTEMPT_ID_MAX_BYTES, ATTEMPT_ID_MAX_BYTES + 1};
+	for (size_t i = 0; i < sizeof (lengths) / sizeof (lengths[0]); i++)
+		check_attempt_ids (lengths[i]);
 }
 
 static void
@@ -1456,6 +1516,7 @@
 		TEST (thousands_of_routes_are_found_by_hash),
 		TEST (invalid_manifests_are_rejected),
 		TEST (long_names_are_kept_whole_or_refused),
+		TEST (long_attempt_ids_are_kept_whole_or_refused),
 		TEST (list_with_unreadable_entries),
 		TEST (odd_entries_cost_only_themselves),
 		TEST (list_with_fractional_and_huge_numbers),
