platform: names of data centres have up to 255 bytes

The names have 255 bytes now, as all others, in the list, in orders, commands, the state, members, views and the homes of fan-outs, and orders take any UTF-8 text without control characters or a slash. A longer name is refused with a 400 that names the field and its limit.

Before: unit-routes orders_are_decoded and long_names_of_data_centres_are_kept_whole_or_refused fail; after: they pass.

--- a/control/command.h
+++ b/control/command.h
@@ -52,7 +52,7 @@
  * were confirmed. Such an order has no effect: its revision is older than that of a newer order.
  */
 struct command_data_centre_leaving {
-	char data_centre[RESOURCE_NAME_MAX + 1];
+	char data_centre[DATA_CENTRE_NAME_MAX + 1];
 	bool leaving;
 	/** What had been applied while the operator still waited; 0: unknown, always applied. */
 	uint64_t revision;
--- a/control/members.h
+++ b/control/members.h
@@ -9,7 +9,7 @@
 /** A member; the newest incarnation of a name replaces older ones. */
 struct member {
 	char name[RESOURCE_NAME_MAX + 1];
-	char data_centre[RESOURCE_NAME_MAX + 1];
+	char data_centre[DATA_CENTRE_NAME_MAX + 1];
 	char address[64];
 	uint64_t incarnation;
 	bool is_entry_node; /**< serves callers of declared routes */
--- a/control/owner.c
+++ b/control/owner.c
@@ -6,7 +6,7 @@
 
 /* The candidates of one data centre, so that the search for an owner can be limited to them. */
 struct group {
-	char data_centre[RESOURCE_NAME_MAX + 1];
+	char data_centre[DATA_CENTRE_NAME_MAX + 1];
 	int first; /* index into candidates.order */
 	int count;
 };
--- a/control/resources.c
+++ b/control/resources.c
@@ -303,7 +303,7 @@
 {
 	for (size_t i = 0; i < pack_length (items); i++) {
 		struct pack_node item = pack_at (items, i);
-		char name[RESOURCE_NAME_MAX + 1];
+		char name[DATA_CENTRE_NAME_MAX + 1];
 		unsigned kind = pack_get_u64 (pack_at (item, 0));
 		pack_copy_str (pack_at (item, 1), name, sizeof (name));
 		uint64_t version = pack_get_u64 (pack_at (item, 2));
--- a/control/resources.h
+++ b/control/resources.h
@@ -17,7 +17,8 @@
 #include <stdint.h>
 
 enum {
-	RESOURCE_NAME_MAX = 63,     /**< characters */
+	RESOURCE_NAME_MAX = 63,     /**< characters, in this interface */
+	DATA_CENTRE_NAME_MAX = 255, /**< bytes; the platform names data centres */
 	CHANGE_ID_MAX = 63,         /**< characters */
 	CHANGE_RESULTS_MAX = 65536, /**< results kept; the oldest is replaced first */
 };
@@ -35,7 +36,7 @@
 /** A declared document. */
 struct resource {
 	enum resource_kind kind;
-	char name[RESOURCE_NAME_MAX + 1];
+	char name[DATA_CENTRE_NAME_MAX + 1];
 	uint64_t version; /**< log index of the change that wrote the document */
 	char *spec;       /**< compact JSON text, owned */
 };
--- a/control/view.h
+++ b/control/view.h
@@ -15,7 +15,7 @@
 enum { ADDRESS_SIZE = 64, MAX_LAYOUTS = 8 };
 
 struct view_data_centre {
-	char name[RESOURCE_NAME_MAX + 1];
+	char name[DATA_CENTRE_NAME_MAX + 1];
 	bool leaving;
 };
 
@@ -28,7 +28,7 @@
 /** A member: a node that the control log lists. */
 struct view_member {
 	char name[RESOURCE_NAME_MAX + 1];
-	char data_centre[RESOURCE_NAME_MAX + 1];
+	char data_centre[DATA_CENTRE_NAME_MAX + 1];
 	char address[ADDRESS_SIZE]; /**< peer address */
 	uint64_t incarnation;       /**< of the node's process */
 	bool leaving; /**< the node, its VM or its data centre is leaving; it owns no targets */
--- a/control/wire.h
+++ b/control/wire.h
@@ -24,7 +24,7 @@
 /** A node's report when it polls for changes and a lease. */
 struct poll {
 	char name[RESOURCE_NAME_MAX + 1];
-	char data_centre[RESOURCE_NAME_MAX + 1];
+	char data_centre[DATA_CENTRE_NAME_MAX + 1];
 	char address[64];
 	uint64_t incarnation;  /**< of the process */
 	uint64_t disk_id;      /**< incarnation of its data folder; 0: none */
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -716,7 +716,7 @@
 		struct ingress_limits batch_limits = {
 			BATCH_HEADER_MAX_BYTES, BATCH_MAX_BYTES, BATCH_IDLE_TIMEOUT_US};
 		struct ingress_hooks batches = {batch_serve_request, forward_caller_left, front};
-		char address[AGGREGATOR_NAME_SIZE];
+		char address[AGGREGATOR_ADDRESS_SIZE];
 		batch_address (options->node_peer_address, options->front_batch_port_step, address,
 			sizeof (address));
 		if (!ingress_start (&front->batches, &node->clock, address, front->epoll_fd,
--- a/daemon/orders.c
+++ b/daemon/orders.c
@@ -202,6 +202,12 @@
 	case ORDER_RETURN:
 		ok = set_leaving (orders, connection, &order, &error);
 		break;
+	case ORDER_BAD_NAME:
+		log_event (&orders->log, EVENT_ORDER_REFUSED, "name of a data centre");
+		error_set (&error, ERROR_INVALID,
+			"the name of the data centre has over %d bytes or is no plain text",
+			DATA_CENTRE_NAME_MAX);
+		break;
 	case ORDER_UNKNOWN:
 		error_set (&error, ERROR_NOT_FOUND, "no such order; see docs/interface.md");
 		break;
--- a/options/options.c
+++ b/options/options.c
@@ -41,7 +41,7 @@
 static const struct option table[] = {
 	{"node", "name", OPTION_TEXT, FIELD (node_name), 1, 63, "",
 		"Name of this node, unique among all nodes"},
-	{"node", "data_center", OPTION_TEXT, FIELD (node_data_center), 1, 63, "",
+	{"node", "data_center", OPTION_TEXT, FIELD (node_data_center), 1, 255, "",
 		"Data centre of this VM"},
 	{"node", "caller_address", OPTION_ADDRESS, FIELD (node_caller_address), 0, 0,
 		"127.0.0.1:8080", "IP:port that serves callers of collections; empty: disabled"},
--- a/query/aggregators.c
+++ b/query/aggregators.c
@@ -290,7 +290,7 @@
 aggregator_homes_add (struct aggregator_homes *homes, const char *data_centre)
 {
 	if (homes->count < AGGREGATOR_HOMES_MAX && !aggregator_homes_contain (homes, data_centre))
-		str_copy (homes->names[homes->count++], AGGREGATOR_NAME_SIZE, data_centre);
+		str_copy (homes->names[homes->count++], DATA_CENTRE_NAME_SIZE, data_centre);
 }
 
 bool
--- a/query/aggregators.h
+++ b/query/aggregators.h
@@ -17,7 +17,8 @@
 #include <urcu/list.h>
 
 enum {
-	AGGREGATOR_NAME_SIZE = 64,
+	AGGREGATOR_ADDRESS_SIZE = 64,
+	DATA_CENTRE_NAME_SIZE = 256,
 	AGGREGATOR_HOMES_MAX = 8,
 	AGGREGATOR_PREFERRED = 2,     /**< nodes of each group to which one node sends */
 	AGGREGATOR_AVOID_US = 500000, /**< after a failure; doubles with each further one */
@@ -27,8 +28,8 @@
 /** An entry node, as declared. */
 struct entry_node {
 	uint64_t hash; /**< of its name */
-	char address[AGGREGATOR_NAME_SIZE];
-	char data_centre[AGGREGATOR_NAME_SIZE];
+	char address[AGGREGATOR_ADDRESS_SIZE];
+	char data_centre[DATA_CENTRE_NAME_SIZE];
 	bool leaving;
 };
 
@@ -49,7 +50,7 @@
 
 /** Data centres in which most shards of a route have a usable target. */
 struct aggregator_homes {
-	char names[AGGREGATOR_HOMES_MAX][AGGREGATOR_NAME_SIZE];
+	char names[AGGREGATOR_HOMES_MAX][DATA_CENTRE_NAME_SIZE];
 	int count;
 };
 
--- a/query/replica.h
+++ b/query/replica.h
@@ -52,7 +52,7 @@
 	struct replica_set *set;
 	char id[REPLICA_NAME_SIZE]; /**< of this incarnation */
 	char address[REPLICA_ADDRESS_SIZE];
-	char data_centre[AGGREGATOR_NAME_SIZE];
+	char data_centre[DATA_CENTRE_NAME_SIZE];
 	int slots;
 	enum replica_state state;
 	bool evacuated;      /**< its data centre is leaving, or has just returned */
--- a/test/routes.c
+++ b/test/routes.c
@@ -3,6 +3,7 @@
  * Unit tests of declared routes: the decoders of the platform's messages, the selection of
  * replicas, fan-out, hedging and retries. The clock advances only when a test sets it.
  */
+#include "control/state.h"
 #include "core/buf.h"
 #include "core/clock.h"
 #include "platform/list.h"
@@ -1475,6 +1476,113 @@
 	CU_ASSERT_EQUAL (order.kind, ORDER_UNKNOWN);
 	order_decode (&order, "POST", "/evacuation/a/b/end");
 	CU_ASSERT_EQUAL (order.kind, ORDER_UNKNOWN);
+	order_decode (&order, "POST", "/evacuation/S\xc3\xa3o Paulo 1/start");
+	CU_ASSERT_EQUAL (order.kind, ORDER_LEAVE);
+	CU_ASSERT_STRING_EQUAL (order.data_centre, "S\xc3\xa3o Paulo 1");
+	order_decode (&order, "POST", "/evacuation/a\xff/start");
+	CU_ASSERT_EQUAL (order.kind, ORDER_BAD_NAME);
+	order_decode (&order, "POST", "/evacuation/a\n/start");
+	CU_ASSERT_EQUAL (order.kind, ORDER_BAD_NAME);
+}
+
+static void
+apply_order (struct state *state, uint64_t index, const char *data_centre)
+{
+	struct command command = {
+		.kind = COMMAND_DATA_CENTRE_LEAVING, .u.leaving = {.leaving = true}};
+	struct state_result result;
+	size_t len = 0;
+	str_copy (
+		command.u.leaving.data_centre, sizeof (command.u.leaving.data_centre), data_centre);
+	void *bytes = command_encode (&command, &len);
+	state_apply (state, index, bytes, len, &result);
+	CU_ASSERT_TRUE (result.ok);
+	free (bytes);
+}
+
+static bool
+leaves (const struct state *state, const char *data_centre)
+{
+	return resources_is_leaving (&state->resources, RESOURCE_DATA_CENTRE, data_centre);
+}
+
+/* The data centre of @p name leaves, that of @p other does not. */
+static void
+check_order (const char *name, const char *other)
+{
+	struct order order;
+	struct state state;
+	struct state copy;
+	struct buf path;
+	size_t len = 0;
+	buf_init (&path);
+	buf_addf (&path, "/evacuation/%s/start", name);
+	order_decode (&order, "POST", path.data);
+	CU_ASSERT_EQUAL (order.kind, ORDER_LEAVE);
+	CU_ASSERT_STRING_EQUAL (order.data_centre, name);
+	state_init (&state);
+	state_init (&copy);
+	apply_order (&state, 1, order.data_centre);
+	CU_ASSERT_TRUE (leaves (&state, name));
+	CU_ASSERT_FALSE (leaves (&state, other));
+	void *bytes = state_encode (&state, true, &len);
+	CU_ASSERT_TRUE (state_decode (&copy, bytes, len));
+	CU_ASSERT_TRUE (leaves (&copy, name));
+	CU_ASSERT_FALSE (leaves (&copy, other));
+	state_finish (&state);
+	state_finish (&copy);
+	buf_finish (&path);
+	free (bytes);
+}
+
+static void
+check_listed_in (const char *name, bool usable)
+{
+	struct listed_targets list;
+	struct aggregator_homes homes = {.count = 0};
+	struct buf page;
+	char next[64];
+	buf_init (&page);
+	buf_addf (&page,
+		"{\"instances\":[{\"id\":\"i\",\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+		"\"zone\":\"%s\",\"slots\":1,\"state\":\"ready\"}]}",
+		name);
+	listed_targets_init (&list);
+	CU_ASSERT_TRUE (target_list_decode_page (&list, page.data, page.len, next, sizeof (next)));
+	CU_ASSERT_EQUAL (list.count, usable);
+	if (list.count == 1) {
+		CU_ASSERT_STRING_EQUAL (list.items[0].data_centre, name);
+		aggregator_homes_add (&homes, list.items[0].data_centre);
+		CU_ASSERT_STRING_EQUAL (homes.names[0], name);
+	}
+	listed_targets_finish (&list);
+	buf_finish (&page);
+}
+
+/* Guards against targets that are not used, or cannot be taken out, for the name of their place. */
+static void
+test_long_names_of_data_centres_are_kept_whole_or_refused (void)
+{
+	struct order order;
+	char name[DATA_CENTRE_NAME_MAX + 2];
+	char other[DATA_CENTRE_NAME_MAX + 2];
+	for (size_t len = 1; len <= DATA_CENTRE_NAME_MAX; len++) {
+		memset (name, 'z', len);
+		memset (other, 'z', len);
+		name[len] = other[len] = '\0';
+		other[len - 1] = 'y';
+		check_order (name, other);
+		check_listed_in (name, true);
+	}
+	memset (name, 'z', DATA_CENTRE_NAME_MAX + 1);
+	name[DATA_CENTRE_NAME_MAX + 1] = '\0';
+	check_listed_in (name, false);
+	struct buf path;
+	buf_init (&path);
+	buf_addf (&path, "/evacuation/%s/start", name);
+	order_decode (&order, "POST", path.data);
+	CU_ASSERT_EQUAL (order.kind, ORDER_BAD_NAME);
+	buf_finish (&path);
 }
 
 int
@@ -1524,6 +1632,7 @@
 		TEST (headers_with_fractional_and_huge_numbers),
 		TEST (replies_are_classified),
 		TEST (orders_are_decoded),
+		TEST (long_names_of_data_centres_are_kept_whole_or_refused),
 	};
 	return suite_run ("routes", tests, sizeof (tests) / sizeof (tests[0]));
 }
