--- a/test/platform.c
+++ b/test/platform.c
@@ -49,6 +49,7 @@
 	MAX_TARGETS = 128,
 	MAX_RUNS = 524288,
 	MAX_ANSWER_BYTES = 262144,
+	RUN_ID_SIZE = 512,
 	PAGE_ENTRIES = 5,
 	SLOW_MS = 400,
 	SILENT_MS = 3000, /* longer than any caller waits */
@@ -116,7 +117,7 @@
 static int service_count;
 static int replicas_per_service;
 static int work_ms;
-static char run_ids[MAX_RUNS][40];
+static char run_ids[MAX_RUNS][RUN_ID_SIZE];
 static int worked_ms[MAX_RUNS]; /* until the run ended or its connection was closed */
 static int64_t ended_ms[MAX_RUNS];
 static bool broke_off[MAX_RUNS];
@@ -230,7 +231,7 @@
 count_repeated (const char *text)
 {
 	int count = 0;
-	char (*ids)[40] = xmemdup (run_ids, (size_t)run_count * sizeof (run_ids[0]));
+	char (*ids)[RUN_ID_SIZE] = xmemdup (run_ids, (size_t)run_count * sizeof (run_ids[0]));
 	qsort (ids, (size_t)run_count, sizeof (ids[0]), compare_ids);
 	for (int i = 1; i < run_count; i++)
 		count += strcmp (ids[i], ids[i - 1]) == 0 && strstr (ids[i], text);
--- a/test/routes.c
+++ b/test/routes.c
@@ -3,12 +3,14 @@
  * Unit tests of declared routes: the decoders of the platform's messages, the selection of
  * replicas, fan-out, hedging and retries. The clock advances only when a test sets it.
  */
+#include "control/state.h"
 #include "core/buf.h"
 #include "core/clock.h"
 #include "platform/list.h"
 #include "platform/manifest.h"
 #include "platform/orders.h"
 #include "platform/replies.h"
+#include "query/batch.h"
 #include "query/drain.h"
 #include "query/scatter.h"
 #include "test/suite.h"
@@ -1093,7 +1095,7 @@
 test_long_names_are_kept_whole_or_refused (void)
 {
 	struct listed_targets list;
-	char lines[3][SUB_REQUEST_LINE_SIZE];
+	struct buf lines[SUB_REQUEST_LINES];
 	struct caller_head caller;
 	char next[64];
 	caller_head_init (&caller);
@@ -1137,12 +1139,71 @@
 		if (list.count == 1) {
 			CU_ASSERT_STRING_EQUAL (list.items[0].id, name);
 			sub_request_header_lines (&caller, list.items[0].id, 0, lines);
-			CU_ASSERT_PTR_NOT_NULL (strstr (lines[2], name));
+			CU_ASSERT_PTR_NOT_NULL (strstr (lines[2].data, name));
+			for (int i = 0; i < SUB_REQUEST_LINES; i++)
+				buf_finish (&lines[i]);
 		}
 		listed_targets_finish (&list);
 		buf_finish (&text);
 		free (name);
 	}
+	caller_head_finish (&caller);
+}
+
+/* Two ids that differ only in their last byte. */
+static void
+check_attempt_ids (size_t len)
+{
+	struct buf lines[SUB_REQUEST_LINES];
+	struct caller_head caller;
+	struct reply_head reply;
+	struct batch_request batch;
+	size_t batch_len = 0;
+	int shards[] = {0};
+	char *id = xmalloc (len + 1);
+	char *other = xmalloc (len + 1);
+	memset (id, 'i', len);
+	memset (other, 'i', len);
+	other[len - 1] = 'j';
+	id[len] = other[len] = '\0';
+	caller_head_init (&caller);
+	CU_ASSERT_TRUE (caller_head_add (&caller, "Oleanderstile-Attempt-Id", id));
+	CU_ASSERT_STRING_EQUAL (caller.attempt_id, id);
+	CU_ASSERT_EQUAL (caller.id_too_long, len > ATTEMPT_ID_MAX_BYTES);
+	sub_request_header_lines (&caller, "t", 0, lines);
+	CU_ASSERT_STRING_EQUAL (strchr (lines[0].data, ' ') + 1, id);
+	reply_head_init (&reply);
+	reply_head_add_line (&reply, lines[0].data, lines[0].len);
+	CU_ASSERT_TRUE (reply_head_is_of (&reply, id));
+	CU_ASSERT_FALSE (reply_head_is_of (&reply, other));
+	CU_ASSERT_EQUAL (reply_head_classify (&reply, other, 400, false), SUB_END_BROKEN);
+	struct batch_request request = {.attempt_id = id,
+		.route = "r",
+		.method = "GET",
+		.uri = other,
+		.shards = shards,
+		.shard_count = 1};
+	void *bytes = batch_encode_request (&request, "k", &batch_len);
+	CU_ASSERT_TRUE (batch_decode_request (&batch, "k", bytes, batch_len));
+	CU_ASSERT_STRING_EQUAL (batch.attempt_id, id);
+	batch_request_finish (&batch);
+	reply_head_finish (&reply);
+	caller_head_finish (&caller);
+	for (int i = 0; i < SUB_REQUEST_LINES; i++)
+		buf_finish (&lines[i]);
+	free (bytes);
+	free (id);
+	free (other);
+}
+
+/* Guards against two attempts that begin alike and are one to targets. */
+static void
+test_long_attempt_ids_are_kept_whole_or_refused (void)
+{
+	static const size_t lengths[] = {1, 126, 127, 128, 129, 255, 256, 257, 511, 512, 4096,
+		ATTEMPT_ID_MAX_BYTES, ATTEMPT_ID_MAX_BYTES + 1};
+	for (size_t i = 0; i < sizeof (lengths) / sizeof (lengths[0]); i++)
+		check_attempt_ids (lengths[i]);
 }
 
 static void
@@ -1415,6 +1476,113 @@
 	CU_ASSERT_EQUAL (order.kind, ORDER_UNKNOWN);
 	order_decode (&order, "POST", "/evacuation/a/b/end");
 	CU_ASSERT_EQUAL (order.kind, ORDER_UNKNOWN);
+	order_decode (&order, "POST", "/evacuation/S\xc3\xa3o Paulo 1/start");
+	CU_ASSERT_EQUAL (order.kind, ORDER_LEAVE);
+	CU_ASSERT_STRING_EQUAL (order.data_centre, "S\xc3\xa3o Paulo 1");
+	order_decode (&order, "POST", "/evacuation/a\xff/start");
+	CU_ASSERT_EQUAL (order.kind, ORDER_BAD_NAME);
+	order_decode (&order, "POST", "/evacuation/a\n/start");
+	CU_ASSERT_EQUAL (order.kind, ORDER_BAD_NAME);
+}
+
+static void
+apply_order (struct state *state, uint64_t index, const char *data_centre)
+{
+	struct command command = {
+		.kind = COMMAND_DATA_CENTRE_LEAVING, .u.leaving = {.leaving = true}};
+	struct state_result result;
+	size_t len = 0;
+	str_copy (
+		command.u.leaving.data_centre, sizeof (command.u.leaving.data_centre), data_centre);
+	void *bytes = command_encode (&command, &len);
+	state_apply (state, index, bytes, len, &result);
+	CU_ASSERT_TRUE (result.ok);
+	free (bytes);
+}
+
+static bool
+leaves (const struct state *state, const char *data_centre)
+{
+	return resources_is_leaving (&state->resources, RESOURCE_DATA_CENTRE, data_centre);
+}
+
+/* The data centre of @p name leaves, that of @p other does not. */
+static void
+check_order (const char *name, const char *other)
+{
+	struct order order;
+	struct state state;
+	struct state copy;
+	struct buf path;
+	size_t len = 0;
+	buf_init (&path);
+	buf_addf (&path, "/evacuation/%s/start", name);
+	order_decode (&order, "POST", path.data);
+	CU_ASSERT_EQUAL (order.kind, ORDER_LEAVE);
+	CU_ASSERT_STRING_EQUAL (order.data_centre, name);
+	state_init (&state);
+	state_init (&copy);
+	apply_order (&state, 1, order.data_centre);
+	CU_ASSERT_TRUE (leaves (&state, name));
+	CU_ASSERT_FALSE (leaves (&state, other));
+	void *bytes = state_encode (&state, true, &len);
+	CU_ASSERT_TRUE (state_decode (&copy, bytes, len));
+	CU_ASSERT_TRUE (leaves (&copy, name));
+	CU_ASSERT_FALSE (leaves (&copy, other));
+	state_finish (&state);
+	state_finish (&copy);
+	buf_finish (&path);
+	free (bytes);
+}
+
+static void
+check_listed_in (const char *name, bool usable)
+{
+	struct listed_targets list;
+	struct aggregator_homes homes = {.count = 0};
+	struct buf page;
+	char next[64];
+	buf_init (&page);
+	buf_addf (&page,
+		"{\"instances\":[{\"id\":\"i\",\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+		"\"zone\":\"%s\",\"slots\":1,\"state\":\"ready\"}]}",
+		name);
+	listed_targets_init (&list);
+	CU_ASSERT_TRUE (target_list_decode_page (&list, page.data, page.len, next, sizeof (next)));
+	CU_ASSERT_EQUAL (list.count, usable);
+	if (list.count == 1) {
+		CU_ASSERT_STRING_EQUAL (list.items[0].data_centre, name);
+		aggregator_homes_add (&homes, list.items[0].data_centre);
+		CU_ASSERT_STRING_EQUAL (homes.names[0], name);
+	}
+	listed_targets_finish (&list);
+	buf_finish (&page);
+}
+
+/* Guards against targets that are not used, or cannot be taken out, for the name of their place. */
+static void
+test_long_names_of_data_centres_are_kept_whole_or_refused (void)
+{
+	struct order order;
+	char name[DATA_CENTRE_NAME_MAX + 2];
+	char other[DATA_CENTRE_NAME_MAX + 2];
+	for (size_t len = 1; len <= DATA_CENTRE_NAME_MAX; len++) {
+		memset (name, 'z', len);
+		memset (other, 'z', len);
+		name[len] = other[len] = '\0';
+		other[len - 1] = 'y';
+		check_order (name, other);
+		check_listed_in (name, true);
+	}
+	memset (name, 'z', DATA_CENTRE_NAME_MAX + 1);
+	name[DATA_CENTRE_NAME_MAX + 1] = '\0';
+	check_listed_in (name, false);
+	struct buf path;
+	buf_init (&path);
+	buf_addf (&path, "/evacuation/%s/start", name);
+	order_decode (&order, "POST", path.data);
+	CU_ASSERT_EQUAL (order.kind, ORDER_BAD_NAME);
+	buf_finish (&path);
 }
 
 int
@@ -1456,6 +1624,7 @@
 		TEST (thousands_of_routes_are_found_by_hash),
 		TEST (invalid_manifests_are_rejected),
 		TEST (long_names_are_kept_whole_or_refused),
+		TEST (long_attempt_ids_are_kept_whole_or_refused),
 		TEST (list_with_unreadable_entries),
 		TEST (odd_entries_cost_only_themselves),
 		TEST (list_with_fractional_and_huge_numbers),
@@ -1463,6 +1632,7 @@
 		TEST (headers_with_fractional_and_huge_numbers),
 		TEST (replies_are_classified),
 		TEST (orders_are_decoded),
+		TEST (long_names_of_data_centres_are_kept_whole_or_refused),
 	};
 	return suite_run ("routes", tests, sizeof (tests) / sizeof (tests[0]));
 }
