daemon: a node told to stop while it starts does not open its ports

Callers could open connections to a node that had been told to stop while it was starting: the signal waited until the start was complete, and the stop began then, although the grace period runs from the signal. A start that takes longer than the 0.3 s between the end of a stop and the kill would leave its connections without an answer. No lost request was seen: found when the order of the start was reviewed.

The signal is now looked for between the start of the threads and the opening of the ports. A signal that comes later is handled as before.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -455,6 +455,17 @@
 	return servers->callers != NULL;
 }
 
+static bool
+take_stop_signal (void)
+{
+	struct timespec zero = {0};
+	sigset_t signals;
+	sigemptyset (&signals);
+	sigaddset (&signals, SIGTERM);
+	sigaddset (&signals, SIGINT);
+	return sigtimedwait (&signals, NULL, &zero) > 0;
+}
+
 static void
 log_started (struct node *node)
 {
@@ -464,16 +475,14 @@
 		node->options.control_data_dir);
 }
 
+/* Starts everything but the servers at the addresses that open_ports opens. */
 static bool
 start_node (struct node *node, struct servers *servers, struct control *control,
 	struct front *front, bool bootstrap, struct error *error)
 {
-	if (!ports_bind (&node->ports, &node->options, error) ||
-		!start_threads (node, control, front, bootstrap, error) ||
-		!start_servers (node, servers, error) || !open_ports (node, servers, error))
-		return false;
-	log_started (node);
-	return true;
+	return ports_bind (&node->ports, &node->options, error) &&
+	       start_threads (node, control, front, bootstrap, error) &&
+	       start_servers (node, servers, error);
 }
 
 static int
@@ -492,12 +501,20 @@
 	pthread_sigmask (SIG_BLOCK, &signals, NULL);
 	signal (SIGPIPE, SIG_IGN);
 	node->control = &control;
-	if (!start_node (node, &servers, &control, &front, bootstrap, &error)) {
+	bool started = start_node (node, &servers, &control, &front, bootstrap, &error);
+	/* The grace period of a stop has begun; callers that come now might outlast it. */
+	bool stopping = started && take_stop_signal ();
+	if (started && !stopping)
+		started = open_ports (node, &servers, &error);
+	if (!started) {
 		log_event (&node->log, EVENT_NODE_START_FAILED, "%s", error.message);
 		/* Threads may be running, and exit() would not end them first. */
 		_exit (EXIT_FAILURE);
 	}
-	serve (node, &signals);
+	if (!stopping) {
+		log_started (node);
+		serve (node, &signals);
+	}
 	stop_node (node, &servers, &signals);
 	/* Stopping the operators' server would take up to 2 s, and it has no state to save. */
 	_exit (EXIT_SUCCESS);
--- a/test/platform.sh
+++ b/test/platform.sh
@@ -634,4 +634,23 @@
 expect "the successor serves" "$(send_request 5 rc /file/x -d x)" '^HTTP/1.1 200'
 restart_at_once 3
 wait_for 10 eval "[ \"\$(order 3 GET /config/get)\" = 200 ]" || fail "control node 3 did not restart"
+
+# Guards against callers' connections that a node opens after it was told to stop, and for which its
+# grace period, which began before, may be too short.
+echo "a node is told to stop while it starts:"
+kill -KILL "${PIDS[n5]}"
+wait "${PIDS[n5]}" 2> /dev/null
+# The signal is pending when the daemon begins.
+env --block-signal=TERM bash -c 'kill -TERM $$; exec "$0" -c "$1"' \
+	"$BUILD/oleanderstiled" "$RUN/n5.ini" > "$RUN/stopped.log" 2>&1 &
+PIDS[n5]=$!
+opened=0
+while is_running "${PIDS[n5]}"; do
+	(exec 7<> "/dev/tcp/127.0.0.1/$((BASE + 5))") 2> /dev/null && opened=$((opened + 1))
+	sleep 0.02
+done
+wait "${PIDS[n5]}" || fail "entry node 5 exited with $?"
+unset "PIDS[n5]"
+expect "it accepts no connection" "$opened" '^0$'
+expect "and stops as planned" "$(cat "$RUN/stopped.log")" 'NODE_STOPPED'
 echo "platform: $checks checks passed"
