daemon: front.stop_ms bounds the whole planned stop

Callers whose requests outlast a planned stop waited for their last answer until 5.5 s after SIGTERM, 0.5 s after the documented maximum; the process ended later still, and nothing bounded its last steps. The platform kills a process 6 s after SIGTERM. Whatever delayed one of the steps (a control thread that is busy with a large routing, a worker, the end of the peer links, orders that wait for a commit) moved the end towards the kill, and in the case of the first step (control_call before the stop began) also the last answers.

One plan, made when the stop begins, has the time of each step, counted back from front.stop_ms (query/drain.h). The front's thread follows it by itself. It learns of a stop through flags, not through messages behind large routings; states that a newer one replaces are skipped, callers get a turn after each state, and a front that refuses requests applies no more changes. The main thread no longer waits for the control thread to take an announcement, neither in a stop nor when settings are reloaded, which kept it from seeing SIGTERM. Threads, orders and peer links are waited for until the plan's end; what has not ended then is named in STOP_CUT and left to the exit. Only late last answers may take 0.5 s more.

Ruled out: a shorter front.stop_ms in the settings, which would have kept the steps after it without a bound.

Evidence: test/stops.sh (2,000 routes sent one after the other, a target that does not answer, kept connections).

--- a/daemon/batch_serve.c
+++ b/daemon/batch_serve.c
@@ -181,7 +181,7 @@
 		return;
 	}
 	struct forward *forward = find_served (front, &id);
-	if (!forward || forward->request || atomic_load (&front->stop)) {
+	if (!forward || forward->request || front->phase >= STOP_ENDING) {
 		answer_status (request, 404);
 		return;
 	}
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -6,6 +6,7 @@
 #include "daemon/platform.h"
 #include "daemon/proposals.h"
 #include "daemon/worker.h"
+#include "net/join.h"
 
 #include <poll.h>
 #include <stdio.h>
@@ -52,6 +53,7 @@
 	struct mail mail;
 	void (*run) (struct control *control, void *arg);
 	void *arg;
+	bool is_posted; /* nobody waits */
 	struct completion completion;
 };
 
@@ -85,6 +87,7 @@
 	if (reply->seq == follower->seq && follower->sent_us != 0)
 		latency_observe (LATENCY_POLL, now_us - follower->sent_us);
 	bool changed = follower_receive (follower, reply, now_us);
+	atomic_store (&control->exit_acknowledged, follower->exit_acknowledged_seq > 0);
 	if (changed) {
 		publish_view (control);
 		follower_poll_soon (follower, now_us);
@@ -214,7 +217,12 @@
 handle_call (struct control *control, struct call_mail *call)
 {
 	call->run (control, call->arg);
-	completion_signal (&call->completion);
+	if (!call->is_posted) {
+		completion_signal (&call->completion);
+		return;
+	}
+	free (call->arg);
+	free (call);
 }
 
 static void
@@ -501,6 +509,17 @@
 	completion_wait (&call.completion);
 }
 
+void
+control_post_call (struct control *control, void (*run_call) (struct control *, void *), void *arg)
+{
+	struct call_mail *call = xcalloc (1, sizeof (*call));
+	call->run = run_call;
+	call->arg = arg;
+	call->is_posted = true;
+	call->mail.kind = CONTROL_CALL;
+	mailbox_post (&control->mailbox, &call->mail);
+}
+
 static void
 set_leaving (struct control *control, void *arg)
 {
@@ -513,7 +532,7 @@
 void
 control_set_leaving (struct control *control, bool exiting)
 {
-	control_call (control, set_leaving, &exiting);
+	control_post_call (control, set_leaving, xmemdup (&exiting, sizeof (exiting)));
 }
 
 bool
@@ -524,16 +543,18 @@
 	return true;
 }
 
-void
-control_stop (struct control *control)
+bool
+control_stop (struct control *control, int64_t until_us)
 {
 	atomic_store (&control->stop, true);
 	mailbox_wake (&control->mailbox);
-	pthread_join (control->thread, NULL);
+	if (!thread_join (control->thread, &control->node->clock, until_us))
+		return false;
 	follower_finish (&control->follower);
 	if (control->has_voter) {
 		voter_finish (&control->voter);
 		store_close (&control->store);
 	}
 	mailbox_finish (&control->mailbox);
+	return true;
 }
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -81,6 +81,7 @@
 	int64_t platform_mtime;
 	int logged_voter_count;
 	char seeds[2048]; /**< peer addresses: this node's if it has a voter, then the settings' */
+	_Atomic bool exit_acknowledged; /**< a poll that announced the exit was answered */
 	_Atomic bool stop;
 };
 
@@ -92,9 +93,12 @@
 bool
 control_run (struct control *control, struct error *error);
 
-/** Stops the thread and closes the data folder, whose content is synced. */
-void
-control_stop (struct control *control);
+/**
+ * Stops the thread and closes the data folder, whose content is synced.
+ * @return false if the thread has not ended at @p until_us, and nothing of it may be freed.
+ */
+bool
+control_stop (struct control *control, int64_t until_us);
 
 /** Posts a control message from a peer and takes over what it owns. Any thread. */
 void
@@ -154,12 +158,18 @@
 void
 control_call (struct control *control, void (*run) (struct control *control, void *arg), void *arg);
 
-/** Applies the seeds of reloaded settings. */
+/** Runs a function on the control thread without waiting for it; @p arg is freed after it. */
+void
+control_post_call (
+	struct control *control, void (*run) (struct control *control, void *arg), void *arg);
+
+/** Applies the seeds of reloaded settings, which are copied; does not wait. */
 void
-control_set_peers (struct control *control, struct options *options);
+control_set_peers (struct control *control, const struct options *options);
 
 /**
- * Announces that this node is leaving, so that other nodes become the owners of its targets.
+ * Announces that this node is leaving, so that other nodes become the owners of its targets. Does
+ * not wait for the control thread, which may be busy with a large routing or a slow disk.
  * @param exiting also announces that the process is about to exit
  */
 void
--- a/daemon/control_start.c
+++ b/daemon/control_start.c
@@ -144,9 +144,9 @@
 }
 
 void
-control_set_peers (struct control *control, struct options *options)
+control_set_peers (struct control *control, const struct options *options)
 {
-	control_call (control, change_peers, options);
+	control_post_call (control, change_peers, xmemdup (options, sizeof (*options)));
 }
 
 bool
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -614,7 +614,7 @@
 	struct drain drain = front_drain (front);
 	int64_t usual_us =
 		quantile_get (&rule->latency, SCATTER_HEDGE_PERCENTILE, rule->objective_us);
-	return atomic_load (&front->stop) ||
+	return front->phase >= STOP_ENDING ||
 	       !drain_accepts (&drain, usual_us, deadline_us (forward, rule), front_now_us (front));
 }
 
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -6,6 +6,7 @@
 #include "daemon/forward.h"
 #include "daemon/forward_log.h"
 #include "daemon/front_dump.h"
+#include "net/join.h"
 #include "platform/manifest.h"
 
 #include <jansson.h>
@@ -40,13 +41,36 @@
 	return clock_now_us (&front->node->clock);
 }
 
+static struct stop_plan
+stop_plan (const struct front *front)
+{
+	return stop_plan_make (atomic_load (&front->stop_began_us),
+		front->node->options.front_stop_ms * US_PER_MS);
+}
+
 struct drain
 front_drain (const struct front *front)
 {
-	int64_t began_us = atomic_load (&front->stop_began_us);
-	return (struct drain){.began_us = began_us,
-		.refusing = front->refusing,
-		.stop_us = began_us + front->node->options.front_stop_ms * US_PER_MS};
+	struct stop_plan plan = stop_plan (front);
+	return (struct drain){.began_us = plan.began_us,
+		.refusing = front->phase >= STOP_REFUSING,
+		.stop_us = plan.answer_us};
+}
+
+static enum stop_phase
+due_phase (const struct front *front)
+{
+	struct stop_plan plan = stop_plan (front);
+	enum stop_phase due = stop_plan_phase (&plan, front_now_us (front));
+	enum stop_phase asked = (enum stop_phase)atomic_load (&front->asked_phase);
+	return asked > due ? asked : due;
+}
+
+/* Changes of routing and targets only matter while requests are accepted. */
+static bool
+needs_changes (const struct front *front)
+{
+	return front->phase < STOP_REFUSING && due_phase (front) < STOP_REFUSING;
 }
 
 bool
@@ -381,9 +405,11 @@
 	/* Binds all sets to the new routing, which what follows relies on. */
 	cds_list_for_each_entry (set, &front->sets, node)
 		front_configure_set (front, set);
-	update_share (front);
-	update_evacuation (front);
-	front_update_fan_outs (front);
+	if (needs_changes (front)) {
+		update_share (front);
+		update_evacuation (front);
+		front_update_fan_outs (front);
+	}
 	if (state->routing) {
 		front->callers.limits.body_bytes = state->routing->limits.body_bytes;
 		front->callers.limits.idle_timeout_us =
@@ -430,6 +456,7 @@
 {
 	struct front_state *state = xcalloc (1, sizeof (*state));
 	state->mail.kind = FRONT_STATE;
+	state->number = atomic_load (&front->posted_states) + 1;
 	if (declared->routing.version > front->posted_version) {
 		struct error error = {0};
 		struct routing *routing = decode_routing (&declared->routing, &error);
@@ -464,6 +491,7 @@
 		state->is_member =
 			state->is_member || member->incarnation == front->node->incarnation;
 	}
+	atomic_store (&front->posted_states, state->number);
 	mailbox_post (&front->mailbox, &state->mail);
 }
 
@@ -491,31 +519,51 @@
 	free (roster);
 }
 
+/* A state that a newer one in the mailbox replaces would only delay callers. */
+static void
+take_state (struct front *front, struct front_state *state)
+{
+	if (needs_changes (front) && state->number == atomic_load (&front->posted_states))
+		apply_state (front, state);
+	else
+		free_state (state);
+}
+
+static void
+take_roster (struct front *front, struct front_roster *roster)
+{
+	if (needs_changes (front))
+		apply_roster (front, roster);
+	else
+		free (roster);
+}
+
 static void
 handle_mail (struct front *front, struct mail *mail)
 {
 	switch ((enum front_mail)mail->kind) {
 	case FRONT_STATE:
-		apply_state (front, caa_container_of (mail, struct front_state, mail));
+		take_state (front, caa_container_of (mail, struct front_state, mail));
 		return;
 	case FRONT_ROSTER:
-		apply_roster (front, caa_container_of (mail, struct front_roster, mail));
+		take_roster (front, caa_container_of (mail, struct front_roster, mail));
 		return;
 	case FRONT_DUMP:
 		front_write_dump (front, caa_container_of (mail, struct front_dump, mail));
 		return;
-	case FRONT_REFUSE_UNSENT:
-		free (mail);
-		front->refusing = true;
-		forward_refuse_unsent (front);
-		return;
-	case FRONT_STOP:
-		free (mail);
-		atomic_store (&front->stop, true);
-		return;
 	}
 }
 
+static void
+follow_stop (struct front *front)
+{
+	enum stop_phase due = due_phase (front);
+	bool refuses = due >= STOP_REFUSING && front->phase < STOP_REFUSING;
+	front->phase = due > front->phase ? due : front->phase;
+	if (refuses)
+		forward_refuse_unsent (front);
+}
+
 static void
 handle_timed_mail (struct front *front, struct mail *mail)
 {
@@ -523,14 +571,24 @@
 		[FRONT_STATE] = FRONT_PART_STATE,
 		[FRONT_ROSTER] = FRONT_PART_ROSTER,
 		[FRONT_DUMP] = FRONT_PART_DUMP,
-		[FRONT_REFUSE_UNSENT] = FRONT_PART_END,
-		[FRONT_STOP] = FRONT_PART_END,
 	};
 	enum front_part part = parts[mail->kind];
 	handle_mail (front, mail);
 	turn_mark (&front->turn, (int)part, front_now_us (front));
 }
 
+/* Callers get a turn after each state, however fast states arrive. */
+static void
+handle_mails (struct front *front)
+{
+	struct mail *mail;
+	front->mail_left = false;
+	while (!front->mail_left && (mail = mailbox_take (&front->mailbox))) {
+		front->mail_left = mail->kind == FRONT_STATE;
+		handle_timed_mail (front, mail);
+	}
+}
+
 static void
 end_turn (struct front *front)
 {
@@ -608,7 +666,7 @@
 	int wait = max_ms;
 	int64_t next_us = timers_next_us (&front->timers);
 	int64_t now_us = front_now_us (front);
-	if (next_us <= now_us || fetch_loop_has_unread (&front->fetches))
+	if (next_us <= now_us || front->mail_left || fetch_loop_has_unread (&front->fetches))
 		return 0;
 	if (next_us != INT64_MAX && (next_us - now_us) / US_PER_MS < wait)
 		wait = (int)((next_us - now_us + US_PER_MS - 1) / US_PER_MS);
@@ -663,7 +721,6 @@
 iterate (struct front *front, int max_ms)
 {
 	struct epoll_event events[EVENTS_PER_WAIT];
-	struct mail *mail;
 	int count = epoll_wait (front->epoll_fd, events, EVENTS_PER_WAIT, wait_ms (front, max_ms));
 	int64_t woken_us = front_now_us (front);
 	if (front->woken_us != 0 && woken_us > front->woken_us + FRONT_SUSPENDED_US)
@@ -674,8 +731,10 @@
 	turn_mark (&front->turn, FRONT_PART_SOCKETS, front_now_us (front));
 	if (pending.mail)
 		mailbox_clear (&front->mailbox);
-	while (pending.mail && (mail = mailbox_take (&front->mailbox)))
-		handle_timed_mail (front, mail);
+	if (pending.mail || front->mail_left)
+		handle_mails (front);
+	follow_stop (front);
+	turn_mark (&front->turn, FRONT_PART_END, front_now_us (front));
 	fetch_loop_read (&front->fetches);
 	turn_mark (&front->turn, FRONT_PART_TARGETS, front_now_us (front));
 	run_timers (front);
@@ -707,12 +766,11 @@
 static void
 end_requests (struct front *front)
 {
-	int64_t end_us = front_now_us (front) + DRAIN_FLUSH_US;
+	struct stop_plan plan = stop_plan (front);
+	int64_t end_us = front_now_us (front) + plan.flush_us;
 	int ended = forward_end_all (front);
 	log_event (&front->log, EVENT_REQUESTS_ENDED, "%d requests, %lld ms after the stop began",
-		ended,
-		(long long)((front_now_us (front) - atomic_load (&front->stop_began_us)) /
-			    US_PER_MS));
+		ended, (long long)((front_now_us (front) - plan.began_us) / US_PER_MS));
 	ingress_stop_listening (&front->callers);
 	ingress_stop_listening (&front->batches);
 	/* Each socket gets a turn even if this thread did not run for a while. */
@@ -722,7 +780,7 @@
 		iterate (front, DRAIN_WAIT_MS);
 	ingress_shutdown (&front->callers);
 	ingress_shutdown (&front->batches);
-	end_us = front_now_us (front) + DRAIN_LINGER_US;
+	end_us = front_now_us (front) + plan.linger_us;
 	while (ingress_discard (&front->callers) + ingress_discard (&front->batches) > 0 &&
 		front_now_us (front) < end_us)
 		poll (NULL, 0, DRAIN_WAIT_MS);
@@ -731,6 +789,18 @@
 	ingress_stop (&front->balancer);
 }
 
+/* How long the loop may wait: until the next step of a planned stop. */
+static int
+idle_wait_ms (const struct front *front)
+{
+	struct stop_plan plan = stop_plan (front);
+	int64_t now_us = front_now_us (front);
+	int64_t next_us = stop_plan_next_us (&plan, now_us);
+	if (next_us == INT64_MAX || next_us - now_us > IDLE_WAIT_MS * US_PER_MS)
+		return IDLE_WAIT_MS;
+	return (int)((next_us - now_us + US_PER_MS - 1) / US_PER_MS);
+}
+
 static void *
 run (void *arg)
 {
@@ -738,8 +808,8 @@
 	rcu_register_thread ();
 	ingress_watch_unanswered (&front->callers, forward_log_unanswered);
 	ingress_watch_unanswered (&front->batches, forward_log_unanswered);
-	while (!atomic_load (&front->stop))
-		iterate (front, IDLE_WAIT_MS);
+	while (front->phase < STOP_ENDING)
+		iterate (front, idle_wait_ms (front));
 	if (serves_callers (front))
 		end_requests (front);
 	rcu_unregister_thread ();
@@ -808,23 +878,29 @@
 	return true;
 }
 
-static void
-post_signal (struct front *front, enum front_mail kind)
+void
+front_begin_stop (struct front *front, const struct stop_plan *plan)
 {
-	struct mail *mail = xcalloc (1, sizeof (*mail));
-	mail->kind = (int)kind;
-	mailbox_post (&front->mailbox, mail);
+	atomic_store (&front->stop_began_us, plan->began_us);
+	mailbox_wake (&front->mailbox);
 }
 
 void
 front_refuse_unsent (struct front *front)
 {
-	post_signal (front, FRONT_REFUSE_UNSENT);
+	atomic_store (&front->asked_phase, STOP_REFUSING);
+	mailbox_wake (&front->mailbox);
 }
 
 void
-front_stop (struct front *front)
+front_end (struct front *front)
+{
+	atomic_store (&front->asked_phase, STOP_ENDING);
+	mailbox_wake (&front->mailbox);
+}
+
+bool
+front_join (struct front *front, int64_t until_us)
 {
-	post_signal (front, FRONT_STOP);
-	pthread_join (front->thread, NULL);
+	return thread_join (front->thread, &front->node->clock, until_us);
 }
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -42,7 +42,7 @@
 enum { FORWARD_TIMER = FETCH_TIMER_KIND_END, DISCOVERY_TIMER };
 
 /** Kinds of messages to the front's thread. */
-enum front_mail { FRONT_STATE, FRONT_ROSTER, FRONT_DUMP, FRONT_REFUSE_UNSENT, FRONT_STOP };
+enum front_mail { FRONT_STATE, FRONT_ROSTER, FRONT_DUMP };
 
 /** Parts of an iteration of the front's loop. */
 enum front_part {
@@ -59,6 +59,7 @@
 /** The part of the declared state that the front uses. */
 struct front_state {
 	struct mail mail;
+	uint64_t number; /**< in the order of posting */
 	uint64_t revision;
 	struct routing *routing; /**< holds a reference; NULL: none was accepted yet */
 	char **leaving;          /**< names of leaving data centres, owned */
@@ -121,21 +122,35 @@
 	_Atomic int connections;           /**< from callers */
 	_Atomic int64_t view_confirmed_us; /**< when control last confirmed the declared state */
 	_Atomic int64_t stop_began_us;     /**< when a planned stop began; 0: none */
-	_Atomic bool stop;
-	bool refusing; /**< a planned stop accepts no more requests */
+	/** How far the stop may go before it is due; set by other threads, never lowered. */
+	_Atomic int asked_phase;
+	_Atomic uint64_t posted_states; /**< number of the state posted last */
+	bool mail_left;                 /**< the mailbox was not emptied */
+	enum stop_phase phase;          /**< how far the stop has come on this thread */
 };
 
 /** Starts the front's thread; messages may be posted from then on. */
 bool
 front_start (struct front *front, struct node *node, struct error *error);
 
+/**
+ * Begins the planned stop. The front's thread follows the times of the plan by itself, so that no
+ * other thread can delay the last answers.
+ */
+void
+front_begin_stop (struct front *front, const struct stop_plan *plan);
+
 /** Refuses the requests of which nothing was sent to a target, so that they run elsewhere. */
 void
 front_refuse_unsent (struct front *front);
 
 /** Answers all requests that are still in flight, closes all connections and ends the thread. */
 void
-front_stop (struct front *front);
+front_end (struct front *front);
+
+/** Waits for the end of the thread; false if it has not ended at @p until_us. */
+bool
+front_join (struct front *front, int64_t until_us);
 
 /** The planned stop of this node, as the policy of query/drain.h sees it. */
 struct drain
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -257,23 +257,11 @@
 	return alone || (leaving && atomic_load (&node->settled_revision) >= epoch);
 }
 
-struct exit_call {
-	bool acknowledged;
-};
-
-static void
-read_exit_acknowledged (struct control *control, void *arg)
-{
-	struct exit_call *call = arg;
-	call->acknowledged = control->follower.exit_acknowledged_seq > 0;
-}
-
-/* Waits until a condition is true, for at most timeout_ms; logs further signals meanwhile. */
+/* Waits until a condition is true or a time has come; logs further signals meanwhile. */
 static void
 wait_until (struct node *node, const sigset_t *signals, bool (*condition) (struct node *),
-	int timeout_ms)
+	int64_t end_us)
 {
-	int64_t end_us = clock_now_us (&node->clock) + (int64_t)timeout_ms * US_PER_MS;
 	while (clock_now_us (&node->clock) < end_us && !condition (node)) {
 		log_further_signal (node, signals);
 		sleep_ms (STOP_POLL_INTERVAL_MS);
@@ -291,9 +279,7 @@
 static bool
 is_exit_acknowledged (struct node *node)
 {
-	struct exit_call call = {false};
-	control_call (node->control, read_exit_acknowledged, &call);
-	return call.acknowledged;
+	return atomic_load (&node->control->exit_acknowledged);
 }
 
 static bool
@@ -311,27 +297,30 @@
 		(long long)((clock_now_us (&node->clock) - began_us) / US_PER_MS));
 }
 
-/* Serves open connections until their callers have closed them or front.stop_ms has passed. */
+/* Serves open connections until their callers have closed them or the plan's time has come. */
 static void
-stop_front (struct node *node, const sigset_t *signals)
+stop_front (struct node *node, const struct stop_plan *plan, const sigset_t *signals)
 {
-	int64_t began_us = clock_now_us (&node->clock);
-	int stop_ms = (int)node->options.front_stop_ms;
-	atomic_store (&node->front->stop_began_us, began_us);
-	wait_until (node, signals, is_front_drained, stop_ms);
+	front_begin_stop (node->front, plan);
+	wait_until (node, signals, is_front_drained, plan->refuse_us);
+	log_stop_step (node, plan->began_us, "front drained");
 	/* New requests are refused from now on; wait for those that were accepted before. */
-	log_stop_step (node, began_us, "front drained");
 	front_refuse_unsent (node->front);
-	int elapsed_ms = (int)((clock_now_us (&node->clock) - began_us) / US_PER_MS);
-	wait_until (node, signals, is_idle, stop_ms + DRAIN_END_MS - elapsed_ms);
-	log_stop_step (node, began_us, "last answers begun");
-	front_stop (node->front);
+	wait_until (node, signals, is_idle, plan->answer_us);
+	log_stop_step (node, plan->began_us, "last answers begun");
+}
+
+static int64_t
+deadline_us (struct node *node, int timeout_ms)
+{
+	return clock_now_us (&node->clock) + timeout_ms * (int64_t)US_PER_MS;
 }
 
 static void
 stop_callers (struct node *node, struct mg_context *callers, const sigset_t *signals)
 {
-	wait_until (node, signals, are_targets_handed_over, HANDOVER_TIMEOUT_MS);
+	wait_until (
+		node, signals, are_targets_handed_over, deadline_us (node, HANDOVER_TIMEOUT_MS));
 	for (int waited_ms = 0; waited_ms < node->options.node_stop_wait_ms;
 		waited_ms += STOP_POLL_INTERVAL_MS) {
 		log_further_signal (node, signals);
@@ -339,47 +328,88 @@
 	}
 	atomic_store (&node->refusing_calls, true);
 	/* Includes calls whose body is still being sent; the server would cut them. */
-	wait_until (node, signals, is_idle, STOP_TIMEOUT_MS);
+	wait_until (node, signals, is_idle, deadline_us (node, STOP_TIMEOUT_MS));
 	mg_stop (callers);
-	wait_until (node, signals, is_idle, STOP_TIMEOUT_MS);
+	wait_until (node, signals, is_idle, deadline_us (node, STOP_TIMEOUT_MS));
+}
+
+static void
+announce_exit (struct node *node, const struct stop_plan *plan, const sigset_t *signals)
+{
+	int64_t end_us =
+		deadline_us (node, node->front ? EXIT_ACK_FRONT_TIMEOUT_MS : EXIT_ACK_TIMEOUT_MS);
+	control_set_leaving (node->control, true);
+	wait_until (
+		node, signals, is_exit_acknowledged, end_us < plan->end_us ? end_us : plan->end_us);
+	log_stop_step (node, plan->began_us, "exit announced");
+}
+
+/* Ends servers and threads; returns what has not ended when the stop is due to, or NULL. */
+static const char *
+end_threads (struct node *node, struct servers *servers, const struct stop_plan *plan)
+{
+	if (!orders_stop (&servers->orders, plan->end_us))
+		return "orders in progress";
+	log_stop_step (node, plan->began_us, "orders ended");
+	for (int i = 0; i < node->worker_count; i++) {
+		if (!worker_stop (&node->workers[i], plan->end_us))
+			return "a worker";
+	}
+	log_stop_step (node, plan->began_us, "workers ended");
+	if (!control_stop (node->control, plan->end_us))
+		return "the control thread";
+	log_stop_step (node, plan->began_us, "control ended");
+	if (!peer_stop (&node->peer, plan->end_us))
+		return "the links to other nodes";
+	log_stop_step (node, plan->began_us, "peer links ended");
+	return NULL;
+}
+
+/* Returns what has not ended when the stop is due to, or NULL. */
+static const char *
+end_node (struct node *node, struct servers *servers, const struct stop_plan *plan,
+	const sigset_t *signals)
+{
+	if (node->front) {
+		front_end (node->front);
+		/* Callers wait for its last answers. */
+		if (!front_join (node->front, plan->late_us))
+			return "callers";
+		log_stop_step (node, plan->began_us, "front ended");
+	}
+	announce_exit (node, plan, signals);
+	return end_threads (node, servers, plan);
 }
 
 /*
  * Stops in this order: the load balancer stops sending requests and other nodes take over the
  * targets while this node still serves; then requests in flight end; then the addresses close.
+ * Nothing here waits for another thread without a limit: a thread may be held up by a slow disk or
+ * a busy processor, and the platform kills the process while callers still wait.
  */
 static void
 stop_node (struct node *node, struct servers *servers, const sigset_t *signals)
 {
+	int64_t stop_us = node->options.front_stop_ms * US_PER_MS;
 	int64_t began_us = clock_now_us (&node->clock);
 	log_event (&node->log, EVENT_NODE_STOPPING, "%d requests in flight",
 		atomic_load (&node->admission.in_flight));
 	atomic_store (&node->stopping, true);
 	control_set_leaving (node->control, false);
-	log_stop_step (node, began_us, "leaving announced");
 	if (servers->callers) {
 		stop_callers (node, servers->callers, signals);
 		log_stop_step (node, began_us, "callers' server ended");
+		began_us = clock_now_us (&node->clock);
 	}
+	struct stop_plan plan = stop_plan_make (began_us, stop_us);
 	if (node->front && node->options.front_address[0])
-		stop_front (node, signals);
-	else if (node->front)
-		front_stop (node->front);
-	log_stop_step (node, began_us, "front ended");
-	control_set_leaving (node->control, true);
-	wait_until (node, signals, is_exit_acknowledged,
-		node->front ? EXIT_ACK_FRONT_TIMEOUT_MS : EXIT_ACK_TIMEOUT_MS);
-	log_stop_step (node, began_us, "exit announced");
-	orders_stop (&servers->orders);
-	log_stop_step (node, began_us, "orders ended");
-	for (int i = 0; i < node->worker_count; i++)
-		worker_stop (&node->workers[i]);
-	log_stop_step (node, began_us, "workers ended");
-	control_stop (node->control);
-	log_stop_step (node, began_us, "control ended");
-	peer_stop (&node->peer);
-	log_stop_step (node, began_us, "peer links ended");
-	log_event (&node->log, EVENT_NODE_STOPPED, "%s", node->options.node_name);
+		stop_front (node, &plan, signals);
+	const char *left = end_node (node, servers, &plan, signals);
+	if (left)
+		log_event (&node->log, EVENT_STOP_CUT, "%s, %lld ms after the stop began", left,
+			(long long)((clock_now_us (&node->clock) - plan.began_us) / US_PER_MS));
+	else
+		log_event (&node->log, EVENT_NODE_STOPPED, "%s", node->options.node_name);
 }
 
 static void
--- a/daemon/orders.c
+++ b/daemon/orders.c
@@ -21,7 +21,7 @@
 	ORDER_IDLE_TIMEOUT_S = 30,
 	ORDER_POLL_MS = 10,
 	/* Orders in progress end after their own timeout; this also covers writing the answers. */
-	ORDER_STOP_TIMEOUT_MS = 1500,
+	ORDER_STOP_TIMEOUT_US = 1500000,
 };
 
 /** A call while it is received and handled. */
@@ -210,6 +210,15 @@
 		  : answer_error (connection, &error);
 }
 
+static enum MHD_Result
+refuse (struct MHD_Connection *connection)
+{
+	struct error error = {0};
+	error_set (&error, ERROR_UNAVAILABLE,
+		"this node is stopping and did nothing; send the order again, to another node");
+	return answer_error (connection, &error);
+}
+
 static enum MHD_Result
 on_request (void *user, struct MHD_Connection *connection, const char *path, const char *method,
 	const char *version, const char *data, size_t *len, void **context)
@@ -232,6 +241,8 @@
 	}
 	call->counted = true;
 	atomic_fetch_add (&orders->in_progress, 1);
+	if (atomic_load (&orders->refusing))
+		return refuse (connection);
 	return handle (orders, connection, path, method, call);
 }
 
@@ -273,19 +284,24 @@
 		error, ERROR_IO, "cannot listen on %s; correct the address or free the port", text);
 }
 
-void
-orders_stop (struct orders *orders)
+bool
+orders_stop (struct orders *orders, int64_t until_us)
 {
 	if (!orders->daemon)
-		return;
+		return true;
+	struct clock *clock = &orders->node->clock;
+	atomic_store (&orders->refusing, true);
 	int fd = MHD_quiesce_daemon (orders->daemon);
 	if (fd >= 0)
 		close (fd);
-	/* MHD_stop_daemon closes all connections, also those of orders in progress. */
-	for (int waited_ms = 0;
-		atomic_load (&orders->in_progress) > 0 && waited_ms < ORDER_STOP_TIMEOUT_MS;
-		waited_ms += ORDER_POLL_MS)
+	int64_t timeout_us = clock_now_us (clock) + ORDER_STOP_TIMEOUT_US;
+	int64_t end_us = timeout_us < until_us ? timeout_us : until_us;
+	while (atomic_load (&orders->in_progress) > 0 && clock_now_us (clock) < end_us)
 		sleep_ms (ORDER_POLL_MS);
+	/* MHD_stop_daemon would wait for the threads of orders that are not answered. */
+	if (atomic_load (&orders->in_progress) > 0)
+		return false;
 	MHD_stop_daemon (orders->daemon);
 	orders->daemon = NULL;
+	return true;
 }
--- a/daemon/orders.h
+++ b/daemon/orders.h
@@ -20,12 +20,16 @@
 	struct log log;
 	struct MHD_Daemon *daemon; /**< NULL: not started */
 	_Atomic int in_progress;
+	_Atomic bool refusing; /**< a planned stop accepts no more orders */
 };
 
 /** Starts the server; false with an error if the address cannot be bound. */
 bool
 orders_start (struct orders *orders, struct node *node, struct error *error);
 
-/** Accepts no more connections, and stops once the orders in progress are answered. */
-void
-orders_stop (struct orders *orders);
+/**
+ * Accepts no more connections and orders, and stops once the orders in progress are answered.
+ * @return false if they are not at @p until_us; the server then runs on.
+ */
+bool
+orders_stop (struct orders *orders, int64_t until_us);
--- a/daemon/worker.c
+++ b/daemon/worker.c
@@ -2,6 +2,7 @@
 
 #include "daemon/entry.h"
 #include "daemon/owned.h"
+#include "net/join.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -225,15 +226,17 @@
 	return true;
 }
 
-void
-worker_stop (struct worker *worker)
+bool
+worker_stop (struct worker *worker, int64_t until_us)
 {
 	struct mail *stop = xcalloc (1, sizeof (*stop));
 	stop->kind = WORKER_STOP;
 	mailbox_post (&worker->mailbox, stop);
-	pthread_join (worker->thread, NULL);
+	if (!thread_join (worker->thread, &worker->node->clock, until_us))
+		return false;
 	fetch_loop_finish (&worker->fetches);
 	timers_finish (&worker->timers);
 	mailbox_finish (&worker->mailbox);
 	close (worker->epoll_fd);
+	return true;
 }
--- a/daemon/worker.h
+++ b/daemon/worker.h
@@ -147,8 +147,9 @@
 
 bool
 worker_start (struct worker *worker, struct node *node, int index, struct error *error);
-void
-worker_stop (struct worker *worker);
+/** Ends the thread; false if it has not ended at @p until_us, and nothing of it may be freed. */
+bool
+worker_stop (struct worker *worker, int64_t until_us);
 
 /** The current time of the node's clock. */
 int64_t
--- a/net/peer.c
+++ b/net/peer.c
@@ -2,6 +2,7 @@
 
 #include "core/buf.h"
 #include "core/metrics.h"
+#include "net/join.h"
 
 #include <errno.h>
 #include <stdio.h>
@@ -283,12 +284,23 @@
 	mailbox_post (&peer->outgoing, &mail->mail);
 }
 
-void
-peer_stop (struct peer *peer)
+static int
+linger_ms (const struct peer *peer, int64_t until_us)
+{
+	int64_t left_ms = (until_us - clock_now_us (peer->clock)) / US_PER_MS;
+	if (left_ms < 0)
+		return 0;
+	return left_ms < LINGER_MS ? (int)left_ms : LINGER_MS;
+}
+
+bool
+peer_stop (struct peer *peer, int64_t until_us)
 {
 	atomic_store (&peer->stop, true);
 	mailbox_wake (&peer->outgoing);
-	pthread_join (peer->thread, NULL);
+	if (!thread_join (peer->thread, peer->clock, until_us))
+		return false;
+	set_int_option (peer, ZMQ_LINGER, linger_ms (peer, until_us));
 	zmq_close (peer->socket);
 	zmq_ctx_term (peer->context);
 	for (int i = 0; i < PEER_LINK_BUCKETS; i++) {
@@ -298,4 +310,5 @@
 			free (link);
 	}
 	mailbox_finish (&peer->outgoing);
+	return true;
 }
--- a/net/peer.h
+++ b/net/peer.h
@@ -83,7 +83,8 @@
 
 /**
  * Passes all posted messages to the socket, then stops the thread and closes the links. Messages
- * that cannot be sent within 500 ms are lost.
+ * that cannot be sent within 500 ms, or until @p until_us, are lost.
+ * @return false if the thread has not ended at @p until_us, and nothing of it may be freed.
  */
-void
-peer_stop (struct peer *peer);
+bool
+peer_stop (struct peer *peer, int64_t until_us);
--- a/test/routes.c
+++ b/test/routes.c
@@ -457,6 +457,61 @@
 	CU_ASSERT_EQUAL (drain_retry_after_us (&drain, at_us), 0);
 }
 
+/* Guards against a stop that takes its duration and then the time of its last steps as well. */
+static void
+test_one_deadline_bounds_the_whole_stop (void)
+{
+	static const int64_t durations_ms[] = {100, 300, 2000, 5000, 5001, 60000, 600000};
+	int64_t start_us = 100000 * MS;
+	for (size_t i = 0; i < sizeof (durations_ms) / sizeof (durations_ms[0]); i++) {
+		struct stop_plan plan = stop_plan_make (start_us, durations_ms[i] * MS);
+		CU_ASSERT_TRUE (plan.refuse_us > start_us + durations_ms[i] * MS / 2);
+		CU_ASSERT_TRUE (plan.answer_us > plan.refuse_us);
+		/* What is left after the last answers suffices to write and to read them. */
+		CU_ASSERT_TRUE (plan.flush_us > 0 && plan.linger_us > 0);
+		CU_ASSERT_TRUE (plan.answer_us + plan.flush_us + plan.linger_us < plan.end_us);
+		CU_ASSERT_EQUAL (plan.end_us, start_us + durations_ms[i] * MS);
+	}
+}
+
+/*
+ * Guards against callers that wait until the process is killed: the loop is held up by a large
+ * routing at each time of the stop, for up to 2 s, and then takes the step that is due, not the one
+ * that it had to take when it was held up.
+ */
+static void
+test_a_loop_that_was_held_up_takes_the_step_that_is_due (void)
+{
+	int64_t start_us = 100000 * MS;
+	struct stop_plan none = stop_plan_make (0, 5000 * MS);
+	struct stop_plan plan = stop_plan_make (start_us, 5000 * MS);
+	CU_ASSERT_EQUAL (stop_plan_phase (&none, start_us), STOP_NONE);
+	CU_ASSERT_EQUAL (stop_plan_next_us (&none, start_us), INT64_MAX);
+	for (int64_t held_ms = 0; held_ms <= 2000; held_ms += 50) {
+		struct clock clock;
+		enum stop_phase phase = STOP_NONE;
+		int turns = 0;
+		clock_init_manual (&clock, start_us);
+		while (phase < STOP_ENDING && turns++ < 1000) {
+			int64_t now_us = clock_now_us (&clock);
+			int64_t next_us = stop_plan_next_us (&plan, now_us);
+			enum stop_phase due = stop_plan_phase (&plan, now_us);
+			CU_ASSERT_TRUE (due >= phase);
+			CU_ASSERT_EQUAL (due == STOP_ENDING, now_us >= plan.answer_us);
+			CU_ASSERT_EQUAL (due >= STOP_REFUSING, now_us >= plan.refuse_us);
+			phase = due;
+			if (due < STOP_ENDING)
+				CU_ASSERT_TRUE (next_us > now_us);
+			/* Waits at most 200 ms, as the loop does, and is then held up. */
+			if (next_us > now_us + 200 * MS)
+				next_us = now_us + 200 * MS;
+			if (due < STOP_ENDING)
+				clock_advance (&clock, next_us - now_us + held_ms * MS);
+		}
+		CU_ASSERT_TRUE (clock_now_us (&clock) <= plan.answer_us + held_ms * MS);
+	}
+}
+
 /* Guards against requests that a stopping node ends without a truthful last answer. */
 static void
 test_end_of_a_stop_tells_what_may_have_run (void)
@@ -1435,6 +1490,8 @@
 		TEST (non_idempotent_request_runs_at_most_once),
 		TEST (stopping_node_accepts_only_what_ends_in_time),
 		TEST (node_that_ends_early_accepts_nothing),
+		TEST (one_deadline_bounds_the_whole_stop),
+		TEST (a_loop_that_was_held_up_takes_the_step_that_is_due),
 		TEST (end_of_a_stop_tells_what_may_have_run),
 		TEST (error_reply_of_the_target_is_forwarded),
 		TEST (queue_is_ordered_by_priority),
--- /dev/null
+++ b/test/stops.sh
@@ -0,0 +1,186 @@
+#!/usr/bin/env bash
+# End-to-end test of the time that a planned stop of an entry node takes, on loopback: SIGTERM comes
+# while large routings and target lists arrive one after the other, callers keep their connections
+# open, and targets work longer than the stop lasts. A failed check prints its description.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+BASE=${BASE:-24500}
+. test/cluster.sh
+trap stop_all EXIT
+PLATFORM=$((BASE + 400))
+ROUTES=${ROUTES:-2000}
+STOP_MS=5000 # the default of front.stop_ms, which bounds the whole stop
+checks=0
+
+fail () {
+	echo "stops: $*" >&2
+	grep -hE 'STOP|ENDED|PAUSED|UNANSWERED' "$RUN"/n*.log | tail -n 40 >&2
+	exit 1
+}
+
+# expect DESCRIPTION ACTUAL PATTERN
+expect () {
+	grep -qE -- "$3" <<< "$2" || fail "$1: expected $3, got: $2"
+	checks=$((checks + 1))
+}
+
+# expect_below DESCRIPTION MS LIMIT
+expect_below () {
+	[ "$2" -le "$3" ] || fail "$1: $2 ms, more than $3 ms"
+	checks=$((checks + 1))
+}
+
+now_ms () {
+	date +%s%3N
+}
+
+settings () {
+	local n=$1
+	cat > "$RUN/n$n.ini" <<-END
+		[node]
+		name = n$n
+		data_center = z0
+		caller_address =
+		operator_address = 127.0.0.1:$((BASE + 100 + n))
+		peer_address = 127.0.0.1:$((BASE + 200 + n))
+		metrics_address = 127.0.0.1:$((BASE + 300 + n))
+		workers = 1
+		[control]
+		key = $KEY
+		peers = 127.0.0.1:$((BASE + 201))
+		replace_ms = 2000
+	END
+	if [ "$2" = entry ]; then
+		cat >> "$RUN/n$n.ini" <<-END
+			[front]
+			address = 127.0.0.1:$((BASE + n))
+			ready_address = 127.0.0.1:$((BASE + 50 + n))
+			list_address = 127.0.0.1:$PLATFORM
+			list_rate = 50
+			group_nodes = 1
+			batch_port_step = 700
+		END
+	else
+		cat >> "$RUN/n$n.ini" <<-END
+			bootstrap = true
+			orders_address = 127.0.0.1:$((BASE + n))
+			data_dir = $RUN/data$n
+			[front]
+			list_address = 127.0.0.1:$PLATFORM
+			list_rate = 50
+		END
+	fi
+}
+
+# manifest VERSION: a routing of ROUTES routes, one in ten of them over ten shards.
+manifest () {
+	awk -v version="$1" -v routes="$ROUTES" 'BEGIN {
+		printf "{\"version\":%d,\"routes\":[", version
+		printf "{\"name\":\"file\",\"host\":\"site.example\",\"path_prefix\":\"/file/\",\"route_type\":\"idempotent\",\"timeout_ms\":15000,\"target_latency_ms\":200,\"max_attempts\":2,\"service\":\"s0\"}"
+		for (i = 0; i < routes; i++) {
+			printf ",{\"name\":\"route-%d\",\"host\":\"site.example\",\"path_prefix\":\"/r%d/\",\"route_type\":\"idempotent\",\"timeout_ms\":1500,\"target_latency_ms\":200,\"max_attempts\":2,", i, i
+			if (i % 10) {
+				printf "\"service\":\"t%d\"}", i
+			} else {
+				printf "\"top_k\":3,\"min_shard_ratio\":0.5,\"fanout\":[\"t%d\"", i
+				for (j = 1; j < 10; j++)
+					printf ",\"t%d\"", (i + j) % routes
+				printf "]}"
+			}
+		}
+		printf "],\"services\":[{\"name\":\"s0\",\"max_connections\":30}"
+		for (i = 0; i < routes; i++)
+			printf ",{\"name\":\"t%d\",\"max_connections\":30}", i
+		printf "]}"
+	}'
+}
+
+post_manifest () {
+	manifest "$1" | curl -s --noproxy '*' -m 5 -o /dev/null -w '%{http_code}' --data-binary @- \
+		"http://127.0.0.1:$((BASE + 1))/config/replace"
+}
+
+is_posted () {
+	[ "$(post_manifest "$1")" = 200 ]
+}
+
+serves () {
+	curl -sf --noproxy '*' -m 2 -H 'Host: site.example' -H "Oleanderstile-Attempt-Id: p$(now_ms)" \
+		-H 'Oleanderstile-Deadline-Ms: 1000' "http://127.0.0.1:$((BASE + 2))/file/x"
+}
+
+set_fault () {
+	curl -s --noproxy '*' -m 5 -X POST "http://127.0.0.1:$PLATFORM/set/$1/$2/$3"
+}
+
+# send_kept FD ID PATH: sends a request on a connection that its caller keeps open.
+send_kept () {
+	printf 'POST %s HTTP/1.1\r\nHost: site.example\r\nOleanderstile-Attempt-Id: %s\r\nOleanderstile-Deadline-Ms: 14000\r\nContent-Length: 1\r\n\r\nx' "$3" "$2" >&"$1"
+}
+
+# read_until_closed FD FILE: records what comes on a connection, and when it was closed.
+read_until_closed () {
+	timeout 12 cat <&"$1" | tr -d '\r' > "$RUN/$2"
+	now_ms > "$RUN/$2.closed"
+}
+
+# post_series FIRST: sends one routing after the other until the file "stopped" exists.
+post_series () {
+	local version=$1
+	while [ ! -e "$RUN/stopped" ]; do
+		post_manifest $version > /dev/null
+		version=$((version + 1))
+	done
+	echo $version > "$RUN/version"
+}
+
+mkdir -p "$RUN/data1"
+"$BUILD/test/stand-in-platform" $PLATFORM 1 3 5 2>> "$RUN/targets.log" &
+PIDS[platform]=$!
+settings 1 control
+settings 2 entry
+start_node 1
+start_node 2
+version=1
+wait_for 20 is_posted $version || fail "the routing was not accepted"
+wait_for 20 serves || fail "the entry node does not serve"
+
+# Guards against a stop that exceeds its duration, so that the platform kills the node while callers wait.
+for round in 1 2 3; do
+	rm -f "$RUN/stopped"
+	for t in 0 1 2; do set_fault stuck $t 1; done
+	exec {busy}<> "/dev/tcp/127.0.0.1/$((BASE + 2))"
+	exec {idle}<> "/dev/tcp/127.0.0.1/$((BASE + 2))"
+	send_kept $busy busy$round /file/x
+	post_series $((version + 1)) &
+	series=$!
+	sleep 1
+	began=$(now_ms)
+	kill -TERM "${PIDS[n2]}"
+	read_until_closed $busy busy$round &
+	readers=($!)
+	read_until_closed $idle idle$round &
+	readers+=($!)
+	wait "${PIDS[n2]}" || fail "the entry node exited with $?"
+	took=$(($(now_ms) - began))
+	unset "PIDS[n2]"
+	touch "$RUN/stopped"
+	wait "${readers[@]}"
+	wait $series
+	version=$(cat "$RUN/version")
+	exec {busy}>&- {idle}>&-
+	echo "stop $round: process ended after $took ms," \
+		"connections after $(($(cat "$RUN/busy$round.closed") - began))" \
+		"and $(($(cat "$RUN/idle$round.closed") - began)) ms," \
+		"$(grep -c 'FRONT_PAUSED' "$RUN/n2.log") pauses so far"
+	expect "a request that ran until the end gets a last answer" "$(cat "$RUN/busy$round")" '^HTTP/1.1 504'
+	expect_below "the connection of the running request is closed" \
+		$(($(cat "$RUN/busy$round.closed") - began)) $STOP_MS
+	expect_below "an idle connection is closed" $(($(cat "$RUN/idle$round.closed") - began)) $STOP_MS
+	expect_below "the process ends" $took $STOP_MS
+	expect "no connection ends without an answer" "$(grep -c CONNECTION_UNANSWERED "$RUN/n2.log")" '^0$'
+	for t in 0 1 2; do set_fault stuck $t 0; done
+	start_node 2
+	wait_for 20 serves || fail "the entry node does not serve after its restart"
+done
+echo "stops: $checks checks passed"
--- a/test/units.c
+++ b/test/units.c
@@ -14,6 +14,8 @@
 #include "core/packed.h"
 #include "core/timers.h"
 #include "core/turn.h"
+#include "net/completion.h"
+#include "net/join.h"
 #include "options/options.h"
 #include "query/merge.h"
 #include "query/once.h"
@@ -955,6 +957,31 @@
 	timers_finish (&timers);
 }
 
+static void *
+wait_for_completion (void *arg)
+{
+	completion_wait (arg);
+	return NULL;
+}
+
+/* Guards against an exit that waits without a limit for a thread that is held up. */
+static void
+test_thread_that_is_held_up_is_joined_for_a_limited_time (void)
+{
+	struct clock clock;
+	struct completion completion;
+	pthread_t thread;
+	clock_init_system (&clock);
+	completion_init (&completion);
+	int64_t start_us = clock_now_us (&clock);
+	pthread_create (&thread, NULL, wait_for_completion, &completion);
+	CU_ASSERT_FALSE (thread_join (thread, &clock, start_us - 1000 * MS));
+	CU_ASSERT_FALSE (thread_join (thread, &clock, start_us + 50 * MS));
+	CU_ASSERT_TRUE (clock_now_us (&clock) >= start_us + 50 * MS);
+	completion_signal (&completion);
+	CU_ASSERT_TRUE (thread_join (thread, &clock, start_us + 60000 * MS));
+}
+
 /* Guards against a pause of a loop that is attributed to the wrong part, or not noticed. */
 static void
 test_slow_turn_names_its_longest_part (void)
@@ -1011,6 +1038,7 @@
 		TEST (excessive_length_and_depth_are_rejected),
 		TEST (timers_fire_in_order),
 		TEST (slow_turn_names_its_longest_part),
+		TEST (thread_that_is_held_up_is_joined_for_a_limited_time),
 	};
 	hint_table_init (&hints);
 	return suite_run ("units", tests, sizeof (tests) / sizeof (tests[0]));
