--- a/test/peer.c
+++ b/test/peer.c
@@ -78,6 +78,13 @@
 		&node->clock, &log, on_message, node, &error));
 }
 
+static void
+stop (struct node *node)
+{
+	int64_t until_us = clock_now_us (&node->clock) + (int64_t)WAIT_MS * US_PER_MS;
+	CU_ASSERT_TRUE (peer_stop (&node->peer, until_us));
+}
+
 static void
 pause_ms (int ms)
 {
@@ -127,8 +134,8 @@
 	send_bytes (&sender, &receiver, max_payload ());
 	CU_ASSERT_TRUE (has_received (&receiver, 1));
 	CU_ASSERT_EQUAL (atomic_load (&receiver.largest), max_payload ());
-	peer_stop (&sender.peer);
-	peer_stop (&receiver.peer);
+	stop (&sender);
+	stop (&receiver);
 }
 
 static void
@@ -147,8 +154,8 @@
 	CU_ASSERT_EQUAL (atomic_load (&receiver.received), 2);
 	CU_ASSERT_EQUAL (atomic_load (&receiver.largest), 200);
 	CU_ASSERT_EQUAL (metric_get (METRIC_PEER_DROPPED), dropped + 1);
-	peer_stop (&sender.peer);
-	peer_stop (&receiver.peer);
+	stop (&sender);
+	stop (&receiver);
 }
 
 /* A sender that does not keep the limit loses its connection; the other links stay. */
@@ -181,8 +188,8 @@
 	free (data);
 	zmq_close (stranger);
 	zmq_ctx_term (context);
-	peer_stop (&sender.peer);
-	peer_stop (&receiver.peer);
+	stop (&sender);
+	stop (&receiver);
 }
 
 /* Text that hardly compresses. */
