ingress: answers that callers have not read have a common limit

A complete answer was held until its caller had read it, for as long as the connection lasted, without a limit for all of them together: eight callers that do not read answers of 16 MB take 128 MB, where the smallest VMs have 112 MB.

The callers' server and that for batches now hold at most 24 MB each after each turn of the loop, beside the 32 MB for answers that have not ended. Past it, the connections of the largest answers unread for half a second are closed first; only if none is that old, the largest of all. Smaller answers and callers that read go on. The closed ones are logged and counted. The check comes after the server has written what the sockets take, so that a caller that reads has no part in the sum.

Before: unit-ingress unread_answers_have_a_common_limit fails, seven answers of 4 MB and one of 3 MB are held.

--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -135,6 +135,18 @@
 	return drain_closes_connections (&drain, front_now_us (front));
 }
 
+/* The server that ends them has no log. */
+static void
+log_dropped_answers (struct front *front)
+{
+	unsigned dropped = front->callers.dropped_count;
+	if (dropped == front->logged_dropped)
+		return;
+	log_event (&front->log, EVENT_ANSWERS_DROPPED, "%u answers, %u in all; %zu bytes wait",
+		dropped - front->logged_dropped, dropped, front->callers.answer_bytes);
+	front->logged_dropped = dropped;
+}
+
 static void
 finish_forward (struct scatter *scatter)
 {
@@ -159,6 +171,7 @@
 		}
 	}
 	forward_log_end (forward, status);
+	log_dropped_answers (forward->front);
 	forward_count_end (scatter, front_now_us (forward->front) - scatter->start_us);
 	metric_add (METRIC_SUBS_HEDGE, (uint64_t)scatter->hedges);
 	metric_add (METRIC_SUBS_RETRY, (uint64_t)scatter->retries);
@@ -729,6 +742,7 @@
 	struct forward *forward = xcalloc (1, sizeof (*forward));
 	struct header_scan scan = {.forward = forward};
 	forward_init (forward, front);
+	log_dropped_answers (front);
 	str_copy (
 		scan.connection, sizeof (scan.connection), ingress_header (request, "Connection"));
 	ingress_headers (request, collect_header, &scan);
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -72,6 +72,7 @@
 	struct timers timers;
 	struct fetch_loop fetches;
 	struct ingress callers;
+	unsigned logged_dropped; /**< dropped answers of callers that were logged */
 	struct ingress balancer; /**< readiness probes of the load balancer */
 	struct ingress batches;  /**< batches that other entry nodes send */
 	/** This control node is the leader and reads the target list for all nodes. */
--- a/net/ingress.c
+++ b/net/ingress.c
@@ -1,6 +1,7 @@
 #include "net/ingress.h"
 
 #include "core/clock.h"
+#include "core/metrics.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -171,6 +172,8 @@
 		request->client->receiving = NULL;
 	}
 	ingress->request_count--;
+	if (request->answered && !request->dropped)
+		ingress->answer_bytes -= request->answer_len;
 	free (request->uri);
 	free (request->answer);
 	buf_finish (&request->body);
@@ -426,11 +429,59 @@
 	return true;
 }
 
+static bool
+is_slow (const struct ingress_request *request, int64_t now_us)
+{
+	return now_us - request->answered_us >= INGRESS_SLOW_US;
+}
+
+/* Whether the first is dropped before the second. */
+static bool
+goes_first (const struct ingress_request *a, const struct ingress_request *b, int64_t now_us)
+{
+	if (is_slow (a, now_us) != is_slow (b, now_us))
+		return is_slow (a, now_us);
+	return a->answer_len > b->answer_len;
+}
+
+static struct ingress_request *
+find_answer_to_drop (const struct ingress *ingress)
+{
+	struct ingress_request *found = NULL;
+	int64_t now_us = clock_now_us (ingress->clock);
+	for (int i = 0; i < ingress->client_count; i++) {
+		struct ingress_client *client = ingress->clients[i];
+		struct ingress_request *request = client ? client->receiving : NULL;
+		if (!request || !request->answered || request->dropped)
+			continue;
+		if (!found || goes_first (request, found, now_us))
+			found = request;
+	}
+	return found;
+}
+
+/* The server frees an answer when it finds the connection closed, in its next run. */
+static void
+limit_answer_bytes (struct ingress *ingress)
+{
+	while (ingress->answer_bytes > INGRESS_ANSWER_BYTES_MAX) {
+		struct ingress_request *request = find_answer_to_drop (ingress);
+		if (!request)
+			return;
+		request->dropped = true;
+		ingress->answer_bytes -= request->answer_len;
+		ingress->dropped_count++;
+		metric_add (METRIC_ANSWERS_DROPPED, 1);
+		shutdown (request->client->fd, SHUT_RDWR);
+	}
+}
+
 void
 ingress_run (struct ingress *ingress)
 {
 	ingress->resumed = false;
 	MHD_run (ingress->daemon);
+	limit_answer_bytes (ingress);
 	discard_lingering (ingress);
 }
 
@@ -457,6 +508,8 @@
 	request->status = status;
 	request->answer = body ? body : xstrdup ("");
 	request->answer_len = len;
+	request->answered_us = clock_now_us (request->ingress->clock);
+	request->ingress->answer_bytes += len;
 	request->close = close;
 	if (head && head->len)
 		buf_add (&request->head, head->data, head->len);
--- a/net/ingress.h
+++ b/net/ingress.h
@@ -24,6 +24,10 @@
 enum {
 	/** How long bytes that a caller sends behind a closing answer are discarded. */
 	INGRESS_LINGER_US = 500000,
+	/** Memory of the answers of one server that callers have not read yet, of all together. */
+	INGRESS_ANSWER_BYTES_MAX = 24 * 1024 * 1024,
+	/** After this time, an answer that has not been read has a slow reader. */
+	INGRESS_SLOW_US = 500000,
 };
 
 /** A request; valid until it is answered or the hook caller_left returns. */
@@ -42,8 +46,10 @@
 	struct buf head; /**< header lines of the answer, as "Name: value\n" */
 	char *answer;
 	size_t answer_len;
-	bool close; /**< close the connection after the answer */
-	void *user; /**< for the hooks */
+	int64_t answered_us;
+	bool dropped; /**< its connection was ended for the memory of its answer */
+	bool close;   /**< close the connection after the answer */
+	void *user;   /**< for the hooks */
 };
 
 struct ingress_hooks {
@@ -72,6 +78,8 @@
 	struct ingress_limits limits;
 	int connection_count;
 	int request_count;
+	size_t answer_bytes;             /**< of answers that callers have not read yet */
+	unsigned dropped_count;          /**< answers ended for the limit of answer_bytes */
 	bool resumed;                    /**< a resumed request needs ingress_run */
 	struct ingress_client **clients; /**< indexed by socket */
 	int client_count;
@@ -120,7 +128,11 @@
 bool
 ingress_socket_event (struct ingress *ingress, int fd, uint32_t events);
 
-/** Accepts connections, reads, writes and calls the hooks, without blocking. */
+/**
+ * Accepts connections, reads, writes and calls the hooks, without blocking. Past
+ * INGRESS_ANSWER_BYTES_MAX, it ends the connections of the largest answers, those with slow readers
+ * first.
+ */
 void
 ingress_run (struct ingress *ingress);
 
--- a/test/ingress.c
+++ b/test/ingress.c
@@ -370,6 +370,77 @@
 	stop (&fixture);
 }
 
+enum {
+	SLOW_CALLERS = 7,
+	LARGE_ANSWER = 4 * 1024 * 1024,
+	SMALL_ANSWER =
+		3 * 1024 * 1024, /* more than the kernel takes for a caller that does not read */
+	SLOW_TURNS = 700,        /* longer than INGRESS_SLOW_US */
+};
+
+static void
+answer_held (struct fixture *fixture, size_t len)
+{
+	run (fixture, 5);
+	CU_ASSERT_EQUAL_FATAL (fixture->held_count, 1);
+	char *body = xmalloc (len);
+	memset (body, 'a', len);
+	ingress_answer (fixture->held[0], 200, NULL, body, len, false);
+	fixture->held_count = 0;
+	run (fixture, 2);
+}
+
+static int
+ask_slowly (const struct fixture *fixture)
+{
+	int fd = connect_caller (fixture, SMALL_BUFFER);
+	send_text (fd, "GET /all/x HTTP/1.1\r\nHost: site.example\r\n\r\n");
+	return fd;
+}
+
+/* Guards against answers that callers do not read and that take all memory of the node. */
+static void
+test_unread_answers_have_a_common_limit (void)
+{
+	struct fixture fixture;
+	int fds[SLOW_CALLERS];
+	struct reader small;
+	struct reader fast;
+	fixture_init (&fixture);
+	int small_fd = ask_slowly (&fixture);
+	answer_held (&fixture, SMALL_ANSWER);
+	for (int i = 0; i < SLOW_CALLERS - 2; i++) {
+		fds[i] = ask_slowly (&fixture);
+		answer_held (&fixture, LARGE_ANSWER);
+	}
+	run (&fixture, SLOW_TURNS);
+	CU_ASSERT_EQUAL (fixture.ingress.connection_count, SLOW_CALLERS - 1);
+	for (int i = SLOW_CALLERS - 2; i < SLOW_CALLERS; i++) {
+		fds[i] = ask_slowly (&fixture);
+		answer_held (&fixture, LARGE_ANSWER);
+	}
+	run (&fixture, 20);
+	/* The small answer and as many large ones as fit are left. */
+	CU_ASSERT_EQUAL (fixture.ingress.connection_count,
+		1 + (INGRESS_ANSWER_BYTES_MAX - SMALL_ANSWER) / LARGE_ANSWER);
+	int fd = connect_caller (&fixture, 0);
+	send_text (fd, "GET /all/x HTTP/1.1\r\nHost: site.example\r\nConnection: close\r\n\r\n");
+	reader_start (&fast, fd, 0);
+	answer_held (&fixture, LARGE_ANSWER / 2);
+	reader_start (&small, small_fd, 0);
+	run (&fixture, 200);
+	for (int i = 0; i < SLOW_CALLERS; i++)
+		close (fds[i]);
+	shutdown (small_fd, SHUT_WR);
+	stop (&fixture);
+	reader_join (&fast);
+	reader_join (&small);
+	CU_ASSERT_TRUE (fast.len > LARGE_ANSWER / 2);
+	CU_ASSERT_TRUE (small.len > SMALL_ANSWER);
+	free (fast.data);
+	free (small.data);
+}
+
 int
 main (void)
 {
@@ -382,6 +453,7 @@
 		TEST (stop_waits_for_slow_readers),
 		TEST (closing_answer_survives_unread_bytes),
 		TEST (stopped_listener_turns_callers_away),
+		TEST (unread_answers_have_a_common_limit),
 	};
 	return suite_run ("ingress", tests, sizeof (tests) / sizeof (tests[0]));
 }
