test, daemon: planned stops beside threads that are held up

With a control thread that does not answer, callers of a stopping node got no answer at all: the first step of the stop waited for that thread before readiness failed, and the platform killed a node that still took requests.

test/freeze.c runs the daemon and stops single threads of it, which now have names. test/stops.sh stops an entry node while its control, peer or worker thread is held up, and after a reload that the control thread has not taken, and a control node while an operator waits for an order. Threads that do not end are now left 80 ms before the end of the plan, so that the process has ended when front.stop_ms is over: with the wait up to the end itself it ended after 5,009 and 5,012 ms.

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -362,6 +362,7 @@
 {
 	struct control *control = arg;
 	int64_t cpu_us = 0;
+	pthread_setname_np (pthread_self (), "control");
 	rcu_register_thread ();
 	while (!atomic_load (&control->stop)) {
 		struct pollfd mail_event = {.fd = control->mailbox.event_fd, .events = POLLIN};
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -805,6 +805,7 @@
 run (void *arg)
 {
 	struct front *front = arg;
+	pthread_setname_np (pthread_self (), "front");
 	rcu_register_thread ();
 	ingress_watch_unanswered (&front->callers, forward_log_unanswered);
 	ingress_watch_unanswered (&front->batches, forward_log_unanswered);
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -339,8 +339,8 @@
 	int64_t end_us =
 		deadline_us (node, node->front ? EXIT_ACK_FRONT_TIMEOUT_MS : EXIT_ACK_TIMEOUT_MS);
 	control_set_leaving (node->control, true);
-	wait_until (
-		node, signals, is_exit_acknowledged, end_us < plan->end_us ? end_us : plan->end_us);
+	wait_until (node, signals, is_exit_acknowledged,
+		end_us < plan->exit_us ? end_us : plan->exit_us);
 	log_stop_step (node, plan->began_us, "exit announced");
 }
 
@@ -348,18 +348,18 @@
 static const char *
 end_threads (struct node *node, struct servers *servers, const struct stop_plan *plan)
 {
-	if (!orders_stop (&servers->orders, plan->end_us))
+	if (!orders_stop (&servers->orders, plan->exit_us))
 		return "orders in progress";
 	log_stop_step (node, plan->began_us, "orders ended");
 	for (int i = 0; i < node->worker_count; i++) {
-		if (!worker_stop (&node->workers[i], plan->end_us))
+		if (!worker_stop (&node->workers[i], plan->exit_us))
 			return "a worker";
 	}
 	log_stop_step (node, plan->began_us, "workers ended");
-	if (!control_stop (node->control, plan->end_us))
+	if (!control_stop (node->control, plan->exit_us))
 		return "the control thread";
 	log_stop_step (node, plan->began_us, "control ended");
-	if (!peer_stop (&node->peer, plan->end_us))
+	if (!peer_stop (&node->peer, plan->exit_us))
 		return "the links to other nodes";
 	log_stop_step (node, plan->began_us, "peer links ended");
 	return NULL;
--- a/daemon/worker.c
+++ b/daemon/worker.c
@@ -178,6 +178,7 @@
 {
 	struct worker *worker = arg;
 	struct epoll_event events[EVENTS_PER_WAIT];
+	pthread_setname_np (pthread_self (), "worker");
 	rcu_register_thread ();
 	while (!worker->stop) {
 		int count =
--- a/net/peer.c
+++ b/net/peer.c
@@ -195,6 +195,7 @@
 		{.socket = peer->socket, .events = ZMQ_POLLIN},
 		{.fd = peer->outgoing.event_fd, .events = ZMQ_POLLIN},
 	};
+	pthread_setname_np (pthread_self (), "peer");
 	while (!atomic_load (&peer->stop)) {
 		zmq_poll (items, 2, POLL_MS);
 		send_all (peer);
--- a/query/drain.c
+++ b/query/drain.c
@@ -18,6 +18,7 @@
 	};
 	plan.answer_us =
 		plan.end_us - step_us (DRAIN_EXIT_US, stop_us) - plan.linger_us - plan.flush_us;
+	plan.exit_us = plan.end_us - step_us (DRAIN_TEARDOWN_US, stop_us);
 	plan.refuse_us = plan.answer_us - step_us (DRAIN_END_US, stop_us);
 	plan.late_us = plan.end_us + step_us (DRAIN_END_US, stop_us);
 	return plan;
--- a/query/drain.h
+++ b/query/drain.h
@@ -31,6 +31,8 @@
 	DRAIN_LINGER_US = 50000,
 	/** Time to announce the exit to the other nodes and to end the threads. */
 	DRAIN_EXIT_US = 100000,
+	/** Of that, time for the system to end the process. */
+	DRAIN_TEARDOWN_US = 80000,
 	/** The times above apply to a stop of this duration; a shorter one has a share of them. */
 	DRAIN_FULL_STOP_US = 5000000,
 };
@@ -50,6 +52,7 @@
 	int64_t answer_us; /**< requests that still run get their last answer */
 	int64_t flush_us;  /**< how long answers may then be written */
 	int64_t linger_us; /**< and how long callers may then read them */
+	int64_t exit_us;   /**< threads that have not ended are left to the exit */
 	int64_t end_us;    /**< the process has ended */
 	int64_t late_us;   /**< last answers that are late may be written until then */
 };
--- a/test/routes.c
+++ b/test/routes.c
@@ -470,6 +470,8 @@
 		/* What is left after the last answers suffices to write and to read them. */
 		CU_ASSERT_TRUE (plan.flush_us > 0 && plan.linger_us > 0);
 		CU_ASSERT_TRUE (plan.answer_us + plan.flush_us + plan.linger_us < plan.end_us);
+		CU_ASSERT_TRUE (plan.exit_us < plan.end_us);
+		CU_ASSERT_TRUE (plan.answer_us + plan.flush_us + plan.linger_us < plan.exit_us);
 		CU_ASSERT_EQUAL (plan.end_us, start_us + durations_ms[i] * MS);
 	}
 }
--- a/test/stops.sh
+++ b/test/stops.sh
@@ -134,53 +134,128 @@
 	echo $version > "$RUN/version"
 }
 
-mkdir -p "$RUN/data1"
-"$BUILD/test/stand-in-platform" $PLATFORM 1 3 5 2>> "$RUN/targets.log" &
-PIDS[platform]=$!
-settings 1 control
-settings 2 entry
-start_node 1
-start_node 2
-version=1
-wait_for 20 is_posted $version || fail "the routing was not accepted"
-wait_for 20 serves || fail "the entry node does not serve"
+# start_freezable N: starts node N; it stops the threads whose names are written to FREEZE.
+start_freezable () {
+	rm -f "$RUN/freeze"
+	mkfifo "$RUN/freeze"
+	"$BUILD/test/freeze" "$BUILD/oleanderstiled" -c "$RUN/n$1.ini" < "$RUN/freeze" >> "$RUN/n$1.log" 2>&1 &
+	PIDS[n$1]=$!
+	exec {FREEZE}> "$RUN/freeze"
+}
 
-# Guards against a stop that exceeds its duration, so that the platform kills the node while callers wait.
-for round in 1 2 3; do
+start_entry () {
+	start_freezable 2
+	wait_for 20 serves || fail "the entry node does not serve"
+}
+
+readiness () {
+	curl -s --noproxy '*' -m 2 -o /dev/null -w '%{http_code}' "http://127.0.0.1:$((BASE + 52))/readiness"
+}
+
+# kill_after SECONDS N: kills node N then, as the platform does at the end of the grace period.
+kill_after () {
+	sleep "$1"
+	kill -KILL "${PIDS[n$2]}" 2> /dev/null
+}
+
+# play_stop NAME [THREAD [SIGNAL]]: stops the entry node while one routing follows the other, targets
+# are stuck and callers keep their connections. THREAD is stopped before, SIGNAL comes before SIGTERM.
+play_stop () {
+	local name=$1 thread=${2:-} signal=${3:-} t busy idle series readers began took
 	rm -f "$RUN/stopped"
 	for t in 0 1 2; do set_fault stuck $t 1; done
 	exec {busy}<> "/dev/tcp/127.0.0.1/$((BASE + 2))"
 	exec {idle}<> "/dev/tcp/127.0.0.1/$((BASE + 2))"
-	send_kept $busy busy$round /file/x
+	send_kept $busy "busy-$name" /file/x
 	post_series $((version + 1)) &
 	series=$!
-	sleep 1
+	sleep 0.5
+	[ -z "$thread" ] || echo "$thread" >&$FREEZE
+	sleep 0.5
+	[ -z "$signal" ] || { kill "-$signal" "${PIDS[n2]}"; sleep 0.2; }
 	began=$(now_ms)
 	kill -TERM "${PIDS[n2]}"
-	read_until_closed $busy busy$round &
+	read_until_closed $busy "busy-$name" &
 	readers=($!)
-	read_until_closed $idle idle$round &
+	read_until_closed $idle "idle-$name" &
 	readers+=($!)
-	wait "${PIDS[n2]}" || fail "the entry node exited with $?"
+	kill_after 12 2 &
+	local killer=$!
+	sleep 0.3
+	expect "$name: the node is not ready" "$(readiness)" '^503'
+	wait "${PIDS[n2]}" || fail "$name: the entry node exited with $?"
 	took=$(($(now_ms) - began))
+	kill $killer 2> /dev/null
 	unset "PIDS[n2]"
+	exec {FREEZE}>&-
 	touch "$RUN/stopped"
 	wait "${readers[@]}"
 	wait $series
 	version=$(cat "$RUN/version")
 	exec {busy}>&- {idle}>&-
-	echo "stop $round: process ended after $took ms," \
-		"connections after $(($(cat "$RUN/busy$round.closed") - began))" \
-		"and $(($(cat "$RUN/idle$round.closed") - began)) ms," \
-		"$(grep -c 'FRONT_PAUSED' "$RUN/n2.log") pauses so far"
-	expect "a request that ran until the end gets a last answer" "$(cat "$RUN/busy$round")" '^HTTP/1.1 504'
-	expect_below "the connection of the running request is closed" \
-		$(($(cat "$RUN/busy$round.closed") - began)) $STOP_MS
-	expect_below "an idle connection is closed" $(($(cat "$RUN/idle$round.closed") - began)) $STOP_MS
-	expect_below "the process ends" $took $STOP_MS
-	expect "no connection ends without an answer" "$(grep -c CONNECTION_UNANSWERED "$RUN/n2.log")" '^0$'
 	for t in 0 1 2; do set_fault stuck $t 0; done
-	start_node 2
-	wait_for 20 serves || fail "the entry node does not serve after its restart"
+	local busy_ms=$(($(cat "$RUN/busy-$name.closed") - began)) idle_ms=$(($(cat "$RUN/idle-$name.closed") - began))
+	echo "$name: process ended after $took ms, connections after $busy_ms and $idle_ms ms"
+	[ -z "$thread" ] || expect "$name: the thread is stopped" "$(tail -n 200 "$RUN/n2.log")" "^froze 1 threads $thread"
+	expect "$name: a request that ran until the end gets a last answer" "$(cat "$RUN/busy-$name")" '^HTTP/1.1 504'
+	expect_below "$name: the connection of the running request is closed" $busy_ms $STOP_MS
+	expect_below "$name: an idle connection is closed" $idle_ms $STOP_MS
+	expect_below "$name: the process ends" $took $STOP_MS
+	expect "$name: no connection ends without an answer" "$(grep -c CONNECTION_UNANSWERED "$RUN/n2.log")" '^0$'
+}
+
+mkdir -p "$RUN/data1"
+"$BUILD/test/stand-in-platform" $PLATFORM 1 3 5 2>> "$RUN/targets.log" &
+PIDS[platform]=$!
+settings 1 control
+settings 2 entry
+start_node 1
+version=1
+wait_for 20 is_posted $version || fail "the routing was not accepted"
+
+# Guards against a stop that exceeds its duration, so that the platform kills the node while callers wait.
+start_entry
+play_stop routings
+# Guards against a stop that waits for a thread which does not answer.
+for thread in control peer worker; do
+	start_entry
+	play_stop "frozen-$thread" $thread
 done
+# Guards against SIGTERM that is not seen because reloading the settings waits for the control thread.
+start_entry
+play_stop frozen-reload control HUP
+
+# play_control_stop NAME [THREAD]: stops the control node while an operator waits for an order.
+play_control_stop () {
+	local name=$1 thread=${2:-} began took killer order
+	[ -z "$thread" ] || { echo "$thread" >&$FREEZE; sleep 0.3; }
+	post_manifest $((version + 1)) > "$RUN/order" &
+	order=$!
+	sleep 0.05
+	began=$(now_ms)
+	kill -TERM "${PIDS[n1]}"
+	kill_after 12 1 &
+	killer=$!
+	wait "${PIDS[n1]}" || fail "$name: the control node exited with $?"
+	took=$(($(now_ms) - began))
+	kill $killer 2> /dev/null
+	unset "PIDS[n1]"
+	exec {FREEZE}>&-
+	wait $order
+	version=$((version + 1))
+	echo "$name: process ended after $took ms, order: $(cat "$RUN/order")"
+	expect_below "$name: the process ends" $took $STOP_MS
+}
+
+# Guards against a stop of a control node that waits for an order which no majority confirms.
+stop n1
+start_freezable 1
+version=$((version + 1))
+wait_for 20 is_posted $version || fail "the control node takes no orders after its restart"
+play_control_stop order
+expect "an order in progress is answered" "$(cat "$RUN/order")" '^200'
+start_freezable 1
+version=$((version + 1))
+wait_for 20 is_posted $version || fail "the control node takes no orders after its restart"
+play_control_stop order-frozen-control control
 echo "stops: $checks checks passed"
