--- a/daemon/front.c
+++ b/daemon/front.c
@@ -864,6 +864,7 @@
 run (void *arg)
 {
 	struct front *front = arg;
+	pthread_setname_np (pthread_self (), "front");
 	rcu_register_thread ();
 	while (front->phase < STOP_ENDING)
 		iterate (front, idle_wait_ms (front));
