soak: entry nodes freeze, are killed and lose their links

Requests that overlap an impairment of their own node are counted apart; answers of others, false refusals and repeated runs are judged at all times. Two promises are checked in addition in all modes: all entry nodes have the newest version of the routes 3 s after the end, and draining targets get nothing after the time that they may be used.

The client's answers were bounded by 256 kB.

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -80,7 +80,7 @@
 		return true;
 	caller->node = choose_node (caller);
 	caller->fd =
-		http_connect (cluster_entry_port (caller->callers->cluster, caller->node), buffer);
+		http_connect (cluster_caller_port (caller->callers->cluster, caller->node), buffer);
 	return caller->fd >= 0;
 }
 
@@ -372,7 +372,10 @@
 	struct callers_report *report = &callers->report;
 	struct cluster_work work = cluster_work (callers->cluster, item->id);
 	int64_t waited_us = item->end_us - item->sent_us;
-	if (item->end == HTTP_TIMED_OUT) {
+	const struct cluster_node *node = cluster_entry (callers->cluster, item->node);
+	if (cluster_was_impaired (node, item->sent_us, item->end_us)) {
+		report->impaired++;
+	} else if (item->end == HTTP_TIMED_OUT) {
 		report->timed_out++;
 		print_case (callers, out, "NO ANSWER", item, work);
 	} else if (!item->whole_sent && work.runs == 0) {
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -62,6 +62,7 @@
 	long crossed;     /**< closed without an answer, not run, within the slack */
 	long lost;
 	long lost_by_rule; /**< of these, those that the users' rule counts */
+	long impaired;     /**< without a whole answer, while their node was impaired */
 	long timed_out;
 	long mixed;         /**< answers of another request, or with another body */
 	long false_refusal; /**< refused, though it ran */
--- a/soak/cluster.c
+++ b/soak/cluster.c
@@ -19,9 +19,11 @@
 	PEER_OFFSET = 200,
 	METRICS_OFFSET = 300,
 	PLATFORM_OFFSET = 400,
+	PROXY_OFFSET = 600,
 	READY_OFFSET = 50,
 	BATCH_STEP = 700,
 	START_TIMEOUT_US = 20000000,
+	VIEW_TIMEOUT_US = 1500000,
 	ROTATION_MISSES = 2,
 	TEXT_SIZE = 512,
 };
@@ -40,6 +42,13 @@
 	return cluster->base_port + cluster->site->control_nodes + 1 + index;
 }
 
+int
+cluster_caller_port (const struct cluster *cluster, int index)
+{
+	return cluster->base_port + cluster->site->control_nodes + 1 + index +
+	       (cluster->proxied ? PROXY_OFFSET : 0);
+}
+
 int
 cluster_platform_port (const struct cluster *cluster)
 {
@@ -122,6 +131,34 @@
 	kill (node->pid, signal);
 }
 
+void
+cluster_impair (struct cluster_node *node)
+{
+	if (node->impairment_count < CLUSTER_IMPAIRMENTS_MAX)
+		node->impairments[node->impairment_count++] =
+			(struct cluster_impairment){http_now_us (), INT64_MAX};
+}
+
+void
+cluster_recover (struct cluster_node *node)
+{
+	for (int i = 0; i < node->impairment_count; i++) {
+		if (node->impairments[i].to_us == INT64_MAX)
+			node->impairments[i].to_us = http_now_us ();
+	}
+}
+
+bool
+cluster_was_impaired (const struct cluster_node *node, int64_t from_us, int64_t to_us)
+{
+	for (int i = 0; i < node->impairment_count; i++) {
+		const struct cluster_impairment *time = &node->impairments[i];
+		if (time->from_us <= to_us && time->to_us >= from_us)
+			return true;
+	}
+	return false;
+}
+
 bool
 cluster_reap (struct cluster_node *node, int *status)
 {
@@ -269,6 +306,30 @@
 	return ask_platform (cluster, "repeated", text);
 }
 
+int
+cluster_late_arrivals (const struct cluster *cluster)
+{
+	return ask_platform (cluster, "late", "all");
+}
+
+bool
+cluster_has_version (struct cluster *cluster, int index, long version)
+{
+	static _Thread_local struct http_answer answer;
+	char text[TEXT_SIZE];
+	int fd = http_connect (cluster_entry_port (cluster, index), 0);
+	if (fd < 0)
+		return false;
+	int len = snprintf (text, sizeof (text),
+		"GET /extra-%ld/x HTTP/1.1\r\nHost: site.example\r\n"
+		"Oleanderstile-Attempt-Id: view-%d-%ld\r\nOleanderstile-Deadline-Ms: 900\r\n\r\n",
+		version, index, version);
+	http_send (fd, text, (size_t)len);
+	http_read (fd, 0, http_now_us () + VIEW_TIMEOUT_US, &answer);
+	close (fd);
+	return answer.end == HTTP_ANSWERED && answer.status != 404;
+}
+
 static bool
 is_ready (const struct cluster *cluster, int index)
 {
@@ -319,9 +380,9 @@
 		int value;
 	} numbers[] = {{"%d", cluster_platform_port (cluster)}, {"%d", site_services (site)},
 		{"%d", site->replicas}, {"%d", 2}, {"plain=%d", cluster->plain_list},
-		{"last=%d", site->single_targets}, {"zones=%d", site->zones},
-		{"slots=%d", site->slots}, {"last_slots=%d", site->single_slots},
-		{"pause_ms=%d", site->pause_ms},
+		{"drain_ms=%d", cluster->drain_ms}, {"last=%d", site->single_targets},
+		{"zones=%d", site->zones}, {"slots=%d", site->slots},
+		{"last_slots=%d", site->single_slots}, {"pause_ms=%d", site->pause_ms},
 		{"pause_every_ms=%d", site->pause_every_ms ? site->pause_every_ms : 1}};
 	enum { COUNT = sizeof (numbers) / sizeof (numbers[0]) };
 	char texts[COUNT][32];
@@ -333,11 +394,27 @@
 	cluster->platform_pid = start_process (cluster, "platform", arguments);
 }
 
+static bool
+start_proxies (struct cluster *cluster)
+{
+	for (int i = 0; cluster->proxied && i < cluster->entry_count; i++) {
+		if (!proxy_start (&cluster_entry (cluster, i)->proxy,
+			    cluster_caller_port (cluster, i), cluster_entry_port (cluster, i)))
+			return false;
+	}
+	return true;
+}
+
 bool
 cluster_start (struct cluster *cluster)
 {
 	char path[TEXT_SIZE];
 	start_platform (cluster);
+	if (!start_proxies (cluster)) {
+		fprintf (stderr,
+			"soak: a port of the proxies is not free; use another --base-port\n");
+		return false;
+	}
 	for (int i = 0; i < cluster->site->control_nodes + cluster->entry_count; i++) {
 		struct cluster_node *node = &cluster->nodes[i];
 		node->number = i + 1;
@@ -369,4 +446,6 @@
 	for (int i = 0; i < CLUSTER_NODES_MAX; i++)
 		kill_process (cluster->nodes[i].pid);
 	kill_process (cluster->platform_pid);
+	for (int i = 0; cluster->proxied && i < cluster->entry_count; i++)
+		proxy_stop (&cluster_entry (cluster, i)->proxy);
 }
--- a/soak/cluster.h
+++ b/soak/cluster.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include "soak/proxy.h"
 #include "soak/site.h"
 
 #include <stdbool.h>
@@ -15,9 +16,16 @@
 	CLUSTER_CONTROL_MAX = 5,
 	CLUSTER_ENTRY_MAX = 8,
 	CLUSTER_NODES_MAX = CLUSTER_CONTROL_MAX + CLUSTER_ENTRY_MAX,
+	CLUSTER_IMPAIRMENTS_MAX = 32,
 	CLUSTER_GRACE_US = 6000000, /**< from SIGTERM until SIGKILL */
 };
 
+/** A time in which a process or its links are impaired from outside. */
+struct cluster_impairment {
+	int64_t from_us;
+	int64_t to_us; /**< INT64_MAX until it ends */
+};
+
 /** A node; the control nodes come first. */
 struct cluster_node {
 	int number;
@@ -27,6 +35,10 @@
 	_Atomic int64_t last_stop_us;
 	int misses; /**< readiness probes missed in a row */
 	_Atomic bool in_rotation;
+	bool killed; /**< by the plan */
+	struct cluster_impairment impairments[CLUSTER_IMPAIRMENTS_MAX];
+	int impairment_count;
+	struct proxy proxy; /**< between callers and an entry node */
 };
 
 struct cluster {
@@ -34,6 +46,8 @@
 	const char *platform;
 	const char *folder; /**< settings, logs and data */
 	const struct site *site;
+	bool proxied;    /**< callers reach entry nodes by way of a proxy */
+	int drain_ms;    /**< a draining target may be used for so long */
 	bool plain_list; /**< the list has no entries that cannot be decoded */
 	int base_port;
 	int entry_count;
@@ -56,6 +70,9 @@
 cluster_entry (struct cluster *cluster, int index);
 int
 cluster_entry_port (const struct cluster *cluster, int index);
+/** The port that callers connect to: the entry node's, or that of its proxy. */
+int
+cluster_caller_port (const struct cluster *cluster, int index);
 int
 cluster_platform_port (const struct cluster *cluster);
 
@@ -64,6 +81,15 @@
 void
 cluster_signal (struct cluster_node *node, int signal);
 
+/** Notes that a node is impaired from now on, until cluster_recover(). */
+void
+cluster_impair (struct cluster_node *node);
+void
+cluster_recover (struct cluster_node *node);
+/** Whether a node was impaired at some moment of a time. */
+bool
+cluster_was_impaired (const struct cluster_node *node, int64_t from_us, int64_t to_us);
+
 /** Collects a process that has ended. Returns whether it has; *status is that of waitpid(). */
 bool
 cluster_reap (struct cluster_node *node, int *status);
@@ -95,6 +121,14 @@
 int
 cluster_repeated (const struct cluster *cluster, const char *text);
 
+/** How many requests reached draining targets too late. */
+int
+cluster_late_arrivals (const struct cluster *cluster);
+
+/** Whether an entry node has the route that only this version of the routes has. */
+bool
+cluster_has_version (struct cluster *cluster, int index, long version);
+
 /**
  * Probes the entry nodes, as the load balancer does once a second: after two misses a node gets no
  * new connections.
--- a/soak/http.h
+++ b/soak/http.h
@@ -8,7 +8,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-enum { HTTP_HEAD_MAX_BYTES = 16384, HTTP_BODY_MAX_BYTES = 262144, HTTP_ID_SIZE = 40 };
+enum { HTTP_HEAD_MAX_BYTES = 16384, HTTP_BODY_MAX_BYTES = 327680, HTTP_ID_SIZE = 40 };
 
 enum http_end {
 	HTTP_ANSWERED,  /**< a whole answer was read */
--- a/soak/main.c
+++ b/soak/main.c
@@ -24,6 +24,10 @@
 	PROBE_INTERVAL_US = 1000000,
 	READ_TIMEOUT_US = 8000000,
 	TAIL_US = 2500000, /* callers go on after the last restart, and calls end */
+	LINK_DELAY_MS = 30,
+	DRAIN_MS = 3000,
+	CONTACT_MS = 4000, /* a node that was impaired is bound again after it */
+	VIEW_TIMEOUT_US = 3000000,
 	LARGE_MIN_ROUTES = 370,
 	LARGE_MAX_ROUTES = 1871,
 };
@@ -41,6 +45,12 @@
 	ACTION_KILL_CONTROL,
 	ACTION_STOP_CONTROL,
 	ACTION_START_CONTROL,
+	ACTION_FREEZE_ENTRY,
+	ACTION_THAW_ENTRY,
+	ACTION_KILL_ENTRY,
+	ACTION_LINK_FAULT,
+	ACTION_LINK_HEAL,
+	ACTION_LINK_RESET,
 	ACTION_FAULT,
 	ACTION_HEAL,
 };
@@ -49,14 +59,21 @@
 	"SIGHUP to entry node", "start of entry node", "new routes through control node",
 	"large routes through control node", "index moved through control node",
 	"SIGSTOP to control node", "SIGCONT to control node", "SIGKILL to control node",
-	"SIGTERM to control node", "start of control node", "fault at target",
-	"end of the fault at target"};
+	"SIGTERM to control node", "start of control node", "SIGSTOP to entry node",
+	"SIGCONT to entry node", "SIGKILL to entry node", "fault of the links of entry node",
+	"end of the fault of the links of entry node", "reset of the connections of entry node",
+	"fault at target", "end of the fault at target"};
 
 static const char *const faults[] = {
-	"silent", "draining", "announce", "busy", "slow", "close", "reset"};
+	"silent", "draining", "announce", "busy", "slow", "close", "reset", "mismatch"};
 
 /* The first of them are used by the plan of the small site. */
-enum { SMALL_FAULTS = 4, ALL_FAULTS = sizeof (faults) / sizeof (faults[0]) };
+enum {
+	FAULT_DRAINING = 1,
+	SMALL_FAULTS = 4,
+	SITE_FAULTS = 7,
+	ALL_FAULTS = sizeof (faults) / sizeof (faults[0]),
+};
 
 struct pending {
 	int64_t at_us;
@@ -71,6 +88,8 @@
 	const char *folder;
 	const struct site *site;
 	bool plain_list;
+	bool entry_faults; /* entry nodes are frozen and killed, their links disturbed */
+	bool proxied;
 	long on_ms; /* entry nodes run for so long in each period; 0: all the time */
 	long period_ms;
 	long base_port;
@@ -206,7 +225,7 @@
 		if (!one_in (scenario, 3))
 			plan_large_routes (scenario, at_us + random_us (scenario, 5500));
 		if (!planned_only)
-			plan_impairments (scenario, at_us, ALL_FAULTS);
+			plan_impairments (scenario, at_us, SITE_FAULTS);
 	}
 	if (one_in (scenario, 2))
 		schedule (scenario, scenario->start_us + 2000000 + random_us (scenario, 8000),
@@ -236,6 +255,60 @@
 	}
 }
 
+/* Processes and links of entry nodes, beside the planned stops. */
+static void
+plan_entry_fault (struct scenario *scenario, int64_t at_us)
+{
+	int entry = (int)rng_below (&scenario->rng, (uint64_t)scenario->cluster.entry_count);
+	int64_t end_us = at_us + 300000 + random_us (scenario, 2700);
+	int fault = 1 + (int)rng_below (&scenario->rng, PROXY_FAULTS - 1);
+	bool link = one_in (scenario, 2);
+	uint64_t kind = rng_below (&scenario->rng, 3);
+	if (link && scenario->settings->proxied && kind == 0) {
+		schedule (scenario, at_us, ACTION_LINK_RESET, entry, 0);
+	} else if (link && scenario->settings->proxied) {
+		schedule (scenario, at_us, ACTION_LINK_FAULT, entry, fault);
+		schedule (scenario, end_us, ACTION_LINK_HEAL, entry, fault);
+	} else if (kind == 0) {
+		schedule (scenario, at_us, ACTION_KILL_ENTRY, entry, 0);
+	} else {
+		schedule (scenario, at_us, ACTION_FREEZE_ENTRY, entry, 0);
+		schedule (scenario, end_us, ACTION_THAW_ENTRY, entry, 0);
+	}
+}
+
+/* Targets of single requests and of a shard drain, and one does not keep to the protocol. */
+static void
+plan_long_faults (struct scenario *scenario)
+{
+	const struct site *site = scenario->cluster.site;
+	int singles = site_targets (site) - site->single_targets;
+	int64_t at_us = scenario->start_us + 2000000;
+	int subjects[] = {singles + (int)rng_below (&scenario->rng, (uint64_t)site->single_targets),
+		(int)rng_below (&scenario->rng, (uint64_t)site->shards * (uint64_t)site->replicas)};
+	for (size_t i = 0; i < sizeof (subjects) / sizeof (subjects[0]); i++)
+		schedule (scenario, at_us + random_us (scenario, 3000), ACTION_FAULT, subjects[i],
+			FAULT_DRAINING);
+	for (int i = 0; i < 2; i++) {
+		int target =
+			singles + (int)rng_below (&scenario->rng, (uint64_t)site->single_targets);
+		int fault = SITE_FAULTS - 2 + (int)rng_below (&scenario->rng, 3);
+		int64_t fault_us = at_us + random_us (scenario, 6000);
+		schedule (scenario, fault_us, ACTION_FAULT, target, fault);
+		schedule (scenario, fault_us + 4000000, ACTION_HEAL, target, fault);
+	}
+}
+
+static void
+plan_entry_faults (struct scenario *scenario)
+{
+	int count = 3 + (int)rng_below (&scenario->rng, 4);
+	for (int i = 0; i < count; i++)
+		plan_entry_fault (
+			scenario, scenario->start_us + 1000000 + random_us (scenario, 14000));
+	plan_long_faults (scenario);
+}
+
 static void *
 send_routes (void *user)
 {
@@ -318,6 +391,35 @@
 		if (control->pid == 0)
 			cluster_start_node (cluster, control);
 		return;
+	case ACTION_FREEZE_ENTRY:
+		cluster_impair (entry);
+		cluster_signal (entry, SIGSTOP);
+		return;
+	case ACTION_THAW_ENTRY:
+		cluster_signal (entry, SIGCONT);
+		cluster_recover (entry);
+		return;
+	case ACTION_KILL_ENTRY:
+		cluster_impair (entry);
+		entry->killed = entry->pid != 0;
+		cluster_signal (entry, SIGKILL);
+		cluster_recover (entry);
+		return;
+	case ACTION_LINK_FAULT:
+		if (pending->value != PROXY_DELAY)
+			cluster_impair (entry);
+		entry->proxy.delay_ms = LINK_DELAY_MS;
+		entry->proxy.fault = pending->value;
+		return;
+	case ACTION_LINK_HEAL:
+		entry->proxy.fault = PROXY_NONE;
+		cluster_recover (entry);
+		return;
+	case ACTION_LINK_RESET:
+		cluster_impair (entry);
+		entry->proxy.resets++;
+		cluster_recover (entry);
+		return;
 	case ACTION_FAULT:
 	case ACTION_HEAL:
 		cluster_set_fault (cluster, faults[pending->value], pending->subject,
@@ -356,10 +458,12 @@
 		return;
 	bool ended = cluster_reap (node, &status);
 	int64_t stopping_us = node->stop_us ? http_now_us () - node->stop_us : 0;
+	bool impaired = node->stop_us && cluster_was_impaired (node, node->stop_us, http_now_us ());
 	if (!ended && stopping_us > CLUSTER_GRACE_US) {
-		fail (scenario, node,
-			"did not end within the grace period, killed; ms since SIGTERM",
-			(int)(stopping_us / 1000));
+		if (!impaired)
+			fail (scenario, node,
+				"did not end within the grace period, killed; ms since SIGTERM",
+				(int)(stopping_us / 1000));
 		cluster_signal (node, SIGKILL);
 		while (!cluster_reap (node, &status))
 			http_sleep_us (STEP_US);
@@ -369,8 +473,10 @@
 	fprintf (scenario->log, "%7.3f entry node %d has ended %lld ms after SIGTERM\n",
 		(double)(http_now_us () - scenario->start_us) / 1000000, index,
 		(long long)(stopping_us / 1000));
-	if (ended && (node->stop_us == 0 || !WIFEXITED (status) || WEXITSTATUS (status) != 0))
+	if (ended && !node->killed &&
+		(node->stop_us == 0 || !WIFEXITED (status) || WEXITSTATUS (status) != 0))
 		fail (scenario, node, "ended by itself or badly; status", status);
+	node->killed = false;
 	int64_t start_us = http_now_us () + random_us (scenario, 1500);
 	schedule (scenario, start_us, ACTION_START, index, 0);
 	/* Some are stopped while they start. */
@@ -440,6 +546,8 @@
 	scenario->probing = true;
 	pthread_create (&prober, NULL, probe, scenario);
 	plan (scenario);
+	if (scenario->settings->entry_faults)
+		plan_entry_faults (scenario);
 	while (http_now_us () < end_us) {
 		run_due (scenario);
 		watch_processes (scenario);
@@ -453,6 +561,35 @@
 	pthread_join (prober, NULL);
 }
 
+/* All entry nodes must have the version of the routes that is returned. */
+static void
+check_views (struct scenario *scenario, long version)
+{
+	int64_t end_us = http_now_us () + VIEW_TIMEOUT_US;
+	for (int i = 0; i < scenario->cluster.entry_count; i++) {
+		bool has = cluster_has_version (&scenario->cluster, i, version);
+		while (!has && http_now_us () < end_us) {
+			http_sleep_us (STEP_US);
+			has = cluster_has_version (&scenario->cluster, i, version);
+		}
+		if (!has)
+			fail (scenario, cluster_entry (&scenario->cluster, i),
+				"does not have the version of the routes", (int)version);
+	}
+}
+
+/* Targets that drain must not be used any more. */
+static void
+check_draining (struct scenario *scenario)
+{
+	int late = cluster_late_arrivals (&scenario->cluster);
+	if (late == 0)
+		return;
+	scenario->failures++;
+	fprintf (scenario->log, "DRAINING: %d requests reached targets too late\n", late);
+	printf ("DRAINING: %d requests reached targets too late\n", late);
+}
+
 /* An accepted version of the routes must be there, or a newer one. */
 static void
 check_routes (struct scenario *scenario)
@@ -463,6 +600,7 @@
 		version = cluster_read_version (&scenario->cluster);
 		http_sleep_us (STEP_US);
 	}
+	check_views (scenario, version);
 	if (version >= scenario->cluster.accepted_version)
 		return;
 	scenario->failures++;
@@ -494,6 +632,8 @@
 		.folder = folder,
 		.site = settings->site,
 		.plain_list = settings->plain_list,
+		.proxied = settings->proxied,
+		.drain_ms = settings->entry_faults ? DRAIN_MS + CONTACT_MS : DRAIN_MS,
 		.base_port = (int)settings->base_port,
 		.entry_count = (int)settings->entry_nodes};
 	bool started = scenario.log && cluster_start (&scenario.cluster);
@@ -505,17 +645,19 @@
 		callers_stop (&scenario.callers);
 		callers_check (&scenario.callers, scenario.log);
 		check_routes (&scenario);
+		check_draining (&scenario);
 	}
 	cluster_kill (&scenario.cluster);
 	const struct callers_report *r = &scenario.callers.report;
 	bool clean = started && scenario.failures == 0 && callers_report_is_clean (r);
 	printf ("seed %ld: %s; answered %ld, failed %ld, refused %ld, not connected %ld, cut while "
-		"sending %ld, crossed a close %ld; lost %ld, by the rule %ld, no answer %ld, mixed "
+		"sending %ld, crossed a close %ld, beside impairments of their node %ld; lost %ld, "
+		"by the rule %ld, no answer %ld, mixed "
 		"%ld, false "
 		"refusals "
 		"%ld, twice %ld, processes %ld; %s\n",
 		seed, clean ? "kept" : "BROKEN", r->answered, r->failed, r->refused,
-		r->not_connected, r->cut_sending, r->crossed, r->lost, r->lost_by_rule,
+		r->not_connected, r->cut_sending, r->crossed, r->impaired, r->lost, r->lost_by_rule,
 		r->timed_out, r->mixed, r->false_refusal, r->twice, scenario.failures, path);
 	fflush (stdout);
 	if (started)
@@ -536,6 +678,12 @@
 	case 'P':
 		settings->plain_list = true;
 		return 0;
+	case 'E':
+		settings->entry_faults = true;
+		return 0;
+	case 'X':
+		settings->proxied = true;
+		return 0;
 	case 'o':
 		settings->on_ms = strtol (arg, NULL, 10);
 		return 0;
@@ -574,6 +722,8 @@
 static const struct argp_option options_table[] = {
 	{"site", 'S', "NAME", 0, "small, registry or kombucha", 0},
 	{"plain-list", 'P', NULL, 0, "Leave out list entries that cannot be decoded", 0},
+	{"entry-faults", 'E', NULL, 0, "Freeze and kill entry nodes beside the stops", 0},
+	{"proxy", 'X', NULL, 0, "Callers reach entry nodes by way of proxies", 0},
 	{"on-ms", 'o', "MS", 0, "Entry nodes run for so long in each period; 0: all the time", 0},
 	{"period-ms", 'O', "MS", 0, "The period", 0},
 	{"daemon", 'd', "PATH", 0, "oleanderstiled", 0},
