query, daemon: a target that asks to be left alone has not failed

Each refusal with a time to return counted as a failed request: those in flight together doubled the avoidance for lack of capacity, so that eight of them kept a target avoided for 4 s after it had asked for 2 s or less, and raised its expected wait. Seen in the dump of an entry node with targets busy in turns: "avoided", 2168 ms left, at the end of the time.

Such a refusal is an outcome of its own. Only a target that asks again as soon as it gets a request is avoided, for twice as long each time, so that a flood of short times gets few requests.

Tests: wait_for_a_busy_target_costs_only_time, flood_of_short_times_is_kept_away_from.

--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -173,6 +173,12 @@
 	forward_free (forward);
 }
 
+static bool
+is_deferral (const struct sub *sub, enum fetch_end result)
+{
+	return result == FETCH_OK && sub->fetch.status == 503 && sub->head.retry_after_us > 0;
+}
+
 /* What the end of a sub-request says about the target, as opposed to the request. */
 static enum replica_outcome
 target_outcome (enum sub_end end, const struct sub *sub, enum fetch_end result, int64_t now_us)
@@ -186,7 +192,9 @@
 	case SUB_END_ANSWERED:
 		return REPLICA_ANSWERED;
 	case SUB_END_NOT_RUN:
-		return sub->fetch.status == 421 ? REPLICA_FAILED : REPLICA_REFUSED;
+		if (sub->fetch.status == 421)
+			return REPLICA_FAILED;
+		return is_deferral (sub, result) ? REPLICA_DEFERRED : REPLICA_REFUSED;
 	case SUB_END_STATUS:
 	case SUB_END_NOT_SENT:
 		return REPLICA_FAILED;
--- a/query/replica.c
+++ b/query/replica.c
@@ -302,6 +302,25 @@
 	replica->updated_us = now_us;
 }
 
+/*
+ * A target that asks to be left alone does what it is meant to, which is no failure. Only one that
+ * asks again as soon as it gets a request is used last, so that few requests are refused by targets
+ * that ask for a short time again and again.
+ */
+static void
+note_deferral (struct replica *replica, int64_t sent_us, int64_t now_us)
+{
+	/* Refusals of sub-requests that were in flight together belong to one time. */
+	if (replica->deferrals > 0 && sent_us < replica->deferred_us)
+		return;
+	replica->deferred_us = now_us;
+	if (replica->deferrals++ == 0)
+		return;
+	int64_t until_us = replica->busy_until_us > now_us ? replica->busy_until_us : now_us;
+	replica->avoid_until_us =
+		until_us + backoff_us (REPLICA_REFUSED_AVOID_US, replica->deferrals - 2);
+}
+
 void
 replica_end (struct replica_use *use, enum replica_outcome outcome, int64_t now_us)
 {
@@ -314,6 +333,7 @@
 	case REPLICA_ANSWERED:
 		replica->failures = 0;
 		replica->refusals = 0;
+		replica->deferrals = 0;
 		replica->avoid_until_us = 0;
 		replica->return_limit = replica->return_limit * 2 < replica->set->connections
 						? replica->return_limit * 2
@@ -327,6 +347,9 @@
 			now_us + backoff_us (REPLICA_REFUSED_AVOID_US, replica->refusals++);
 		update_failure_rate (replica, true, now_us);
 		return;
+	case REPLICA_DEFERRED:
+		note_deferral (replica, use->sent_us, now_us);
+		return;
 	case REPLICA_FAILED:
 		replica->avoid_until_us =
 			now_us + backoff_us (REPLICA_FAILURE_AVOID_US, replica->failures++);
--- a/query/replica.h
+++ b/query/replica.h
@@ -73,8 +73,10 @@
 	int64_t cold_next_us;     /**< while cold: earliest time of the next request of this node */
 	int64_t cold_interval_us; /**< while cold: minimum time between two of them; 0: send none */
 	int64_t avoid_until_us;
-	int failures; /**< consecutive */
-	int refusals; /**< for lack of capacity, consecutive */
+	int failures;        /**< consecutive */
+	int refusals;        /**< for lack of capacity, consecutive */
+	int64_t deferred_us; /**< when it first asked for the present time without requests */
+	int deferrals;       /**< consecutive times without requests, with no answer between */
 	int in_flight;
 	struct cds_list_head running; /**< struct replica_use, oldest first */
 	int64_t latency_us;           /**< moving average; 0: none yet */
@@ -167,6 +169,7 @@
 enum replica_outcome {
 	REPLICA_ANSWERED,
 	REPLICA_REFUSED,   /**< it had no capacity */
+	REPLICA_DEFERRED,  /**< it refused and asked for no requests for some time */
 	REPLICA_FAILED,    /**< error, invalid reply or no connection */
 	REPLICA_ABANDONED, /**< this node stopped waiting; says nothing about the target */
 };
--- a/test/routes.c
+++ b/test/routes.c
@@ -633,6 +633,93 @@
 	CU_ASSERT_TRUE (replica_return_spread_us (&replica, 2000 * MS, 2) > 0);
 }
 
+/* Guards against targets that are used less after the time for which they asked for no requests. */
+static void
+test_wait_for_a_busy_target_costs_only_time (void)
+{
+	struct testbed testbed;
+	struct scatter scatter;
+	struct replica_use uses[4];
+	testbed_init (&testbed, 1, "idempotent", 1);
+	struct replica *replicas = testbed.replicas[0];
+	struct budget *extra = &testbed.sets[0].extra;
+	/* All that is in flight is refused, at three targets. */
+	for (int i = 0; i < 3; i++) {
+		for (int j = 0; j < 4; j++)
+			replica_begin (&replicas[i], &uses[j], now_us);
+		now_us += MS;
+		for (int j = 0; j < 4; j++) {
+			replica_note_busy (&replicas[i], now_us + 300 * MS);
+			replica_end (&uses[j], REPLICA_DEFERRED, now_us);
+		}
+	}
+	int64_t tokens = extra->tokens;
+	testbed_start (&testbed, &scatter, "one");
+	CU_ASSERT_EQUAL (send_count, 0);
+	CU_ASSERT_TRUE (scatter.shards[0].queued);
+	int64_t start_us = now_us;
+	now_us = scatter_wake_us (&scatter);
+	scatter_serve_returned (&scatter, now_us);
+	CU_ASSERT_EQUAL (send_count, 1);
+	CU_ASSERT_PTR_EQUAL (sends[0].replica, &replicas[0]);
+	CU_ASSERT_EQUAL (scatter.shards[0].attempts_used, 1);
+	CU_ASSERT_EQUAL (scatter.retries, 0);
+	CU_ASSERT_TRUE (extra->tokens >= tokens);
+	CU_ASSERT_TRUE (scatter.waited_us == now_us - start_us && scatter.waited_us > 200 * MS);
+	now_us += 10 * MS;
+	end_sub_request (&scatter, 0, SUB_END_ANSWERED, "");
+	CU_ASSERT_EQUAL (scatter.result, SCATTER_REPLY);
+	CU_ASSERT_EQUAL (replicas[0].latency_us, 10 * MS);
+	for (int i = 0; i < 3; i++) {
+		CU_ASSERT_EQUAL (replicas[i].failure_rate, 0);
+		CU_ASSERT_TRUE (replicas[i].avoid_until_us <= now_us);
+	}
+	testbed_finish (&testbed, &scatter);
+}
+
+/* Guards against requests that targets refuse which ask for a short time again and again. */
+static void
+test_flood_of_short_times_is_kept_away_from (void)
+{
+	struct testbed testbed;
+	struct replica_use use;
+	int refused = 0;
+	int refused_later = 0;
+	testbed_init (&testbed, 1, "idempotent", 2);
+	struct replica *replicas = testbed.replicas[0];
+	int64_t start_us = now_us;
+	/* For 20 s, two of three refuse each request and ask for 0.05 s. */
+	for (int i = 0; i < 2000; i++, now_us += 10 * MS) {
+		struct replica *chosen = choose (&testbed);
+		CU_ASSERT_PTR_NOT_NULL_FATAL (chosen);
+		if (!chosen)
+			return;
+		CU_ASSERT_TRUE (chosen->busy_until_us <= now_us);
+		replica_begin (chosen, &use, now_us);
+		if (chosen != &replicas[2])
+			replica_note_busy (chosen, now_us + 50 * MS);
+		replica_end (
+			&use, chosen != &replicas[2] ? REPLICA_DEFERRED : REPLICA_ANSWERED, now_us);
+		refused += chosen != &replicas[2];
+		refused_later += chosen != &replicas[2] && now_us > start_us + 10000 * MS;
+	}
+	/* As with repeated refusals, each is tried once in REPLICA_AVOID_MAX_US in the end. */
+	CU_ASSERT_TRUE (refused <= 2 * 12);
+	CU_ASSERT_TRUE (refused_later <= 2 * 3);
+	/* One answer shows that a target takes requests again. */
+	now_us += 10000 * MS;
+	replicas[2].state = REPLICA_LEAVING;
+	CU_ASSERT_PTR_EQUAL (choose (&testbed), &replicas[0]);
+	replica_begin (&replicas[0], &use, now_us);
+	replica_end (&use, REPLICA_ANSWERED, now_us);
+	CU_ASSERT_EQUAL (replicas[0].deferrals, 0);
+	replica_begin (&replicas[0], &use, now_us);
+	replica_note_busy (&replicas[0], now_us + 50 * MS);
+	replica_end (&use, REPLICA_DEFERRED, now_us);
+	CU_ASSERT_TRUE (replicas[0].avoid_until_us <= now_us);
+	routing_unref (testbed.routing);
+}
+
 /* Guards against a time without requests that ends before the target does, or outlives it. */
 static void
 test_very_long_time_lasts_as_long_as_the_target (void)
@@ -1502,6 +1589,8 @@
 		TEST (request_without_usable_target_is_refused),
 		TEST (busy_target_gets_nothing_until_its_time),
 		TEST (nodes_return_apart_but_no_later_than_needed),
+		TEST (wait_for_a_busy_target_costs_only_time),
+		TEST (flood_of_short_times_is_kept_away_from),
 		TEST (very_long_time_lasts_as_long_as_the_target),
 		TEST (busy_service_queues_or_refuses_at_once),
 		TEST (queued_requests_wake_when_busy_targets_return),
