--- a/test/routes.c
+++ b/test/routes.c
@@ -6,6 +6,7 @@
 #include "control/state.h"
 #include "core/buf.h"
 #include "core/clock.h"
+#include "core/rng.h"
 #include "platform/list.h"
 #include "platform/manifest.h"
 #include "platform/orders.h"
@@ -660,6 +661,153 @@
 	routing_unref (testbed.routing);
 }
 
+/*
+ * Guards against nodes that return together, and against a wait that is longer than it has to be:
+ * callers wait out what a node adds to the time that a target asked for.
+ */
+static void
+test_nodes_return_apart_but_no_later_than_needed (void)
+{
+	enum { NODES = 84, TICK_US = MS };
+	struct replica replica = {.slots = 4, .latency_us = 10 * MS};
+	int arrivals[300] = {0};
+	int most = 0;
+	/* A single node has no other to keep away from. */
+	CU_ASSERT_EQUAL (replica_return_spread_us (&replica, 2000 * MS, 1), 0);
+	/* The first request of each node finds a free slot. */
+	CU_ASSERT_EQUAL (replica_return_spread_us (&replica, 2000 * MS, 5), 10 * MS);
+	int64_t spread_us = replica_return_spread_us (&replica, 4000 * MS, NODES);
+	CU_ASSERT_TRUE (spread_us <= REPLICA_RETURN_SPREAD_MAX_US);
+	for (uint64_t node = 0; node < NODES; node++) {
+		struct rng rng = {.state = node + 1};
+		arrivals[rng_below (&rng, (uint64_t)spread_us + 1) / TICK_US]++;
+	}
+	for (int i = 0; i < 300; i++)
+		most = arrivals[i] > most ? arrivals[i] : most;
+	CU_ASSERT_TRUE (most <= replica.slots);
+	/* No more than an eighth of a short time is added, and nothing that cannot be counted. */
+	CU_ASSERT_EQUAL (replica_return_spread_us (&replica, 50 * MS, NODES), 6250);
+	replica.slots = 0;
+	replica.latency_us = 0;
+	CU_ASSERT_TRUE (replica_return_spread_us (&replica, 2000 * MS, 2) > 0);
+}
+
+/* Guards against targets that are used less after the time for which they asked for no requests. */
+static void
+test_wait_for_a_busy_target_costs_only_time (void)
+{
+	struct testbed testbed;
+	struct scatter scatter;
+	struct replica_use uses[4];
+	testbed_init (&testbed, 1, "idempotent", 1);
+	struct replica *replicas = testbed.replicas[0];
+	struct budget *extra = &testbed.sets[0].extra;
+	/* All that is in flight is refused, at three targets. */
+	for (int i = 0; i < 3; i++) {
+		for (int j = 0; j < 4; j++)
+			replica_begin (&replicas[i], &uses[j], now_us);
+		now_us += MS;
+		for (int j = 0; j < 4; j++) {
+			replica_note_busy (&replicas[i], now_us + 300 * MS);
+			replica_end (&uses[j], REPLICA_DEFERRED, now_us);
+		}
+	}
+	int64_t tokens = extra->tokens;
+	testbed_start (&testbed, &scatter, "one");
+	CU_ASSERT_EQUAL (send_count, 0);
+	CU_ASSERT_TRUE (scatter.shards[0].queued);
+	int64_t start_us = now_us;
+	now_us = scatter_wake_us (&scatter);
+	scatter_serve_returned (&scatter, now_us);
+	CU_ASSERT_EQUAL (send_count, 1);
+	CU_ASSERT_PTR_EQUAL (sends[0].replica, &replicas[0]);
+	CU_ASSERT_EQUAL (scatter.shards[0].attempts_used, 1);
+	CU_ASSERT_EQUAL (scatter.retries, 0);
+	CU_ASSERT_TRUE (extra->tokens >= tokens);
+	CU_ASSERT_TRUE (scatter.waited_us == now_us - start_us && scatter.waited_us > 200 * MS);
+	now_us += 10 * MS;
+	end_sub_request (&scatter, 0, SUB_END_ANSWERED, "");
+	CU_ASSERT_EQUAL (scatter.result, SCATTER_REPLY);
+	CU_ASSERT_EQUAL (replicas[0].latency_us, 10 * MS);
+	for (int i = 0; i < 3; i++) {
+		CU_ASSERT_EQUAL (replicas[i].failure_rate, 0);
+		CU_ASSERT_TRUE (replicas[i].avoid_until_us <= now_us);
+	}
+	testbed_finish (&testbed, &scatter);
+}
+
+/* Guards against requests that targets refuse which ask for a short time again and again. */
+static void
+test_flood_of_short_times_is_kept_away_from (void)
+{
+	struct testbed testbed;
+	struct replica_use use;
+	int refused = 0;
+	int refused_later = 0;
+	testbed_init (&testbed, 1, "idempotent", 2);
+	struct replica *replicas = testbed.replicas[0];
+	int64_t start_us = now_us;
+	/* For 20 s, two of three refuse each request and ask for 0.05 s. */
+	for (int i = 0; i < 2000; i++, now_us += 10 * MS) {
+		struct replica *chosen = choose (&testbed);
+		CU_ASSERT_PTR_NOT_NULL_FATAL (chosen);
+		if (!chosen)
+			return;
+		CU_ASSERT_TRUE (chosen->busy_until_us <= now_us);
+		replica_begin (chosen, &use, now_us);
+		if (chosen != &replicas[2])
+			replica_note_busy (chosen, now_us + 50 * MS);
+		replica_end (
+			&use, chosen != &replicas[2] ? REPLICA_DEFERRED : REPLICA_ANSWERED, now_us);
+		refused += chosen != &replicas[2];
+		refused_later += chosen != &replicas[2] && now_us > start_us + 10000 * MS;
+	}
+	/* As with repeated refusals, each is tried once in REPLICA_AVOID_MAX_US in the end. */
+	CU_ASSERT_TRUE (refused <= 2 * 12);
+	CU_ASSERT_TRUE (refused_later <= 2 * 3);
+	/* One answer shows that a target takes requests again. */
+	now_us += 10000 * MS;
+	replicas[2].state = REPLICA_LEAVING;
+	CU_ASSERT_PTR_EQUAL (choose (&testbed), &replicas[0]);
+	replica_begin (&replicas[0], &use, now_us);
+	replica_end (&use, REPLICA_ANSWERED, now_us);
+	CU_ASSERT_EQUAL (replicas[0].deferrals, 0);
+	replica_begin (&replicas[0], &use, now_us);
+	replica_note_busy (&replicas[0], now_us + 50 * MS);
+	replica_end (&use, REPLICA_DEFERRED, now_us);
+	CU_ASSERT_TRUE (replicas[0].avoid_until_us <= now_us);
+	routing_unref (testbed.routing);
+}
+
+/* Guards against a time without requests that ends before the target does, or outlives it. */
+static void
+test_very_long_time_lasts_as_long_as_the_target (void)
+{
+	struct testbed testbed;
+	struct reply_head head;
+	testbed_init (&testbed, 1, "idempotent", 2);
+	struct replica *replicas = testbed.replicas[0];
+	reply_head_init (&head);
+	reply_head_add_line (&head, "Retry-After: 99999999999999999999", 33);
+	replica_note_busy (&replicas[0], now_us + head.retry_after_us);
+	int64_t start_us = now_us;
+	const int64_t day_us = (int64_t)86400 * US_PER_S;
+	for (; now_us < start_us + 100 * 365 * day_us; now_us += day_us) {
+		/* An older refusal that comes late asks for less. */
+		replica_note_busy (&replicas[0], now_us + 4000 * MS);
+		CU_ASSERT_PTR_NOT_EQUAL (choose (&testbed), &replicas[0]);
+	}
+	/* Another target at its address is another one. */
+	struct replica next = {.set = &testbed.sets[0], .slots = 3, .listed = true};
+	str_copy (next.id, sizeof (next.id), "i-next");
+	str_copy (next.address, sizeof (next.address), replicas[0].address);
+	str_copy (next.data_centre, sizeof (next.data_centre), "local");
+	CDS_INIT_LIST_HEAD (&next.running);
+	cds_list_add_tail (&next.node, &testbed.sets[0].replicas);
+	CU_ASSERT_PTR_EQUAL (choose (&testbed), &next);
+	routing_unref (testbed.routing);
+}
+
 /* A service whose targets all ask for no requests: callers wait if that helps them. */
 static void
 test_busy_service_queues_or_refuses_at_once (void)
@@ -1667,6 +1815,10 @@
 		TEST (queue_is_ordered_by_priority),
 		TEST (request_without_usable_target_is_refused),
 		TEST (busy_target_gets_nothing_until_its_time),
+		TEST (nodes_return_apart_but_no_later_than_needed),
+		TEST (wait_for_a_busy_target_costs_only_time),
+		TEST (flood_of_short_times_is_kept_away_from),
+		TEST (very_long_time_lasts_as_long_as_the_target),
 		TEST (busy_service_queues_or_refuses_at_once),
 		TEST (queued_requests_wake_when_busy_targets_return),
 		TEST (times_to_return_are_decoded),
