test: targets that ask for no requests begin their times together

Once, beside other work on the machine, "which is when the first target does" failed: 0.879 s was the longest Retry-After of 40. The target that was busy before the other two had about a second of its two left when they became busy, and when its time was renewed they had less than a second. Whether one of these is above 1 s depended on how long the 40 requests before had taken.

The three times now begin together, and the check is as strict as before: a Retry-After of 1 s or more, of two.

--- a/test/platform.sh
+++ b/test/platform.sh
@@ -373,7 +373,10 @@
 	expect "others serve beside a busy target" "$(send_request 4 "ba$i" /file/x -d x)" '^HTTP/1.1 200'
 	sleep 0.05
 done
-for t in 9 11; do set_fault busy $t 1; done
+# All times begin together, so that the first one to end is known.
+set_fault busy 10 0
+sleep 2.5
+for t in 9 10 11; do set_fault busy $t 1; done
 # A caller of this route waits 1.5 s, less than the 2 s of the targets.
 for i in $(seq 1 40); do
 	begin_ms=$(date +%s%3N)
