net, test: the peer port's error says that another process uses it

When two processes with the same settings start at the same moment, both pass the check of their addresses and the second one fails when ZeroMQ binds the peer port. It now has the words of the other addresses.

test/platform.sh restart_at_once: the log of the previous attempt could be read before the new process had emptied it, and the script then waited for a running node.

--- a/net/listener.c
+++ b/net/listener.c
@@ -26,16 +26,16 @@
 	return inet_pton (AF_INET, host, &out->sin_addr) == 1;
 }
 
-static bool
-set_error (const struct listener *listener, int code, struct error *error)
+bool
+listener_error (const char *setting, const char *address, int code, struct error *error)
 {
 	if (code == EADDRINUSE)
 		return error_set (error, ERROR_IO,
 			"%s %s is in use by another process; end that process or correct the "
 			"setting (%s)",
-			listener->setting, listener->address, strerror (code));
-	return error_set (error, ERROR_IO, "%s %s cannot be served; correct the setting (%s)",
-		listener->setting, listener->address, strerror (code));
+			setting, address, strerror (code));
+	return error_set (error, ERROR_IO, "cannot listen on %s %s; correct the setting (%s)",
+		setting, address, strerror (code));
 }
 
 bool
@@ -57,7 +57,7 @@
 	setsockopt (listener->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof (on));
 	if (bind (listener->fd, (struct sockaddr *)&socket_address, sizeof (socket_address)) == 0)
 		return true;
-	set_error (listener, errno, error);
+	listener_error (setting, address, errno, error);
 	listener_close (listener);
 	return false;
 }
@@ -67,7 +67,7 @@
 {
 	if (listen (listener->fd, SOMAXCONN) == 0)
 		return true;
-	return set_error (listener, errno, error);
+	return listener_error (listener->setting, listener->address, errno, error);
 }
 
 void
--- a/net/listener.h
+++ b/net/listener.h
@@ -34,6 +34,10 @@
 void
 listener_close (struct listener *listener);
 
+/** Sets the error of an address that cannot be bound or opened, from errno; returns false. */
+bool
+listener_error (const char *setting, const char *address, int code, struct error *error);
+
 /** Whether this process could bind an address that a library binds and opens by itself. */
 bool
 listener_check (const char *setting, const char *address, struct error *error);
--- a/net/peer.c
+++ b/net/peer.c
@@ -2,8 +2,8 @@
 
 #include "core/buf.h"
 #include "core/metrics.h"
+#include "net/listener.h"
 
-#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -251,9 +251,7 @@
 	zmq_setsockopt (peer->socket, ZMQ_MAXMSGSIZE, &max, sizeof (max));
 	format_endpoint (own_address, endpoint);
 	if (zmq_bind (peer->socket, endpoint) != 0)
-		return error_set (error, ERROR_IO,
-			"node.peer_address %s cannot be bound (%s); correct it or free the port",
-			own_address, zmq_strerror (errno));
+		return listener_error ("node.peer_address", own_address, zmq_errno (), error);
 	if (pthread_create (&peer->thread, NULL, run_thread, peer) != 0)
 		return error_set (error, ERROR_IO, "cannot start a thread; raise the limit");
 	return true;
--- a/test/platform.sh
+++ b/test/platform.sh
@@ -608,9 +608,12 @@
 	kill -TERM "$predecessor"
 	while :; do
 		attempts=$((attempts + 1))
-		"$BUILD/oleanderstiled" -c "$RUN/n$n.ini" > "$RUN/successor.log" 2>&1 &
+		: > "$RUN/successor.log"
+		"$BUILD/oleanderstiled" -c "$RUN/n$n.ini" >> "$RUN/successor.log" 2>&1 &
 		PIDS[n$n]=$!
-		until grep -q '"NODE_START' "$RUN/successor.log"; do sleep 0.01; done
+		until grep -q '"NODE_START' "$RUN/successor.log" || ! is_running "${PIDS[n$n]}"; do
+			sleep 0.01
+		done
 		grep -q '"NODE_STARTED"' "$RUN/successor.log" && break
 		wait "${PIDS[n$n]}"
 		expect "a successor that is early ends with an error" "$?" '^1$'
