--- a/test/platform.sh
+++ b/test/platform.sh
@@ -625,9 +625,12 @@
 	kill -TERM "$predecessor"
 	while :; do
 		attempts=$((attempts + 1))
-		"$BUILD/oleanderstiled" -c "$RUN/n$n.ini" > "$RUN/successor.log" 2>&1 &
+		: > "$RUN/successor.log"
+		"$BUILD/oleanderstiled" -c "$RUN/n$n.ini" >> "$RUN/successor.log" 2>&1 &
 		PIDS[n$n]=$!
-		until grep -q '"NODE_START' "$RUN/successor.log"; do sleep 0.01; done
+		until grep -q '"NODE_START' "$RUN/successor.log" || ! is_running "${PIDS[n$n]}"; do
+			sleep 0.01
+		done
 		grep -q '"NODE_STARTED"' "$RUN/successor.log" && break
 		wait "${PIDS[n$n]}"
 		expect "a successor that is early ends with an error" "$?" '^1$'
@@ -639,6 +642,8 @@
 	echo "node $n: attempt $attempts started"
 }
 for t in 9 10 11; do set_fault stuck $t 0; done
+wait_for 10 eval "[ \"\$(order 1 POST /config/replace '$(manifest 70 "$extra,$long")')\" = 200 ]" ||
+	fail "control did not accept a manifest"
 start_node 5
 wait_for 10 is_ready 5 || fail "entry node 5 is not ready"
 send_request 5 ra /file/x -d x > "$RUN/x"
