query: answers that waited for a busy service are whole

A fan-out whose services are all busy waits for their return if its deadline allows. The time for a partial answer was over by then, so that the first shards that answered were delivered as the answer, a few milliseconds before the others: callers waited for up to a second and got a part.

Once a shard is sent after such a wait, the others get the latency objective again.

--- a/bench/busy.sh
+++ b/bench/busy.sh
@@ -74,17 +74,21 @@
 	local i
 	for i in $(seq 0 $((SERVICES * REPLICAS - 1))); do
 		curl -s --noproxy '*' "http://127.0.0.1:$((PORT + i))/counters" | json_number "$1"
+		echo
 	done | sort -n | tail -n 1
 }
 
 # run LOAD: for each route and rate, prints what callers got with the targets as they are.
 run () {
-	local route rate line sent
+	local route rate line sent outcome
 	for route in ${ROUTES:-one all}; do
 		for rate in $RATES; do
 			each_target '{"clear":true}'
-			line=$("$LOAD" -a "127.0.0.1:$((BASE + 4))" -t 64 -s "$SECONDS_EACH" -r "$rate" -R "site.example/$route/x" -D "$DEADLINE_MS")
-			sent=$((rate * SECONDS_EACH))
+			line=$("$LOAD" -a "127.0.0.1:$((BASE + 4))" -t 256 -s "$SECONDS_EACH" -r "$rate" -R "site.example/$route/x" -D "$DEADLINE_MS")
+			sent=0
+			for outcome in complete partial refused unknown failed; do
+				sent=$((sent + $(json_number $outcome <<< "$line")))
+			done
 			echo "$1, $route, $rate/s: whole $(ratio "$(json_number complete <<< "$line")" $sent)," \
 				"p50 $(json_number p50 <<< "$line"), p99 $(json_number p99 <<< "$line")," \
 				"p999 $(json_number p999 <<< "$line") us; busy refusals" \
--- a/query/scatter.c
+++ b/query/scatter.c
@@ -321,6 +321,10 @@
 	shard->attempts_used++;
 	shard->running++;
 	shard->hedge_at_us = INT64_MAX;
+	/* The objective is missed by the wait; a partial answer now would waste it. */
+	if (shard->awaited_return &&
+		now_us + scatter->rule->objective_us > scatter->late_partial_us)
+		scatter->late_partial_us = now_us + scatter->rule->objective_us;
 	if (scatter->rule->idempotency == ROUTE_IDEMPOTENT && has_attempts_left (scatter, shard))
 		shard->hedge_at_us = now_us + hedge_delay_us (scatter);
 	scatter->hooks->send (scatter, (int)(shard - scatter->shards), replica);
