query: a flood of short times does not use up the budget for repeats

A target that asked again as soon as it got a request counts as refusing from the second time on, and is used last while no repeat could be sent.

Test: targets_with_a_flood_of_short_times fails on the parent commit (four assertions).

--- a/query/budget.c
+++ b/query/budget.c
@@ -88,6 +88,13 @@
 		&budget->tokens, &tokens, filled, memory_order_relaxed, memory_order_relaxed));
 }
 
+bool
+budget_has_extra (const struct budget *budget)
+{
+	return atomic_load_explicit (&budget->tokens, memory_order_relaxed) >=
+	       BUDGET_TOKENS_PER_EXTRA;
+}
+
 bool
 budget_spend (struct budget *budget)
 {
--- a/query/budget.h
+++ b/query/budget.h
@@ -87,6 +87,10 @@
 bool
 budget_spend_above (struct budget *budget, int reserve);
 
+/** True when an extra sub-request could be sent now. */
+bool
+budget_has_extra (const struct budget *budget);
+
 /** Takes one extra sub-request; false when none is left. */
 bool
 budget_spend (struct budget *budget);
--- a/query/replica.c
+++ b/query/replica.c
@@ -158,6 +158,9 @@
 		wait_us += REPLICA_STALL_COST_US;
 	if (replica->avoid_until_us > now_us)
 		wait_us += REPLICA_FAILURE_AVOID_US;
+	/* It may refuse once more, and no repeat could be sent then. */
+	if (replica->deferrals > 1 && !budget_has_extra (&replica->set->extra))
+		wait_us += REPLICA_FAILURE_AVOID_US;
 	return wait_us;
 }
 
@@ -319,6 +322,7 @@
 	int64_t until_us = replica->busy_until_us > now_us ? replica->busy_until_us : now_us;
 	replica->avoid_until_us =
 		until_us + backoff_us (REPLICA_REFUSED_AVOID_US, replica->deferrals - 2);
+	update_failure_rate (replica, true, now_us);
 }
 
 void
--- a/test/busy.c
+++ b/test/busy.c
@@ -427,6 +427,14 @@
 	check_callers_are_better_served (BUSY_TURNS, "all");
 }
 
+/* Guards against repeats and refusals that grow with the number of short times. */
+static void
+test_targets_with_a_flood_of_short_times (void)
+{
+	check_callers_are_better_served (BUSY_FLOOD, "one");
+	check_callers_are_better_served (BUSY_FLOOD, "all");
+}
+
 /* Guards against callers that wait for a service that is busy and get a partial answer then. */
 static void
 test_services_busy_all_at_once (void)
@@ -454,6 +462,7 @@
 	static const struct suite_test tests[] = {
 		TEST (targets_that_are_not_busy),
 		TEST (targets_busy_in_turns),
+		TEST (targets_with_a_flood_of_short_times),
 		TEST (services_busy_all_at_once),
 	};
 	return suite_run ("busy", tests, sizeof (tests) / sizeof (tests[0]));
