ctl: explain shows why busy and leaving targets were passed over

The trace of a request that was refused because all targets asked for no requests did not name one of them, if they had asked more than five seconds before: the line of that refusal begins with the id of another request, so it was neither this request's nor known as its target's. For the same reason, what targets of other services asked for was in the trace, and targets that announced earlier that they leave were not.

Such a line now belongs to the target that it names: it is printed at any age while the target is still left alone, and not for targets that the request's lines do not name.

test/busy.sh shows this and the rest of both announcements with real processes: a time that cannot be read, zero, longer than any target lives (until another id comes to the address), a flood of short ones, targets busy in turns under load, a service that is busy as a whole, and all targets of a service that announce that they leave.

--- a/ctl/explain.c
+++ b/ctl/explain.c
@@ -138,13 +138,26 @@
 		str_copy (trace->names[trace->name_count++], NAME_BYTES, name);
 }
 
-/* Events of targets begin with "TARGET of SERVICE at" or "TARGET at". */
+/* Whether an answer to another request showed this event of a target. */
 static bool
-is_target_of_request (const struct trace *trace, const char *detail)
+is_announcement (const struct line *line)
 {
+	return line->event == EVENT_TARGET_BUSY || line->event == EVENT_TARGET_LEAVES;
+}
+
+/*
+ * Events of targets begin with "TARGET of SERVICE at" or "TARGET at"; in announcements, the id of a
+ * request and a colon precede it.
+ */
+static bool
+is_target_of_request (const struct trace *trace, const struct line *line)
+{
+	const char *detail = line->detail;
+	if (is_announcement (line) && strchr (detail, ':'))
+		detail = strchr (detail, ':') + 1;
 	char target[NAME_BYTES] = "";
 	char service[NAME_BYTES] = "";
-	sscanf (detail, "%63s of %63s", target, service);
+	sscanf (detail, " %63s of %63s", target, service);
 	for (int i = 0; i < trace->name_count; i++) {
 		if (strcmp (trace->names[i], target) == 0 || strcmp (trace->names[i], service) == 0)
 			return true;
@@ -170,6 +183,18 @@
 	return false;
 }
 
+/* Whether an announcement still keeps requests away from its target at this time. */
+static bool
+is_in_force (const struct line *line, double at_s)
+{
+	static const char before_time[] = "no requests for ";
+	if (line->event != EVENT_TARGET_BUSY)
+		return true;
+	const char *asked = strstr (line->detail, before_time);
+	return asked &&
+	       line->time_s + strtod (asked + sizeof (before_time) - 1, NULL) / 1000 >= at_s;
+}
+
 static int
 compare_lines (const void *a, const void *b)
 {
@@ -198,10 +223,13 @@
 		return false;
 	bool old = line->time_s < span->first_s - CONTEXT_BEFORE_S;
 	if (line->event == EVENT_TARGET_STATE)
-		return is_target_of_request (trace, line->detail) &&
+		return is_target_of_request (trace, line) &&
 		       !(old && is_superseded (trace, index, span->first_s));
 	if (line->event == EVENT_TARGET_SUSPECT)
-		return !old && is_target_of_request (trace, line->detail);
+		return !old && is_target_of_request (trace, line);
+	if (is_announcement (line))
+		return is_target_of_request (trace, line) &&
+		       (!old || is_in_force (line, span->first_s));
 	return !old;
 }
 
--- a/test/check.sh
+++ b/test/check.sh
@@ -99,6 +99,7 @@
 }
 run planned-stops check_planned_stops
 run platform env BUILD="$BUILD" bash test/platform.sh
+run busy env BUILD="$BUILD" bash test/busy.sh
 run demo env BUILD="$BUILD" bash test/demo.sh
 echo "$passed passed, $failed failed"
 [ "$failed" = 0 ]
