control: a first start bears the loss of any one control node

On the first start of the whole system, the first seed created the log alone and no order was accepted until all three seeds had become voters.

With control.bootstrap and an empty folder, each seed now writes the same first entry, a configuration of all seeds as voters, whatever their order in the settings. Any majority elects a leader; two halves cannot form two clusters, which is what Raft shows for a known first configuration (test/model/voters.pml begins with one). The identity of a seed's first folder follows from its address; any later folder has a random one and joins as a learner, as before.

Ruled out: accepting orders while two of three seeds have joined. The configuration then has two voters, and when one of them loses its disk, what was accepted stays out of reach after the third has come.

Before: test/first_start.sh fails, without node 1 the first manifest is not accepted.

--- a/control/grants.c
+++ b/control/grants.c
@@ -145,6 +145,28 @@
 	return summary;
 }
 
+const struct grant *
+grants_find_disk (const struct grants *grants, uint64_t disk_id)
+{
+	for (int i = 0; i < grants->count; i++) {
+		if (!grants->items[i].superseded && grants->items[i].poll.disk_id == disk_id)
+			return &grants->items[i];
+	}
+	return NULL;
+}
+
+const struct grant *
+grants_find_address (const struct grants *grants, const char *address)
+{
+	for (int i = 0; i < grants->count; i++) {
+		const struct grant *grant = &grants->items[i];
+		if (!grant->superseded && grant->poll.disk_id != 0 &&
+			strcmp (grant->poll.address, address) == 0)
+			return grant;
+	}
+	return NULL;
+}
+
 const struct grant *
 grants_find_name (const struct grants *grants, const char *name)
 {
--- a/control/grants.h
+++ b/control/grants.h
@@ -61,6 +61,14 @@
 const struct grant *
 grants_find_incarnation (const struct grants *grants, uint64_t incarnation);
 
+/** The current entry of a data folder; NULL when unknown. */
+const struct grant *
+grants_find_disk (const struct grants *grants, uint64_t disk_id);
+
+/** The current entry of a node with a data folder, by its peer address; NULL when unknown. */
+const struct grant *
+grants_find_address (const struct grants *grants, const char *address);
+
 /** The current entry of a name: the newest incarnation; NULL when unknown. */
 const struct grant *
 grants_find_name (const struct grants *grants, const char *name);
--- a/control/leader.c
+++ b/control/leader.c
@@ -90,13 +90,20 @@
 	config->count--;
 }
 
+/* The grant of a voter's node, whichever data folder it has now. */
+static const struct grant *
+find_node_grant (const struct voter *voter, const struct raft_node *node)
+{
+	return node->name[0] ? grants_find_name (&voter->grants, node->name)
+			     : grants_find_address (&voter->grants, node->address);
+}
+
 /* Removes a voter whose VM returned with another disk: its old identity cannot vote again. */
 static bool
 remove_voter_with_old_disk (struct voter *voter, struct raft_config *config, int64_t now_us)
 {
 	for (int i = 0; i < config->count; i++) {
-		const struct grant *grant =
-			grants_find_name (&voter->grants, config->nodes[i].name);
+		const struct grant *grant = find_node_grant (voter, &config->nodes[i]);
 		bool other_disk = grant && grant->poll.disk_id != 0 &&
 				  grant->poll.disk_id != config->nodes[i].id;
 		if (!other_disk ||
@@ -189,6 +196,22 @@
 	return false;
 }
 
+/* A voter of the first configuration gets its name once its node polls. */
+static bool
+name_voter (const struct voter *voter, struct raft_config *config)
+{
+	for (int i = 0; i < config->count; i++) {
+		struct raft_node *node = &config->nodes[i];
+		const struct grant *grant =
+			node->name[0] ? NULL : grants_find_disk (&voter->grants, node->id);
+		if (!grant || grant->poll.name[0] == '\0')
+			continue;
+		str_copy (node->name, sizeof (node->name), grant->poll.name);
+		return true;
+	}
+	return false;
+}
+
 static void
 update_address (const struct voter *voter, struct raft_config *config, bool *changed)
 {
@@ -211,7 +234,8 @@
 	struct raft_config config = voter->raft.config;
 	bool changed = false;
 	update_address (voter, &config, &changed);
-	if (changed || remove_voter_with_old_disk (voter, &config, now_us) ||
+	if (changed || name_voter (voter, &config) ||
+		remove_voter_with_old_disk (voter, &config, now_us) ||
 		promote_learner (voter, &config, now_us) ||
 		remove_silent_learner (voter, &config, now_us) ||
 		add_learner (voter, &config, now_us) ||
--- a/control/raft.c
+++ b/control/raft.c
@@ -582,17 +582,23 @@
 void
 raft_bootstrap (struct raft *raft, const char *name, const char *address)
 {
-	assert (raft_last_index (raft) == 0 && raft->term == 0);
 	struct raft_config config = {.count = 1};
 	config.nodes[0].id = raft->id;
 	config.nodes[0].voter = true;
 	str_copy (config.nodes[0].name, sizeof (config.nodes[0].name), name);
 	str_copy (config.nodes[0].address, sizeof (config.nodes[0].address), address);
+	raft_bootstrap_config (raft, &config);
+}
+
+void
+raft_bootstrap_config (struct raft *raft, const struct raft_config *config)
+{
+	assert (raft_last_index (raft) == 0 && raft->term == 0);
 	raft->term = 1;
 	raft->hard_state_changed = true;
 	size_t len = 0;
 	struct raft_entry entry = {.term = 1, .type = RAFT_CONFIG};
-	entry.data = raft_config_encode (&config, &len);
+	entry.data = raft_config_encode (config, &len);
 	entry.len = len;
 	raft_log_append (raft, entry);
 	raft->commit = 1;
--- a/control/raft.h
+++ b/control/raft.h
@@ -158,6 +158,13 @@
 void
 raft_bootstrap (struct raft *raft, const char *name, const char *address);
 
+/**
+ * Appends a first configuration, which must be the same on all of its nodes; only for a new data
+ * folder. Only a majority of it elects a leader, so no two parts of it form two clusters.
+ */
+void
+raft_bootstrap_config (struct raft *raft, const struct raft_config *config);
+
 /** Restores the saved state before the first event. The raft takes ownership of the data. */
 void
 raft_restore_hard_state (struct raft *raft, uint64_t term, uint64_t voted_for);
--- a/control/voter.c
+++ b/control/voter.c
@@ -6,6 +6,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 void
 voter_init (struct voter *voter, const struct voter_settings *settings,
@@ -124,6 +125,42 @@
 	return index;
 }
 
+uint64_t
+voter_first_id (const char *address)
+{
+	return XXH64 (address, strlen (address), 0) | 1;
+}
+
+static int
+compare_addresses (const void *a, const void *b)
+{
+	const struct raft_node *x = a;
+	const struct raft_node *y = b;
+	return strcmp (x->address, y->address);
+}
+
+void
+voter_first_config (const char *seeds, int max_voters, struct raft_config *config)
+{
+	memset (config, 0, sizeof (*config));
+	for (const char *at = seeds; *at && config->count < RAFT_MAX_NODES;) {
+		size_t len = strcspn (at, ",");
+		struct raft_node *node = &config->nodes[config->count];
+		if (len > 0 && len < sizeof (node->address)) {
+			memcpy (node->address, at, len);
+			node->id = voter_first_id (node->address);
+			node->voter = true;
+			config->count++;
+		}
+		at += len + (at[len] == ',');
+	}
+	qsort (config->nodes, (size_t)config->count, sizeof (*config->nodes), compare_addresses);
+	if (config->count > max_voters)
+		config->count = max_voters;
+	for (int i = config->count; i < RAFT_MAX_NODES; i++)
+		memset (&config->nodes[i], 0, sizeof (config->nodes[i]));
+}
+
 int
 voters_for_disk_losses (int losses)
 {
--- a/control/voter.h
+++ b/control/voter.h
@@ -43,6 +43,21 @@
 	int64_t replace_voter_after_us; /**< silence after which a learner replaces a voter */
 };
 
+/**
+ * The identity of the data folder with which a seed starts when the whole system starts for the
+ * first time, so that the others can know it. A folder that replaces it has a random one.
+ */
+uint64_t
+voter_first_id (const char *address);
+
+/**
+ * The first configuration, the same on all seeds whatever their order. The voters have no names
+ * until the leader has heard from them.
+ * @param seeds peer addresses, separated by commas
+ */
+void
+voter_first_config (const char *seeds, int max_voters, struct raft_config *config);
+
 /** Number of voters that survives the loss of @p losses disks at once, at most VOTERS_MAX. */
 int
 voters_for_disk_losses (int losses);
--- a/daemon/control_start.c
+++ b/daemon/control_start.c
@@ -21,21 +21,49 @@
 		buf_addf (out, "%.*s", (int)len, at);
 }
 
+static void
+add_seeds (struct buf *out, const struct options *options)
+{
+	const char *at = options->control_peers;
+	while (*at) {
+		at += strspn (at, ", ");
+		size_t len = strcspn (at, ", ");
+		if (len > 0) {
+			add_seed (out, options, at, len);
+			buf_addf (out, ",");
+		}
+		at += len;
+	}
+}
+
 /*
- * True when this node is the first seed of the settings. On the first start of the cluster, this
- * seed starts the control log and the other nodes join it.
+ * When the whole system starts for the first time, the seeds are the voters: any majority of them
+ * elects a leader, and the others join it.
  */
 static bool
-is_first_seed (const struct options *options)
+start_as_seed (
+	struct control *control, const struct options *options, int max_voters, struct error *error)
 {
-	struct buf first;
-	const char *at = options->control_peers + strspn (options->control_peers, ", ");
-	buf_init (&first);
-	add_seed (&first, options, at, strcspn (at, ", "));
-	bool is_first = options->control_bootstrap != 0 &&
-			strcmp (first.data, options->node_peer_address) == 0;
-	buf_finish (&first);
-	return is_first;
+	struct buf seeds;
+	struct raft_config config;
+	struct raft *raft = &control->voter.raft;
+	uint64_t id = voter_first_id (options->node_peer_address);
+	bool is_seed = false;
+	buf_init (&seeds);
+	buf_add (&seeds, "", 0);
+	add_seeds (&seeds, options);
+	voter_first_config (seeds.data, max_voters, &config);
+	buf_finish (&seeds);
+	for (int i = 0; i < config.count; i++)
+		is_seed = is_seed || config.nodes[i].id == id;
+	if (!is_seed)
+		return true;
+	if (!store_set_identity (&control->store, id, error))
+		return false;
+	control->voter.settings.disk_id = id;
+	raft->id = id;
+	raft_bootstrap_config (raft, &config);
+	return true;
 }
 
 /* Lists the addresses to poll first: this node's if it has a voter, and those of the seeds. */
@@ -45,16 +73,7 @@
 	struct buf out;
 	buf_init (&out);
 	buf_addf (&out, "%s,", control->has_voter ? options->node_peer_address : "");
-	const char *at = options->control_peers;
-	while (*at) {
-		at += strspn (at, ", ");
-		size_t len = strcspn (at, ", ");
-		if (len > 0) {
-			add_seed (&out, options, at, len);
-			buf_addf (&out, ",");
-		}
-		at += len;
-	}
+	add_seeds (&out, options);
 	str_copy (control->seeds, sizeof (control->seeds), out.data);
 	buf_finish (&out);
 }
@@ -108,9 +127,12 @@
 		return error_set (error, ERROR_CONFIG,
 			"--bootstrap: %.120s already contains a control log; start without it",
 			options->control_data_dir);
-	if (bootstrap || (empty && is_first_seed (options)))
+	if (bootstrap)
 		raft_bootstrap (
 			&control->voter.raft, options->node_name, options->node_peer_address);
+	else if (empty && options->control_bootstrap != 0 &&
+		 !start_as_seed (control, options, settings.desired_voters, error))
+		return false;
 	control->has_voter = true;
 	return true;
 }
--- a/options/options.c
+++ b/options/options.c
@@ -63,8 +63,9 @@
 	{"control", "peer_port", OPTION_INT, FIELD (control_peer_port), 0, 65535, "0",
 		"Port of all peers, overrides the ports in control.peers; 0: no override"},
 	{"control", "bootstrap", OPTION_FLAG, TEMPLATE_FIELD (control_bootstrap), 0, 1, "0",
-		"true on the first start of the whole system: the first of control.peers creates "
-		"the log"},
+		"true on the first start of the whole system, with empty folders: control.peers "
+		"are "
+		"the first voters"},
 	{"control", "orders_address", OPTION_ADDRESS, FIELD (control_orders_address), 0, 0, "",
 		"IP:port that accepts operators' orders on routes and data centres; empty: "
 		"disabled"},
--- a/store/store.c
+++ b/store/store.c
@@ -151,6 +151,15 @@
 	return true;
 }
 
+bool
+store_set_identity (struct store *store, uint64_t id, struct error *error)
+{
+	uint64_t record[2] = {id, checksum (0, &id, sizeof (id))};
+	struct buf content = {.data = (char *)record, .len = sizeof (record)};
+	store->disk_id = id;
+	return replace_file (store, "identity", &content, error);
+}
+
 static bool
 create_identity (struct store *store, struct error *error)
 {
@@ -164,10 +173,7 @@
 			return set_io_error (
 				error, store, "identity", "generate a random id for it");
 	}
-	record[1] = checksum (0, &record[0], sizeof (record[0]));
-	struct buf content = {.data = (char *)record, .len = sizeof (record)};
-	store->disk_id = record[0];
-	return replace_file (store, "identity", &content, error);
+	return store_set_identity (store, record[0], error);
 }
 
 static bool
--- a/store/store.h
+++ b/store/store.h
@@ -25,6 +25,10 @@
 bool
 store_open (struct store *store, const char *dir, struct error *error);
 
+/** Gives a data folder without a log another identity. */
+bool
+store_set_identity (struct store *store, uint64_t id, struct error *error);
+
 /** Restores snapshot, hard state and entries into a newly initialised raft, and opens the log. */
 bool
 store_load (struct store *store, struct raft *raft, struct error *error);
--- a/test/check.sh
+++ b/test/check.sh
@@ -98,6 +98,7 @@
 	return "$status"
 }
 run planned-stops check_planned_stops
+run first-start env BUILD="$BUILD" bash test/first_start.sh
 run platform env BUILD="$BUILD" bash test/platform.sh
 run demo env BUILD="$BUILD" bash test/demo.sh
 echo "$passed passed, $failed failed"
--- a/test/control.c
+++ b/test/control.c
@@ -8,6 +8,7 @@
 
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 static struct sim sim;
 
@@ -759,6 +760,139 @@
 	finish_cluster ();
 }
 
+static bool
+all_voters_have_names (void)
+{
+	const struct raft_config *config = &sim.nodes[sim_leader (&sim)].voter.raft.config;
+	for (int i = 0; i < config->count; i++) {
+		if (config->nodes[i].voter && !config->nodes[i].name[0])
+			return false;
+	}
+	return true;
+}
+
+/* Guards against a first start that waits for a control node that is away. */
+static void
+test_first_start_with_one_voter_away (void)
+{
+	for (int absent = -1; absent < 3; absent++) {
+		sim_init_first_start (&sim, 5, 3, absent, 7);
+		CU_ASSERT_EQUAL (submit_change (3, "c1", "s", 0, 1), ERROR_NONE);
+		CU_ASSERT_TRUE (sim.now_us < 5LL * SECOND);
+		sim_run (&sim, 10LL * SECOND);
+		if (absent >= 0)
+			sim_restart (&sim, absent);
+		CU_ASSERT_TRUE (sim_run_until (&sim, sim_is_settled, 10LL * SECOND));
+		sim_run (&sim, 2LL * SECOND);
+		expected_voters = 3;
+		CU_ASSERT_TRUE (has_expected_voters (&sim));
+		CU_ASSERT_TRUE (all_voters_have_names ());
+		finish_cluster ();
+	}
+}
+
+/* It may come once the whole system is no longer said to start for the first time. */
+static void
+test_voter_away_at_the_first_start_joins_with_another_folder (void)
+{
+	for (int absent = 0; absent < 3; absent++) {
+		sim_init_first_start (&sim, 5, 3, absent, 11);
+		CU_ASSERT_EQUAL (submit_change (3, "c1", "s", 0, 1), ERROR_NONE);
+		sim_run (&sim, 10LL * SECOND);
+		sim.nodes[absent].disk_replaced = true;
+		sim_restart (&sim, absent);
+		sim_run (&sim, 5LL * SECOND);
+		const struct raft *raft = &sim.nodes[sim_leader (&sim)].voter.raft;
+		const struct raft_node *late = raft_find_node (raft, sim.nodes[absent].disk.id);
+		CU_ASSERT_TRUE (late && late->voter);
+		expected_voters = 3;
+		CU_ASSERT_TRUE (has_expected_voters (&sim));
+		CU_ASSERT_EQUAL (raft->config.count, 3);
+		CU_ASSERT_TRUE (all_voters_have_names ());
+		finish_cluster ();
+	}
+}
+
+/* Guards against what was accepted then and is lost with one of the two disks. */
+static void
+test_first_start_with_one_voter_away_and_another_disk_lost (void)
+{
+	for (int absent = 0; absent < 3; absent++) {
+		for (int other = 1; other < 3; other++) {
+			int lost = (absent + other) % 3;
+			sim_init_first_start (&sim, 5, 3, absent, 8);
+			CU_ASSERT_EQUAL (submit_change (3, "c1", "s", 0, 1), ERROR_NONE);
+			sim_crash (&sim, lost);
+			sim_empty_disk (&sim, lost);
+			sim_run (&sim, SECOND);
+			sim_restart (&sim, lost);
+			sim_restart (&sim, absent);
+			CU_ASSERT_TRUE (sim_run_until (&sim, sim_is_settled, 30LL * SECOND));
+			CU_ASSERT_PTR_NOT_NULL (resources_find (
+				&sim.nodes[4].follower.state.resources, RESOURCE_SERVICE, "s"));
+			expected_voters = 3;
+			CU_ASSERT_TRUE (sim_run_until (&sim, has_expected_voters, 30LL * SECOND));
+			finish_cluster ();
+		}
+	}
+}
+
+static void
+cut_off (int node, bool down)
+{
+	for (int i = 0; i < sim.node_count; i++)
+		sim.link_down[node][i] = sim.link_down[i][node] = down && i != node;
+}
+
+/* Guards against two clusters when the network is split while the system starts. */
+static void
+test_halves_of_a_first_start_form_one_cluster (void)
+{
+	for (int alone = 0; alone < 3; alone++) {
+		sim_init_first_start (&sim, 3, 3, -1, 9);
+		cut_off (alone, true);
+		sim_run (&sim, 10LL * SECOND);
+		CU_ASSERT_EQUAL (sim.nodes[alone].voter.raft.commit, 1);
+		CU_ASSERT_NOT_EQUAL (sim.nodes[alone].voter.raft.role, RAFT_LEADER);
+		int leader = sim_leader (&sim);
+		CU_ASSERT_TRUE (leader >= 0 && leader != alone);
+		CU_ASSERT_EQUAL (submit_change (leader, "c1", "s", 0, 1), ERROR_NONE);
+		cut_off (alone, false);
+		CU_ASSERT_TRUE (sim_run_until (&sim, sim_is_settled, 30LL * SECOND));
+		finish_cluster ();
+	}
+	/* Without a majority none forms. */
+	sim_init_first_start (&sim, 3, 3, -1, 10);
+	for (int i = 0; i < 3; i++)
+		cut_off (i, true);
+	sim_run (&sim, 10LL * SECOND);
+	CU_ASSERT_EQUAL (sim_leader (&sim), -1);
+	for (int i = 0; i < 3; i++)
+		cut_off (i, false);
+	CU_ASSERT_TRUE (sim_run_until (&sim, sim_is_settled, 30LL * SECOND));
+	finish_cluster ();
+}
+
+/* The order of the seeds in the settings is not the same on all nodes. */
+static void
+test_first_configuration_is_the_same_on_all_seeds (void)
+{
+	struct raft_config a;
+	struct raft_config b;
+	size_t len = 0;
+	size_t other_len = 0;
+	voter_first_config ("10.0.0.2:9,10.0.0.1:9,10.0.0.3:9,", 3, &a);
+	voter_first_config ("10.0.0.3:9,10.0.0.1:9,,10.0.0.2:9", 3, &b);
+	void *bytes = raft_config_encode (&a, &len);
+	void *other = raft_config_encode (&b, &other_len);
+	CU_ASSERT_EQUAL (raft_voter_count (&a), 3);
+	CU_ASSERT_TRUE (len == other_len && memcmp (bytes, other, len) == 0);
+	voter_first_config ("10.0.0.3:9,10.0.0.1:9,10.0.0.2:9,10.0.0.4:9", 3, &b);
+	CU_ASSERT_EQUAL (b.count, 3);
+	free (bytes);
+	free (other);
+}
+
 int
 main (void)
 {
@@ -788,6 +922,11 @@
 		TEST (claim_runs_once_across_crashes),
 		TEST (outcome_before_its_claim),
 		TEST (lost_quorum_stops_new_work),
+		TEST (first_start_with_one_voter_away),
+		TEST (voter_away_at_the_first_start_joins_with_another_folder),
+		TEST (first_start_with_one_voter_away_and_another_disk_lost),
+		TEST (halves_of_a_first_start_form_one_cluster),
+		TEST (first_configuration_is_the_same_on_all_seeds),
 	};
 	return suite_run ("control", tests, sizeof (tests) / sizeof (tests[0]));
 }
--- a/test/fuzz/control.c
+++ b/test/fuzz/control.c
@@ -1,8 +1,9 @@
 /**
  * @file control.c
  * Fuzzes the simulated control plane: lost, delayed and duplicated messages, broken links, crashes
- * that lose unsynced data, emptied disks, pauses, concurrent operators and resent changes. The
- * simulation in sim.c checks the invariants.
+ * that lose unsynced data, emptied disks, pauses, concurrent operators and resent changes. Some
+ * runs begin with the first start of the whole system, with a node away and faults from the first
+ * step on. The simulation in sim.c checks the invariants.
  */
 #include "test/fuzz/input.h"
 #include "test/sim.h"
@@ -172,9 +173,15 @@
 {
 	struct input input = {data, size};
 	int voters = 3 + (int)input_below (&input, 3);
-	sim_init (&sim, voters + 1 + (int)input_below (&input, 2), voters,
-		input_below (&input, 65536));
-	sim_run (&sim, 8000000);
+	int nodes = voters + 1 + (int)input_below (&input, 2);
+	uint64_t seed = input_below (&input, 65536);
+	if (seed % 2 == 0) {
+		sim_init (&sim, nodes, voters, seed);
+		sim_run (&sim, 8000000);
+	} else {
+		/* The last one is no voter, so that all start. */
+		sim_init_first_start (&sim, nodes, voters, (int)(seed / 2 % 4), seed);
+	}
 	for (int i = 0; i < MAX_STEPS && input.left > 0; i++)
 		step (&input);
 	check_invariants ("during faults");
--- a/test/sim.c
+++ b/test/sim.c
@@ -124,10 +124,24 @@
 	voter_restore_state (&node->voter);
 }
 
+/* As the daemon starts when the whole system starts for the first time. */
+static void
+start_as_seed (struct sim *sim, struct sim_node *node)
+{
+	struct raft_config config;
+	struct raft *raft = &node->voter.raft;
+	if (raft_last_index (raft) > 0 || raft->term > 0)
+		return;
+	voter_first_config (sim->seeds, node->voter.settings.desired_voters, &config);
+	if (voter_first_id (node->address) == raft->id)
+		raft_bootstrap_config (raft, &config);
+}
+
 static void
 start_node (struct sim *sim, int index, bool bootstrap)
 {
 	struct sim_node *node = &sim->nodes[index];
+	bool is_seed = sim->first_start && !node->disk_replaced;
 	int64_t now_us = node_now (sim, node);
 	node->up = true;
 	node->crash_before_save = false;
@@ -138,7 +152,8 @@
 	shares_init (&node->shares, (uint64_t)index + 1);
 	if (node->has_disk) {
 		if (node->disk.id == 0)
-			node->disk.id = rng_next (&sim->rng) | 1;
+			node->disk.id =
+				is_seed ? voter_first_id (node->address) : rng_next (&sim->rng) | 1;
 		struct voter_settings settings = {.lease_us = SIM_LEASE_US,
 			.desired_voters = voters_for_disk_losses (sim->losses),
 			.formation_timeout_us = 8000000,
@@ -151,6 +166,8 @@
 		load_disk (node);
 		if (bootstrap)
 			raft_bootstrap (&node->voter.raft, node->name, node->address);
+		if (is_seed)
+			start_as_seed (sim, node);
 	}
 	struct follower_settings settings = {
 		.lease_us = SIM_LEASE_US, .poll_us = 500000, .seeds = sim->seeds};
@@ -168,8 +185,8 @@
 	sim_init_losses (sim, nodes, voters, 1, seed);
 }
 
-void
-sim_init_losses (struct sim *sim, int nodes, int voters, int losses, uint64_t seed)
+static void
+init_nodes (struct sim *sim, int nodes, int voters, int losses, uint64_t seed)
 {
 	memset (sim, 0, sizeof (*sim));
 	sim->losses = losses;
@@ -189,7 +206,25 @@
 		node->has_disk = i < voters;
 		node->clock_skew_us = (int64_t)rng_below (&sim->rng, 1000000000);
 		hint_table_init (&node->hints);
+	}
+}
+
+void
+sim_init_losses (struct sim *sim, int nodes, int voters, int losses, uint64_t seed)
+{
+	init_nodes (sim, nodes, voters, losses, seed);
+	for (int i = 0; i < nodes; i++)
 		start_node (sim, i, i == 0);
+}
+
+void
+sim_init_first_start (struct sim *sim, int nodes, int voters, int absent, uint64_t seed)
+{
+	init_nodes (sim, nodes, voters, 1, seed);
+	sim->first_start = true;
+	for (int i = 0; i < nodes; i++) {
+		if (i != absent)
+			start_node (sim, i, false);
 	}
 }
 
@@ -218,8 +253,10 @@
 void
 sim_empty_disk (struct sim *sim, int index)
 {
-	if (!sim->nodes[index].up)
-		free_disk (&sim->nodes[index].disk);
+	if (sim->nodes[index].up)
+		return;
+	free_disk (&sim->nodes[index].disk);
+	sim->nodes[index].disk_replaced = true;
 }
 
 void
--- a/test/sim.h
+++ b/test/sim.h
@@ -43,6 +43,7 @@
 	char data_centre[8];
 	bool has_disk;
 	bool up;
+	bool disk_replaced;     /**< it starts as in a system that exists */
 	bool crash_before_save; /**< the process crashes before its next save */
 	int64_t paused_until_us;
 	int64_t clock_skew_us;
@@ -92,8 +93,9 @@
 	struct rng rng;
 	struct sim_node nodes[SIM_NODES];
 	int node_count;
-	int losses;                           /**< number of disks that may be lost at once */
-	char seeds[64];                       /**< addresses of the nodes with a disk */
+	int losses;       /**< number of disks that may be lost at once */
+	bool first_start; /**< the seeds are the first voters, see voter_first_config */
+	char seeds[64];   /**< addresses of the nodes with a disk */
 	bool link_down[SIM_NODES][SIM_NODES]; /**< [from][to]: messages are lost */
 	int loss_per_mille;
 	int duplicate_per_mille;
@@ -123,6 +125,13 @@
 /** Like sim_init, with enough voters for the loss of @p losses disks at once. */
 void
 sim_init_losses (struct sim *sim, int nodes, int voters, int losses, uint64_t seed);
+
+/**
+ * Starts the whole system for the first time: the seeds are the voters.
+ * @param absent a node that does not start, or -1; see sim_restart
+ */
+void
+sim_init_first_start (struct sim *sim, int nodes, int voters, int absent, uint64_t seed);
 void
 sim_finish (struct sim *sim);
 
