ctl: status shows the age of the target list

While the platform's list cannot be read, a node goes on with the last one. Only the metrics and the dump of an entry node showed how old it was.

GET /v1/status has the age of the list in use and the number of failed reads, and oleanderctl status prints them.

--- a/ctl/main.c
+++ b/ctl/main.c
@@ -334,6 +334,20 @@
 	return result;
 }
 
+static void
+print_list_age (const json_t *list)
+{
+	json_int_t age_ms = json_integer_value (json_object_get (list, "age_ms"));
+	if (!list)
+		return;
+	if (age_ms < 0)
+		printf ("target list: none");
+	else
+		printf ("target list: read %" JSON_INTEGER_FORMAT " ms ago", age_ms);
+	printf (", failed reads: %" JSON_INTEGER_FORMAT "\n",
+		json_integer_value (json_object_get (list, "failed_reads")));
+}
+
 static void
 print_status (const json_t *status)
 {
@@ -349,6 +363,7 @@
 		json_integer_value (json_object_get (status, "in_force")),
 		json_integer_value (json_object_get (status, "nodes")),
 		json_integer_value (json_object_get (status, "leaving_work")));
+	print_list_age (json_object_get (status, "list"));
 	table_init (&table, 4);
 	table_add_row (&table);
 	table_set_cell (&table, 0, "MEMBER");
--- a/daemon/operators.c
+++ b/daemon/operators.c
@@ -348,6 +348,18 @@
 	buf_addf (out, "]");
 }
 
+/* The list in use stays while the platform's cannot be read. */
+static void
+write_list (struct buf *out, struct node *node)
+{
+	if (!node->front)
+		return;
+	int64_t read_us = atomic_load (&node->front->list_read_us);
+	int64_t age_us = clock_now_us (&node->clock) - read_us;
+	buf_addf (out, ",\"list\":{\"age_ms\":%" PRId64 ",\"failed_reads\":%" PRIu64 "}",
+		read_us ? age_us / US_PER_MS : -1, metric_get (METRIC_LIST_FAILURES));
+}
+
 static void
 write_status (struct control *control, void *arg)
 {
@@ -367,6 +379,7 @@
 		(long long)atomic_load (&node->admission.limit_milli) / 1000,
 		atomic_load (&node->stopping) ? "true" : "false");
 	write_members (out, &follower->state.members);
+	write_list (out, node);
 	if (control->has_voter)
 		write_voter (out, &control->voter);
 	buf_addf (out, "}");
--- a/test/platform.sh
+++ b/test/platform.sh
@@ -254,6 +254,8 @@
 expect "log syncs of a control node" "$(call "http://127.0.0.1:$((BASE + 301))/metrics")" '^oleanderstile_control_sync_seconds_count [1-9]'
 expect "the metrics server serves no other page" "$(call -o "$RUN/x" -w '%{http_code}' "http://127.0.0.1:$((BASE + 304))/v1/status")" '^404'
 
+status=$("$BUILD/oleanderctl" -n "127.0.0.1:$((BASE + 104))" -k "$KEY" status)
+expect "the status shows the age of the target list" "$status" '^target list: read [0-9]+ ms ago, failed reads: [0-9]+'
 # oleanderctl parses the dump and fails if it is not JSON.
 dump=$("$BUILD/oleanderctl" -n "127.0.0.1:$((BASE + 104))" -k "$KEY" dump | tr -d ' \n')
 expect "the dump contains the front's state of a target" "$dump" '"standing":"[a-z]+","target":"i-0"'
