platform: a manifest with a route that no request reaches is refused

A manifest was confirmed although a route of it could not be served: one with a timeout_ms below 0.001, which is a time of 0, so that each request ends at once; a path_prefix with a query or without its leading slash, and a host with a port, which are never matched.

Such a manifest is refused with a 400 that names the field, before it is confirmed. Entry nodes go on to take one that an earlier build has confirmed, since its other routes are served.

Before: unit-routes unreachable_routes_are_rejected fails for each of these cases; after: it passes.

--- a/daemon/orders.c
+++ b/daemon/orders.c
@@ -43,7 +43,7 @@
 {
 	struct command command = {.kind = COMMAND_ROUTING};
 	struct routing *routing =
-		manifest_decode (call->body.len ? call->body.data : "", call->body.len, error);
+		manifest_accept (call->body.len ? call->body.data : "", call->body.len, error);
 	bool ok = false;
 	if (!routing) {
 		log_event (&orders->log, EVENT_ORDER_REFUSED, "routing: %s", error->message);
--- a/test/routes.c
+++ b/test/routes.c
@@ -1090,6 +1090,44 @@
 	}
 }
 
+/* Guards against routes that are confirmed and that no request can reach. */
+static void
+test_unreachable_routes_are_rejected (void)
+{
+	static const struct {
+		const char *host;
+		const char *prefix;
+		const char *field; /* NULL: the route is reached */
+		const char *timeout_ms;
+	} cases[] = {{"h", "/a/", NULL, "9"}, {"h", "/a/", NULL, "0.001"},
+		{"h", "/a/", "timeout_ms", "1e-9"}, {"h", "/a", NULL, "9"}, {"h", "", NULL, "9"},
+		{"h", "/a%20b/", NULL, "9"}, {"h", "a/", "routes.path_prefix", "9"},
+		{"h", "/a?b/", "routes.path_prefix", "9"},
+		{"h", "/a b/", "routes.path_prefix", "9"},
+		{"h", "/a\\n/", "routes.path_prefix", "9"}, {"h:80", "/a/", "routes.host", "9"},
+		{"[::1]", "/a/", "routes.host", "9"}, {"h ", "/a/", "routes.host", "9"},
+		{"h\\t", "/a/", "routes.host", "9"}};
+	for (size_t i = 0; i < sizeof (cases) / sizeof (cases[0]); i++) {
+		struct error error = {0};
+		struct buf text;
+		buf_init (&text);
+		buf_addf (&text,
+			"{\"version\":1,\"services\":[{\"name\":\"a\"}],\"routes\":[{\"name\":"
+			"\"r\","
+			"\"host\":\"%s\",\"path_prefix\":\"%s\",\"timeout_ms\":%s,\"service\":"
+			"\"a\"}"
+			"]"
+			"}",
+			cases[i].host, cases[i].prefix, cases[i].timeout_ms);
+		struct routing *routing = manifest_accept (text.data, text.len, &error);
+		CU_ASSERT_EQUAL (routing != NULL, cases[i].field == NULL);
+		if (cases[i].field)
+			CU_ASSERT_PTR_NOT_NULL (strstr (error.message, cases[i].field));
+		routing_unref (routing);
+		buf_finish (&text);
+	}
+}
+
 /* Guards against names that are confirmed and then cut or not found by an entry node. */
 static void
 test_long_names_are_kept_whole_or_refused (void)
@@ -1623,6 +1661,7 @@
 		TEST (greatest_records_of_a_part_are_kept),
 		TEST (thousands_of_routes_are_found_by_hash),
 		TEST (invalid_manifests_are_rejected),
+		TEST (unreachable_routes_are_rejected),
 		TEST (long_names_are_kept_whole_or_refused),
 		TEST (long_attempt_ids_are_kept_whole_or_refused),
 		TEST (list_with_unreadable_entries),
