test: fuzz whole target lists and accepted manifests by invariant

list: pages made of sound entries, entries with one spoiled value, any JSON value and deep nesting; the targets in use are the sound ones, unchanged and in order, and what is an entry by itself, over up to three pages and in the copy that control nodes hand on. Its encoding moves to platform/list.c, next to the list.

--- a/daemon/discovery.h
+++ b/daemon/discovery.h
@@ -49,11 +49,3 @@
 /** Applies a list that the leader has read; NULL data confirms the list in use as of @p read_us. */
 void
 discovery_apply_roster (struct discovery *discovery, const void *data, size_t len, int64_t read_us);
-
-/** Encodes a list for other nodes; the caller frees the bytes. */
-void *
-listed_targets_encode (const struct listed_targets *list, size_t *len);
-
-/** Decodes a list; false when the bytes are malformed. */
-bool
-listed_targets_decode (struct listed_targets *list, const void *data, size_t len);
--- a/test/fuzz/run.sh
+++ b/test/fuzz/run.sh
@@ -16,12 +16,14 @@
 	platform) echo 100000 ;;
 	response) echo 200000 ;;
 	scatter) echo 100000 ;;
+	list) echo 20000 ;;
+	manifest) echo 30000 ;;
 	esac
 }
 
 if [ "$1" = --list ]; then
 	# The longest target comes first, so that the others run in parallel with it.
-	printf '%s\n' control messages replies settings gate query platform response scatter
+	printf '%s\n' control messages replies settings gate query platform response scatter list manifest
 	exit 0
 fi
 name=$1
