--- a/test/fuzz/run.sh
+++ b/test/fuzz/run.sh
@@ -18,12 +18,13 @@
 	scatter) echo 100000 ;;
 	list) echo 20000 ;;
 	manifest) echo 30000 ;;
+	limits) echo 2000 ;;
 	esac
 }
 
 if [ "$1" = --list ]; then
 	# The longest target comes first, so that the others run in parallel with it.
-	printf '%s\n' control messages replies settings gate query platform response scatter list manifest
+	printf '%s\n' control messages replies settings gate query platform response scatter list manifest limits
 	exit 0
 fi
 name=$1
