--- a/daemon/http.c
+++ b/daemon/http.c
@@ -1,6 +1,7 @@
 #include "daemon/http.h"
 
 #include "core/metrics.h"
+#include "net/listener.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -50,7 +51,8 @@
 	callbacks.exit_thread = on_thread_end;
 	callbacks.log_message = on_log;
 	struct mg_context *context = mg_start (&callbacks, node, options);
-	if (!context)
+	/* CivetWeb does not tell the cause. */
+	if (!context && listener_check ("the server's address", address, error))
 		error_set (error, ERROR_IO,
 			"cannot listen on %s; correct the address or free the port", address);
 	return context;
