--- a/query/replica.h
+++ b/query/replica.h
@@ -10,7 +10,9 @@
  * cannot be read. Such a target gets nothing more, but for a short time if there is no other.
  *
  * Targets under more load than they can take ask for no requests for some time. They get none until
- * then, and after that few at first, so that the load that has waited does not return at once.
+ * then, and after that few at first, so that the load that has waited does not return at once. Each
+ * node returns a little later than asked, by as much as the first requests of all nodes need. To
+ * ask for this is no failure; only a target that asks again at once is used last.
  */
 #pragma once
 
--- a/query/scatter.h
+++ b/query/scatter.h
@@ -159,7 +159,8 @@
 	int64_t start_us;
 	int64_t deadline_us;
 	int64_t partial_us;      /**< from then on min_shards are enough to answer */
-	int64_t late_partial_us; /**< partial_us once the latency objective is missed */
+	int64_t late_partial_us; /**< partial_us once the latency objective is missed; later if a
+				    shard was sent after a wait for its service */
 	struct scatter_shard *shards;
 	int shard_count;
 	int answered;
