daemon: a state dump no longer keeps a node from its planned stop

On SIGUSR1 the thread that handles signals collected the dump from the other threads, and wrote it to standard output in blocking mode. While a thread or the reader of standard output was held up, SIGTERM was not seen: the node stayed ready, and callers waited until it was killed. Blocking mode also applied to the log lines of all other threads.

The dump has a thread of its own, which waits until standard output takes more; a further SIGUSR1 during a dump is ignored.

Evidence: test/stops.sh, frozen-dump (control thread held up, SIGUSR1, then SIGTERM): before, the readiness check still answered 200 and the test failed; after, 503, connections closed after 4,709 and 4,720 ms, process ended after 4,942 ms. The test also ends its series of routings when a check fails. The blocked reader was not played.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -14,7 +14,8 @@
 #include "daemon/worker.h"
 
 #include <argp.h>
-#include <fcntl.h>
+#include <errno.h>
+#include <poll.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -412,20 +413,54 @@
 		log_event (&node->log, EVENT_NODE_STOPPED, "%s", node->options.node_name);
 }
 
+/* Log lines are dropped when standard output is blocked, but a dump must be complete. */
 static void
-write_dump (struct node *node)
+write_completely (const char *data, size_t len)
 {
+	struct pollfd writable = {.fd = STDOUT_FILENO, .events = POLLOUT};
+	while (len > 0) {
+		ssize_t n = write (STDOUT_FILENO, data, len);
+		if (n > 0) {
+			data += n;
+			len -= (size_t)n;
+		} else if (errno != EAGAIN && errno != EINTR) {
+			return;
+		} else {
+			poll (&writable, 1, -1);
+		}
+	}
+}
+
+static _Atomic bool is_dumping;
+
+static void *
+write_dump (void *arg)
+{
+	struct node *node = arg;
 	struct buf out;
+	rcu_register_thread ();
 	buf_init (&out);
 	operators_dump (node, &out);
 	log_event (&node->log, EVENT_STATE_DUMPED, "%zu bytes on standard output", out.len);
-	/* Log lines are dropped when standard output is blocked, but a dump must be complete. */
-	int flags = fcntl (STDOUT_FILENO, F_GETFL);
-	fcntl (STDOUT_FILENO, F_SETFL, flags & ~O_NONBLOCK);
-	printf ("%s\n", out.data);
-	fflush (stdout);
-	fcntl (STDOUT_FILENO, F_SETFL, flags);
+	buf_add (&out, "\n", 1);
+	write_completely (out.data, out.len);
 	buf_finish (&out);
+	rcu_unregister_thread ();
+	atomic_store (&is_dumping, false);
+	return NULL;
+}
+
+/* In a thread of its own: it waits for other threads and for the reader of standard output. */
+static void
+start_dump (struct node *node)
+{
+	pthread_t thread;
+	if (atomic_exchange (&is_dumping, true))
+		return;
+	if (pthread_create (&thread, NULL, write_dump, node) == 0)
+		pthread_detach (thread);
+	else
+		atomic_store (&is_dumping, false);
 }
 
 /* Only the seeds can change while a node runs; other settings take effect at its next start. */
@@ -464,7 +499,7 @@
 	for (;;) {
 		int signal = sigtimedwait (signals, NULL, &wait);
 		if (signal == SIGUSR1)
-			write_dump (node);
+			start_dump (node);
 		else if (signal == SIGTERM || signal == SIGINT)
 			return;
 		if (signal == SIGHUP || is_changed (node->config_path, &last_mtime))
--- a/test/freeze.c
+++ b/test/freeze.c
@@ -3,7 +3,8 @@
  * Runs a command and stops single threads of it, as a slow disk or a busy processor would.
  *
  * freeze COMMAND ARGUMENT...: each line of standard input names a thread, which is stopped until
- * the process ends. SIGTERM and SIGHUP are passed on; the exit status is that of the command.
+ * the process ends. SIGTERM, SIGHUP and SIGUSR1 are passed on; the exit status is that of the
+ * command.
  */
 #include <dirent.h>
 #include <poll.h>
@@ -108,6 +109,7 @@
 	sigemptyset (&signals);
 	sigaddset (&signals, SIGTERM);
 	sigaddset (&signals, SIGHUP);
+	sigaddset (&signals, SIGUSR1);
 	sigaddset (&signals, SIGCHLD);
 	sigprocmask (SIG_BLOCK, &signals, NULL);
 	setvbuf (stdin, NULL, _IONBF, 0);
--- a/test/stops.sh
+++ b/test/stops.sh
@@ -6,7 +6,7 @@
 cd "$(dirname "$0")/.." || exit 1
 BASE=${BASE:-24500}
 . test/cluster.sh
-trap stop_all EXIT
+trap 'touch "$RUN/stopped"; stop_all' EXIT # also ends the series of routings
 PLATFORM=$((BASE + 400))
 ROUTES=${ROUTES:-2000}
 STOP_MS=5000 # the default of front.stop_ms, which bounds the whole stop
@@ -224,6 +224,9 @@
 # Guards against SIGTERM that is not seen because reloading the settings waits for the control thread.
 start_entry
 play_stop frozen-reload control HUP
+# The same because a dump waits for the control thread.
+start_entry
+play_stop frozen-dump control USR1
 
 # play_control_stop NAME [THREAD]: stops the control node while an operator waits for an order.
 play_control_stop () {
