test: a planned stop with a quarter of a processor

test/stops.sh suspends the entry node for 75 ms in each 100 ms while it stops beside routings of 2,000 routes. Callers' connections have to be closed within front.stop_ms as in the other cases; the process itself may be suspended when it is about to exit, so that its bound is the platform's grace period of 6 s.

--- a/test/freeze.c
+++ b/test/freeze.c
@@ -106,6 +106,7 @@
 		execv (argv[1], argv + 1);
 		_exit (EXIT_FAILURE);
 	}
+	fprintf (stderr, "runs process %d\n", process);
 	sigemptyset (&signals);
 	sigaddset (&signals, SIGTERM);
 	sigaddset (&signals, SIGHUP);
--- a/test/stops.sh
+++ b/test/stops.sh
@@ -9,7 +9,8 @@
 trap 'touch "$RUN/stopped"; stop_all' EXIT # also ends the series of routings
 PLATFORM=$((BASE + 400))
 ROUTES=${ROUTES:-2000}
-STOP_MS=5000 # the default of front.stop_ms, which bounds the whole stop
+STOP_MS=5000  # the default of front.stop_ms, which bounds the whole stop
+GRACE_MS=6000 # the platform then kills the process
 checks=0
 
 fail () {
@@ -148,6 +149,18 @@
 	wait_for 20 serves || fail "the entry node does not serve"
 }
 
+# throttle: lets the entry node run for 25 ms in 100 ms until it has ended.
+throttle () {
+	local pid nap
+	pid=$(grep -o '^runs process [0-9]*' "$RUN/n2.log" | tail -n 1 | grep -o '[0-9]*$')
+	exec {nap}<> <(:)
+	while kill -STOP "$pid" 2> /dev/null; do
+		read -r -t 0.075 -u $nap
+		kill -CONT "$pid" 2> /dev/null || break
+		read -r -t 0.025 -u $nap
+	done
+}
+
 readiness () {
 	curl -s --noproxy '*' -m 2 -o /dev/null -w '%{http_code}' "http://127.0.0.1:$((BASE + 52))/readiness"
 }
@@ -161,7 +174,7 @@
 # play_stop NAME [THREAD [SIGNAL]]: stops the entry node while one routing follows the other, targets
 # are stuck and callers keep their connections. THREAD is stopped before, SIGNAL comes before SIGTERM.
 play_stop () {
-	local name=$1 thread=${2:-} signal=${3:-} t busy idle series readers began took
+	local name=$1 thread=${2:-} signal=${3:-} end_ms=${END_MS:-$STOP_MS} t busy idle series readers began took
 	rm -f "$RUN/stopped"
 	for t in 0 1 2; do set_fault stuck $t 1; done
 	exec {busy}<> "/dev/tcp/127.0.0.1/$((BASE + 2))"
@@ -200,7 +213,7 @@
 	expect "$name: a request that ran until the end gets a last answer" "$(cat "$RUN/busy-$name")" '^HTTP/1.1 504'
 	expect_below "$name: the connection of the running request is closed" $busy_ms $STOP_MS
 	expect_below "$name: an idle connection is closed" $idle_ms $STOP_MS
-	expect_below "$name: the process ends" $took $STOP_MS
+	expect_below "$name: the process ends" $took $end_ms
 	expect "$name: no connection ends without an answer" "$(grep -c CONNECTION_UNANSWERED "$RUN/n2.log")" '^0$'
 }
 
@@ -216,6 +229,11 @@
 # Guards against a stop that exceeds its duration, so that the platform kills the node while callers wait.
 start_entry
 play_stop routings
+# The same with a quarter of a processor. The process may be suspended when it is about to exit; all
+# callers have their answers by then.
+start_entry
+throttle &
+END_MS=$GRACE_MS play_stop quarter
 # Guards against a stop that waits for a thread which does not answer.
 for thread in control peer worker; do
 	start_entry
