test: callers beside second processes end with a failed check

test/platform.sh: when the script ended early, the callers of the section "a second process beside a running node" went on, and held a lock that the script had inherited. Seen once, when the script was ended by hand. They are now recorded with the other processes, which are ended at the exit.

--- a/test/platform.sh
+++ b/test/platform.sh
@@ -172,10 +172,10 @@
 }
 settings 9 entry
 settings 8 control
-seconds_callers=()
+# In PIDS, so that they end with a check that fails.
 for i in 1 2 3 4; do
 	call_until_end "$i" > "$RUN/seconds$i" &
-	seconds_callers+=($!)
+	PIDS[caller$i]=$!
 done
 for i in $(seq 1 10); do second "settings" $((BASE + 204)) "$RUN/n4.ini"; done
 second_with n9.ini address $((BASE + 4))
@@ -188,7 +188,10 @@
 second_with n8.ini orders_address $((BASE + 1))
 second_with n8.ini peer_address $((BASE + 204))
 touch "$RUN/seconds_end"
-wait "${seconds_callers[@]}"
+for i in 1 2 3 4; do
+	wait "${PIDS[caller$i]}"
+	unset "PIDS[caller$i]"
+done
 [ "$(cat "$RUN"/seconds[1-4] | wc -l)" -ge 100 ] || fail "too few requests were sent beside the second processes"
 lost=$(cat "$RUN"/seconds[1-4] | grep -vc '^HTTP/1.1 200')
 expect "callers of the running node lose nothing" "$lost" '^0$'
