--- a/soak/main.c
+++ b/soak/main.c
@@ -552,8 +552,12 @@
 		run_due (scenario);
 		watch_processes (scenario);
 		limit_in_turns (scenario);
-		if (end_us == INT64_MAX && all_run (scenario))
+		if (end_us == INT64_MAX && all_run (scenario)) {
+			/* A change that running nodes have to follow. */
+			if (scenario->settings->entry_faults)
+				start_routes (scenario, 0);
 			end_us = http_now_us () + TAIL_US;
+		}
 		http_sleep_us (scenario->settings->on_ms ? LIMIT_STEP_US : STEP_US);
 	}
 	limit_entry_nodes (scenario, true);
@@ -586,8 +590,10 @@
 	if (late == 0)
 		return;
 	scenario->failures++;
-	fprintf (scenario->log, "DRAINING: %d requests reached targets too late\n", late);
-	printf ("DRAINING: %d requests reached targets too late\n", late);
+	const char *text = late > 0 ? "DRAINING: %d requests reached targets too late\n"
+				    : "DRAINING: the mock of the platform did not answer (%d)\n";
+	fprintf (scenario->log, text, late);
+	printf (text, late);
 }
 
 /* An accepted version of the routes must be there, or a newer one. */
--- a/test/platform.c
+++ b/test/platform.c
@@ -575,7 +575,8 @@
 static void
 listen_at (int port, struct target *target)
 {
-	if (!MHD_start_daemon (MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD,
+	if (!MHD_start_daemon (
+		    MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL,
 		    (uint16_t)port, NULL, NULL, on_request, target, MHD_OPTION_NOTIFY_COMPLETED,
 		    on_completed, NULL, MHD_OPTION_CONNECTION_TIMEOUT, 20U, MHD_OPTION_END)) {
 		fprintf (stderr, "cannot listen on port %d; free it\n", port);
