dump: names are escaped, so that one cannot spoil what operators read

A service or target whose name has a quote or a backslash made the dump invalid JSON and the metrics unreadable, so that oleanderctl dump failed and nothing was collected from the node. Since orders take any name of a data centre, the same held for the list of data centres.

Names from outside are escaped where they stand between quotes.

Before: test/platform.sh with the new checks fails at "the dump can be read".

--- a/core/buf.c
+++ b/core/buf.c
@@ -128,6 +128,20 @@
 	va_end (args_copy);
 }
 
+const char *
+text_escape (const char *text, char out[TEXT_ESCAPED_SIZE])
+{
+	size_t len = 0;
+	for (; *text && len + 2 < TEXT_ESCAPED_SIZE; text++) {
+		unsigned char c = (unsigned char)*text;
+		if (c == '"' || c == '\\' || c == '\n')
+			out[len++] = '\\';
+		out[len++] = c == '\n' ? 'n' : c < ' ' ? '?' : (char)c;
+	}
+	out[len] = '\0';
+	return out;
+}
+
 bool
 secret_equal (const char *given, const char *expected, size_t expected_len)
 {
--- a/core/buf.h
+++ b/core/buf.h
@@ -44,6 +44,15 @@
 void *
 xmemdup (const void *data, size_t len);
 
+enum { TEXT_ESCAPED_SIZE = 2 * 255 + 1 };
+
+/**
+ * Writes a name for use between quotes in JSON and in labels of metrics: quotes, backslashes and
+ * line ends are escaped, other control characters replaced. A longer one is truncated.
+ */
+const char *
+text_escape (const char *text, char out[TEXT_ESCAPED_SIZE]);
+
 /** Copies a string into an array of @p size bytes and truncates it if it is too long. */
 void
 str_copy (char *to, size_t size, const char *from);
--- a/daemon/front_dump.c
+++ b/daemon/front_dump.c
@@ -35,12 +35,15 @@
 static void
 write_replica (const struct replica *replica, int64_t now_us, struct buf *out)
 {
+	char id[TEXT_ESCAPED_SIZE];
+	char data_centre[TEXT_ESCAPED_SIZE];
 	buf_addf (out,
 		"{\"target\":\"%s\",\"address\":\"%s\",\"data_centre\":\"%s\",\"standing\":\"%s\","
 		"\"slots\":%d,\"in_flight\":%d,\"told_load\":%d,\"usual_us\":%" PRId64
 		",\"failures\":%d,\"refusals\":%d,\"avoided_ms\":%" PRId64 ",\"cold_ms\":%" PRId64
 		",\"busy_ms\":%" PRId64 ",\"announced_leaving\":%s}",
-		replica->id, replica->address, replica->data_centre,
+		text_escape (replica->id, id), replica->address,
+		text_escape (replica->data_centre, data_centre),
 		standing_names[standing_of (replica, now_us)], replica->slots, replica->in_flight,
 		replica->reported_load, replica->latency_us, replica->failures, replica->refusals,
 		remaining_ms (replica->avoid_until_us, now_us),
@@ -53,11 +56,12 @@
 write_set (const struct replica_set *set, int64_t now_us, struct buf *out)
 {
 	const struct replica *replica;
+	char name[TEXT_ESCAPED_SIZE];
 	int count = 0;
 	buf_addf (out,
 		"{\"service\":\"%s\",\"connections\":%d,\"waiting\":%d,\"extra_left\":%.2f,"
 		"\"targets\":[",
-		set->name, set->connections, set->waiting_count,
+		text_escape (set->name, name), set->connections, set->waiting_count,
 		(double)atomic_load (&set->extra.tokens) / BUDGET_TOKENS_PER_EXTRA);
 	cds_list_for_each_entry (replica, &set->replicas, node) {
 		if (count++)
@@ -73,6 +77,7 @@
 {
 	const struct aggregator *aggregator;
 	const struct cds_list_head *served;
+	char data_centre[TEXT_ESCAPED_SIZE];
 	int served_count = 0;
 	int count = 0;
 	cds_list_for_each (served, &front->served) served_count++;
@@ -85,9 +90,9 @@
 			"%s{\"address\":\"%s\",\"data_centre\":\"%s\",\"leaving\":%s,"
 			"\"in_flight\":%d,\"failures\":%d,\"avoided_ms\":%" PRId64 "}",
 			count++ ? "," : "", aggregator->entry.address,
-			aggregator->entry.data_centre, aggregator->entry.leaving ? "true" : "false",
-			aggregator->in_flight, aggregator->failures,
-			remaining_ms (aggregator->avoid_until_us, now_us));
+			text_escape (aggregator->entry.data_centre, data_centre),
+			aggregator->entry.leaving ? "true" : "false", aggregator->in_flight,
+			aggregator->failures, remaining_ms (aggregator->avoid_until_us, now_us));
 	}
 	buf_addf (out, "]}");
 }
@@ -125,6 +130,7 @@
 write_metrics (struct front *front, struct buf *out)
 {
 	const struct replica_set *set;
+	char name[TEXT_ESCAPED_SIZE];
 	int64_t now_us = front_now_us (front);
 	write_family (out, "service_targets", "Targets of a service by standing");
 	cds_list_for_each_entry (set, &front->sets, node) {
@@ -136,16 +142,17 @@
 			buf_addf (out,
 				"oleanderstile_service_targets{service=\"%s\",standing=\"%s\"} "
 				"%d\n",
-				set->name, standing_names[i], counts[i]);
+				text_escape (set->name, name), standing_names[i], counts[i]);
 	}
 	write_family (out, "service_waiting", "Sub-requests waiting for capacity at a service");
 	cds_list_for_each_entry (set, &front->sets, node)
-		buf_addf (out, "oleanderstile_service_waiting{service=\"%s\"} %d\n", set->name,
-			set->waiting_count);
+		buf_addf (out, "oleanderstile_service_waiting{service=\"%s\"} %d\n",
+			text_escape (set->name, name), set->waiting_count);
 	write_family (out, "service_extra_left",
 		"Hedges and retries that this node may send to a service at once");
 	cds_list_for_each_entry (set, &front->sets, node)
-		buf_addf (out, "oleanderstile_service_extra_left{service=\"%s\"} %.2f\n", set->name,
+		buf_addf (out, "oleanderstile_service_extra_left{service=\"%s\"} %.2f\n",
+			text_escape (set->name, name),
 			(double)atomic_load (&set->extra.tokens) / BUDGET_TOKENS_PER_EXTRA);
 }
 
--- a/daemon/operators.c
+++ b/daemon/operators.c
@@ -33,12 +33,13 @@
 static void
 write_resource (struct buf *out, const struct resource *item, const struct follower *follower)
 {
+	char name[TEXT_ESCAPED_SIZE];
 	bool in_force = follower->in_force >= item->version;
 	buf_addf (out,
 		"{\"kind\":\"%s\",\"name\":\"%s\",\"version\":%" PRIu64
 		",\"spec\":%s,\"status\":{\"in_force\":%s",
-		resource_kind_name (item->kind), item->name, item->version, item->spec,
-		in_force ? "true" : "false");
+		resource_kind_name (item->kind), text_escape (item->name, name), item->version,
+		item->spec, in_force ? "true" : "false");
 	if (strstr (item->spec, "\"leaving\":true"))
 		buf_addf (out, ",\"leaving_work\":%u,\"empty\":%s", follower->total_leaving_work,
 			in_force && follower->total_leaving_work == 0 ? "true" : "false");
@@ -75,11 +76,13 @@
 	const struct change *change)
 {
 	const struct resource *item = resources_find (resources, change->kind, change->name);
+	char name[TEXT_ESCAPED_SIZE];
 	buf_addf (&call->out,
 		"%s{\"revision\":%" PRIu64 ",\"kind\":\"%s\",\"name\":\"%s\",\"removed\":%s"
 		",\"spec\":%s}",
-		call->found ? "," : "", index, resource_kind_name (change->kind), change->name,
-		change->remove ? "true" : "false", item && !change->remove ? item->spec : "null");
+		call->found ? "," : "", index, resource_kind_name (change->kind),
+		text_escape (change->name, name), change->remove ? "true" : "false",
+		item && !change->remove ? item->spec : "null");
 	call->found = true;
 }
 
@@ -328,9 +331,11 @@
 		roles[raft->role], raft_is_voter (raft) ? "true" : "false", raft->term,
 		raft->commit, raft_last_index (raft), raft->snapshot_index,
 		voter->state.ledger.count);
+	char name[TEXT_ESCAPED_SIZE];
 	for (int i = 0; i < raft->config.count; i++)
 		buf_addf (out, "%s{\"name\":\"%s\",\"address\":\"%s\",\"voter\":%s}", i ? "," : "",
-			raft->config.nodes[i].name, raft->config.nodes[i].address,
+			text_escape (raft->config.nodes[i].name, name),
+			raft->config.nodes[i].address,
 			raft->config.nodes[i].voter ? "true" : "false");
 	buf_addf (out, "]}");
 }
@@ -338,12 +343,15 @@
 static void
 write_members (struct buf *out, const struct members *members)
 {
+	char name[TEXT_ESCAPED_SIZE];
+	char data_centre[TEXT_ESCAPED_SIZE];
 	buf_addf (out, ",\"members\":[");
 	for (size_t i = 0; i < members->count; i++)
 		buf_addf (out,
 			"%s{\"name\":\"%s\",\"data_centre\":\"%s\",\"address\":\"%s\",\"leaving\":%"
 			"s}",
-			i ? "," : "", members->items[i].name, members->items[i].data_centre,
+			i ? "," : "", text_escape (members->items[i].name, name),
+			text_escape (members->items[i].data_centre, data_centre),
 			members->items[i].address, members->items[i].leaving ? "true" : "false");
 	buf_addf (out, "]");
 }
--- a/test/platform.sh
+++ b/test/platform.sh
@@ -307,6 +307,16 @@
 	expect "entry node $n serves the other routes" "$(send_request $n "nm$n" /all/x)" '^HTTP/1.1 200'
 	expect "and says that the new service has no target" "$(send_request $n "nn$n" /long/x)" '^HTTP/1.1 503'
 done
+quoted='q\"\\q'
+expect "a service and a route with quotes in their names" "$(order 1 POST /config/replace "$(manifest 8 "{\"name\":\"$quoted\",\"host\":\"site.example\",\"path_prefix\":\"/quoted/\",\"route_type\":\"idempotent\",\"timeout_ms\":900,\"max_attempts\":2,\"service\":\"$quoted\"}" "{\"name\":\"$quoted\",\"max_connections\":9}")")" '^200'
+sleep 1.5
+expect "are served" "$(send_request 4 nq /quoted/x)" '^HTTP/1.1 503'
+expect "the dump can be read" "$("$BUILD/oleanderctl" -n "127.0.0.1:$((BASE + 104))" -k "$KEY" dump | grep -c '"service": "q\\"\\\\q"')" '^1$'
+expect "and the metrics" "$(call "http://127.0.0.1:$((BASE + 304))/metrics")" '^oleanderstile_service_waiting.service="q\\"\\\\q"'
+expect "the order about a data centre with quotes in its name" "$(order 1 POST /evacuation/z%22%5C/start)" '^200'
+sleep 1
+expect "the data centres can be read" "$("$BUILD/oleanderctl" -j -n "127.0.0.1:$((BASE + 101))" -k "$KEY" list DataCentre | tr -d ' \n')" '"name":"z\\"\\\\"'
+expect "and the order that it returns" "$(order 1 POST /evacuation/z%22%5C/end)" '^200'
 expect "a longer name is refused" "$(order 1 POST /config/replace "$(manifest 8 "" "{\"name\":\"${long_name}n\",\"max_connections\":9}" | sed 's/},,/},/')")" '^400'
 expect "with the field and its limit" "$(cat "$RUN/answer")" 'services.name has over 255 bytes'
 
--- a/test/units.c
+++ b/test/units.c
@@ -954,6 +954,27 @@
 	timers_finish (&timers);
 }
 
+/* Guards against a dump or metrics that cannot be read for the name of one target. */
+static void
+test_names_are_escaped_in_dumps (void)
+{
+	static const char *const names[] = {"s", "a\"b", "\\", "a\\\"", "a\nb", "\"\"", "\xc3\xa9"};
+	char out[TEXT_ESCAPED_SIZE];
+	char quoted[TEXT_ESCAPED_SIZE + 2];
+	char longest[256];
+	for (size_t i = 0; i < sizeof (names) / sizeof (names[0]); i++) {
+		snprintf (quoted, sizeof (quoted), "\"%s\"", text_escape (names[i], out));
+		json_t *decoded = json_loads (quoted, JSON_DECODE_ANY, NULL);
+		CU_ASSERT_PTR_NOT_NULL_FATAL (decoded);
+		CU_ASSERT_STRING_EQUAL (json_string_value (decoded), names[i]);
+		json_decref (decoded);
+	}
+	CU_ASSERT_STRING_EQUAL (text_escape ("a\tb\x01", out), "a?b?");
+	memset (longest, '"', 255);
+	longest[255] = '\0';
+	CU_ASSERT_EQUAL (strlen (text_escape (longest, out)), 510);
+}
+
 int
 main (void)
 {
@@ -990,6 +1011,7 @@
 		TEST (packed_documents_round_trip),
 		TEST (excessive_length_and_depth_are_rejected),
 		TEST (timers_fire_in_order),
+		TEST (names_are_escaped_in_dumps),
 	};
 	hint_table_init (&hints);
 	return suite_run ("units", tests, sizeof (tests) / sizeof (tests[0]));
