ingress: bodies of callers' requests have a common limit

A body had a limit of its own, but all of them together only that of the number of connections: 3,000 callers that send 256 kB each and never end take 750 MB.

A server holds at most 24 MB of bodies. Past it, the largest body that has not arrived whole is dropped; its request is read to its end and gets 503 with Retry-After, since it did not run. Bodies that have arrived count until their request is completed. The refusals are counted and logged.

--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -147,6 +147,18 @@
 	front->logged_dropped = dropped;
 }
 
+static void
+log_refused_bodies (struct front *front)
+{
+	unsigned refused = front->callers.no_room_count;
+	if (refused == front->logged_no_room)
+		return;
+	log_event (&front->log, EVENT_REQUEST_REFUSED,
+		"%u requests, status 503, no memory for their bodies; %zu bytes are held",
+		refused - front->logged_no_room, front->callers.body_bytes);
+	front->logged_no_room = refused;
+}
+
 static void
 finish_forward (struct scatter *scatter)
 {
@@ -172,6 +184,7 @@
 	}
 	forward_log_end (forward, status);
 	log_dropped_answers (forward->front);
+	log_refused_bodies (forward->front);
 	forward_count_end (scatter, front_now_us (forward->front) - scatter->start_us);
 	metric_add (METRIC_SUBS_HEDGE, (uint64_t)scatter->hedges);
 	metric_add (METRIC_SUBS_RETRY, (uint64_t)scatter->retries);
@@ -743,6 +756,7 @@
 	struct header_scan scan = {.forward = forward};
 	forward_init (forward, front);
 	log_dropped_answers (front);
+	log_refused_bodies (front);
 	str_copy (
 		scan.connection, sizeof (scan.connection), ingress_header (request, "Connection"));
 	ingress_headers (request, collect_header, &scan);
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -72,6 +72,7 @@
 	struct timers timers;
 	struct fetch_loop fetches;
 	struct ingress callers;
+	unsigned logged_no_room; /**< requests refused for their bodies that were logged */
 	unsigned logged_dropped; /**< dropped answers of callers that were logged */
 	struct ingress balancer; /**< readiness probes of the load balancer */
 	struct ingress batches;  /**< batches that other entry nodes send */
--- a/net/ingress.c
+++ b/net/ingress.c
@@ -20,6 +20,7 @@
 	FD_TABLE_STEP = 64,
 	TIMEOUT_MAX_MS = 1000,
 	DISCARD_BYTES = 16384, /* of one connection in one call */
+	NO_ROOM_RETRY_MS = 200,
 };
 
 /** A caller's connection. */
@@ -172,6 +173,7 @@
 		request->client->receiving = NULL;
 	}
 	ingress->request_count--;
+	ingress->body_bytes -= request->body.cap;
 	if (request->answered && !request->dropped)
 		ingress->answer_bytes -= request->answer_len;
 	free (request->uri);
@@ -230,13 +232,70 @@
 	return result;
 }
 
+static void
+drop_body (struct ingress_request *request)
+{
+	request->ingress->body_bytes -= request->body.cap;
+	buf_finish (&request->body);
+	buf_init (&request->body);
+}
+
+/* The largest body of those that have not arrived whole. */
+static struct ingress_request *
+find_largest_body (const struct ingress *ingress)
+{
+	struct ingress_request *found = NULL;
+	for (int i = 0; i < ingress->client_count; i++) {
+		struct ingress_client *client = ingress->clients[i];
+		struct ingress_request *request = client ? client->receiving : NULL;
+		if (!request || client->request || request->answered || request->body.cap == 0)
+			continue;
+		if (!found || request->body.len > found->body.len)
+			found = request;
+	}
+	return found;
+}
+
+static void
+limit_body_bytes (struct ingress *ingress)
+{
+	while (ingress->body_bytes > INGRESS_BODY_BYTES_MAX) {
+		struct ingress_request *request = find_largest_body (ingress);
+		if (!request)
+			return;
+		request->no_room = true;
+		drop_body (request);
+		ingress->no_room_count++;
+		metric_add (METRIC_REFUSED_NO_MEMORY, 1);
+	}
+}
+
+/* What does not fit is read to its end and dropped, since the caller reads no answer before. */
 static void
 append_body (struct ingress_request *request, const char *data, size_t len)
 {
-	if ((int64_t)(request->body.len + len) > request->ingress->limits.body_bytes)
+	struct ingress *ingress = request->ingress;
+	if (request->no_room || request->too_large)
+		return;
+	if ((int64_t)(request->body.len + len) > ingress->limits.body_bytes) {
 		request->too_large = true;
-	else
-		buf_add (&request->body, data, len);
+		drop_body (request);
+		return;
+	}
+	ingress->body_bytes -= request->body.cap;
+	buf_add (&request->body, data, len);
+	ingress->body_bytes += request->body.cap;
+	limit_body_bytes (ingress);
+}
+
+static void
+refuse_for_memory (struct ingress_request *request)
+{
+	struct buf lines;
+	buf_init (&lines);
+	buf_addf (&lines, "Retry-After: %.3f\n", (double)NO_ROOM_RETRY_MS / 1000);
+	ingress_answer (request, MHD_HTTP_SERVICE_UNAVAILABLE, &lines, NULL, 0, true);
+	buf_finish (&lines);
 }
 
 /*
@@ -279,6 +338,10 @@
 	}
 	if (request->caller_left || has_left (request))
 		return MHD_NO;
+	if (request->no_room) {
+		refuse_for_memory (request);
+		return queue_answer (request);
+	}
 	if (request->too_large) {
 		ingress_answer (request, MHD_HTTP_CONTENT_TOO_LARGE, NULL, NULL, 0, true);
 		return queue_answer (request);
--- a/net/ingress.h
+++ b/net/ingress.h
@@ -26,6 +26,8 @@
 	INGRESS_LINGER_US = 500000,
 	/** Memory of the answers of one server that callers have not read yet, of all together. */
 	INGRESS_ANSWER_BYTES_MAX = 24 * 1024 * 1024,
+	/** Memory of the bodies of one server's requests, of all together. */
+	INGRESS_BODY_BYTES_MAX = 24 * 1024 * 1024,
 	/** After this time, an answer that has not been read has a slow reader. */
 	INGRESS_SLOW_US = 500000,
 };
@@ -39,6 +41,7 @@
 	char method[32];
 	struct buf body;
 	bool too_large; /**< the body exceeds the limit */
+	bool no_room;   /**< the bodies of all requests together exceeded theirs */
 	bool suspended;
 	bool answered;
 	bool caller_left; /**< the caller closed its connection */
@@ -78,7 +81,9 @@
 	struct ingress_limits limits;
 	int connection_count;
 	int request_count;
+	size_t body_bytes;               /**< memory of the bodies of requests */
 	size_t answer_bytes;             /**< of answers that callers have not read yet */
+	unsigned no_room_count;          /**< requests refused for the limit of body_bytes */
 	unsigned dropped_count;          /**< answers ended for the limit of answer_bytes */
 	bool resumed;                    /**< a resumed request needs ingress_run */
 	struct ingress_client **clients; /**< indexed by socket */
--- a/test/ingress.c
+++ b/test/ingress.c
@@ -8,12 +8,14 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -441,6 +443,97 @@
 	free (small.data);
 }
 
+enum {
+	LARGE_BODIES = 5,
+	LARGE_BODY = 6 * 1024 * 1024,
+	BODY_LIMIT = 8 * 1024 * 1024,
+	SMALL_BODY = 65536,
+	RECEIVE_TURNS = 2000,
+};
+
+static int
+send_head (const struct fixture *fixture, size_t len)
+{
+	char text[256];
+	int fd = connect_caller (fixture, 0);
+	snprintf (text, sizeof (text), "%sContent-Length: %zu\r\n\r\n", head, len);
+	send_text (fd, text);
+	fcntl (fd, F_SETFL, O_NONBLOCK);
+	return fd;
+}
+
+/* The kernel holds megabytes that the server has not read. */
+static void
+run_until_read (struct fixture *fixture, int fd)
+{
+	int unread = 1;
+	for (int i = 0; i < RECEIVE_TURNS && unread > 0; i++) {
+		ioctl (fd, SIOCOUTQ, &unread);
+		run (fixture, 1);
+	}
+	for (int i = 0; i < RECEIVE_TURNS; i++)
+		ingress_run (&fixture->ingress);
+	run (fixture, 2);
+}
+
+/* Sends bytes of a body while the server runs. */
+static void
+send_body (struct fixture *fixture, int fd, size_t len)
+{
+	char *bytes = xcalloc (1, len);
+	size_t sent = 0;
+	for (int i = 0; i < RECEIVE_TURNS && sent < len; i++) {
+		ssize_t n = send (fd, bytes + sent, len - sent, MSG_NOSIGNAL);
+		sent += n > 0 ? (size_t)n : 0;
+		run (fixture, 1);
+	}
+	CU_ASSERT_EQUAL (sent, len);
+	run_until_read (fixture, fd);
+	free (bytes);
+}
+
+/* Guards against bodies of many callers that together take all memory of the node. */
+static void
+test_bodies_of_requests_have_a_common_limit (void)
+{
+	struct fixture fixture;
+	struct reader refused;
+	int fds[LARGE_BODIES];
+	fixture_init (&fixture);
+	fixture.ingress.limits.body_bytes = BODY_LIMIT;
+	for (int i = 0; i < LARGE_BODIES; i++) {
+		fds[i] = send_head (&fixture, LARGE_BODY);
+		send_body (&fixture, fds[i], LARGE_BODY - 1 - (size_t)i);
+		CU_ASSERT_TRUE (fixture.ingress.body_bytes <= INGRESS_BODY_BYTES_MAX);
+	}
+	CU_ASSERT_EQUAL (fixture.held_count, 0);
+	/* A small one has room, and so have those large ones that were not the largest. */
+	int fd = send_head (&fixture, SMALL_BODY);
+	send_body (&fixture, fd, SMALL_BODY);
+	CU_ASSERT_EQUAL (fixture.held[0]->body.len, SMALL_BODY);
+	for (int i = 0; i < LARGE_BODIES; i++)
+		send_body (&fixture, fds[i], (size_t)i + 1);
+	CU_ASSERT_TRUE_FATAL (fixture.held_count > 1 && fixture.held_count <= LARGE_BODIES);
+	for (int i = 1; i < fixture.held_count; i++)
+		CU_ASSERT_EQUAL (fixture.held[i]->body.len, LARGE_BODY);
+	fcntl (fds[0], F_SETFL, 0);
+	reader_start (&refused, fds[0], 0);
+	run (&fixture, 20);
+	reader_join (&refused);
+	CU_ASSERT_TRUE (is_refusal (&refused));
+	CU_ASSERT_PTR_NOT_NULL (strstr (refused.data, "Retry-After: "));
+	for (int i = 0; i < fixture.held_count; i++)
+		ingress_answer (fixture.held[i], 200, NULL, NULL, 0, true);
+	fixture.held_count = 0;
+	run (&fixture, 20);
+	CU_ASSERT_EQUAL (fixture.ingress.body_bytes, 0);
+	close (fd);
+	for (int i = 1; i < LARGE_BODIES; i++)
+		close (fds[i]);
+	stop (&fixture);
+	free (refused.data);
+}
+
 int
 main (void)
 {
@@ -454,6 +547,7 @@
 		TEST (closing_answer_survives_unread_bytes),
 		TEST (stopped_listener_turns_callers_away),
 		TEST (unread_answers_have_a_common_limit),
+		TEST (bodies_of_requests_have_a_common_limit),
 	};
 	return suite_run ("ingress", tests, sizeof (tests) / sizeof (tests[0]));
 }
