--- a/test/units.c
+++ b/test/units.c
@@ -1001,6 +1001,27 @@
 	CU_ASSERT_EQUAL (turn_total_us (&turn), 0);
 }
 
+/* Guards against a dump or metrics that cannot be read for the name of one target. */
+static void
+test_names_are_escaped_in_dumps (void)
+{
+	static const char *const names[] = {"s", "a\"b", "\\", "a\\\"", "a\nb", "\"\"", "\xc3\xa9"};
+	char out[TEXT_ESCAPED_SIZE];
+	char quoted[TEXT_ESCAPED_SIZE + 2];
+	char longest[256];
+	for (size_t i = 0; i < sizeof (names) / sizeof (names[0]); i++) {
+		snprintf (quoted, sizeof (quoted), "\"%s\"", text_escape (names[i], out));
+		json_t *decoded = json_loads (quoted, JSON_DECODE_ANY, NULL);
+		CU_ASSERT_PTR_NOT_NULL_FATAL (decoded);
+		CU_ASSERT_STRING_EQUAL (json_string_value (decoded), names[i]);
+		json_decref (decoded);
+	}
+	CU_ASSERT_STRING_EQUAL (text_escape ("a\tb\x01", out), "a?b?");
+	memset (longest, '"', 255);
+	longest[255] = '\0';
+	CU_ASSERT_EQUAL (strlen (text_escape (longest, out)), 510);
+}
+
 int
 main (void)
 {
@@ -1039,6 +1060,7 @@
 		TEST (timers_fire_in_order),
 		TEST (slow_turn_names_its_longest_part),
 		TEST (thread_that_is_held_up_is_joined_for_a_limited_time),
+		TEST (names_are_escaped_in_dumps),
 	};
 	hint_table_init (&hints);
 	return suite_run ("units", tests, sizeof (tests) / sizeof (tests[0]));
