query: a target that drops out of the list stays busy

What a target announced about leaving was remembered already, for ten minutes; so is this now, for as long as its time lasts.

--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -324,7 +324,7 @@
 	}
 	int64_t spread_us = replica_return_spread_us (replica, busy_us, sending_nodes (sub));
 	int64_t jitter_us = (int64_t)rng_below (&front->rng, (uint64_t)spread_us + 1);
-	replica_note_busy (replica, now_us + busy_us + jitter_us);
+	replica_note_busy (replica, now_us + busy_us + jitter_us, now_us);
 	metric_add (METRIC_TARGETS_BUSY, 1);
 	log_event (&front->log, EVENT_TARGET_BUSY, "%s: %s of %s at %s: no requests for %lld ms",
 		sub->attempt_id, replica->id, replica->set->name, replica->address,
--- a/query/replica.c
+++ b/query/replica.c
@@ -40,11 +40,12 @@
 }
 
 void
-replica_note_busy (struct replica *replica, int64_t until_us)
+replica_note_busy (struct replica *replica, int64_t until_us, int64_t now_us)
 {
 	if (until_us <= replica->busy_until_us)
 		return;
 	replica->busy_until_us = until_us;
+	replica->busy_since_us = now_us;
 	replica->return_limit = 1;
 }
 
@@ -63,8 +64,11 @@
 bool
 replica_is_kept (const struct replica *replica, int64_t now_us)
 {
-	return replica->leaving_since_us != 0 &&
-	       now_us < replica->leaving_since_us + REPLICA_LEAVING_KEEP_US;
+	bool leaving = replica->leaving_since_us != 0 &&
+		       now_us < replica->leaving_since_us + REPLICA_ANNOUNCED_KEEP_US;
+	bool busy = now_us < replica->busy_until_us &&
+		    now_us < replica->busy_since_us + REPLICA_ANNOUNCED_KEEP_US;
+	return leaving || busy;
 }
 
 /* Whether a target that has announced that it leaves may be used because there is no other. */
--- a/query/replica.h
+++ b/query/replica.h
@@ -43,8 +43,8 @@
 	REPLICA_FAILURE_RATE_ONE = 1024,   /**< failure rate when all recent sub-requests failed */
 	REPLICA_FAILURE_COST_MEDIANS = 4,  /**< median latencies that a failed sub-request costs */
 	REPLICA_DRAIN_MARGIN_US = 500000,  /**< reserved for a request to reach a leaving target */
-	/** How long an unlisted target is remembered as leaving, since lists may come late. */
-	REPLICA_LEAVING_KEEP_US = 600000000,
+	/** How long the announcement of an unlisted target is remembered: lists may come late. */
+	REPLICA_ANNOUNCED_KEEP_US = 600000000,
 	REPLICA_STALL_MIN_US = 15000, /**< shorter waits for a reply are ordinary variation */
 };
 
@@ -68,6 +68,7 @@
 	 */
 	int64_t leaving_since_us;
 	int64_t busy_until_us; /**< it refused and asked for no request until then; 0: it has not */
+	int64_t busy_since_us; /**< when it asked for that */
 	/** Sub-requests at the same time after that; doubles with each answer. 0: no limit. */
 	int return_limit;
 	uint64_t start_unix_ms;   /**< start of this incarnation, Unix milliseconds; 0: unknown */
@@ -191,7 +192,7 @@
  * earlier end than the known one changes nothing.
  */
 void
-replica_note_busy (struct replica *replica, int64_t until_us);
+replica_note_busy (struct replica *replica, int64_t until_us, int64_t now_us);
 
 /**
  * The longest time by which a node may return later than a target asked for, so that not all nodes
@@ -210,7 +211,7 @@
 replica_return_us (
 	const struct replica_set *set, const struct replica_criteria *criteria, int64_t now_us);
 
-/** True when an unlisted target has to be kept, so that it stays known as leaving. */
+/** True when an unlisted target has to be kept, so that it stays known as leaving or busy. */
 bool
 replica_is_kept (const struct replica *replica, int64_t now_us);
 
--- a/test/busy.c
+++ b/test/busy.c
@@ -234,7 +234,7 @@
 	} else if (load.obeyed) {
 		int64_t spread_us = replica_return_spread_us (replica, sent->asked_us, load.nodes);
 		int64_t jitter_us = (int64_t)rng_below (&node->rng, (uint64_t)spread_us + 1);
-		replica_note_busy (replica, now_us + sent->asked_us + jitter_us);
+		replica_note_busy (replica, now_us + sent->asked_us + jitter_us, now_us);
 		result = REPLICA_DEFERRED;
 	} else {
 		result = REPLICA_REFUSED;
--- a/test/busy.sh
+++ b/test/busy.sh
@@ -91,6 +91,10 @@
 before="$(counter 0 requests) $(counter 1 requests)"
 expect "others serve" "$(send_load /one/x 200 2)" '"refused":0,.*"failed":0'
 expect "the targets get nothing" "$(counter 0 requests) $(counter 1 requests)" "^$before\$"
+control_target $((PORT + 1)) '{"unlisted":true}'
+wait_for 5 eval '! standing 1 | grep -q "\"standing\":\"busy\""' || fail "the list still has the target"
+control_target $((PORT + 1)) '{"unlisted":false}'
+sleep 1.5
 control_target $PORT '{"restart":true}'
 wait_for 5 eval 'standing 0 | grep -q "\"standing\":\"ready\""' || fail "another target at the address is not used"
 # More than the two others take without a queue, so that a third is of use.
--- a/test/fuzz/scatter.c
+++ b/test/fuzz/scatter.c
@@ -211,8 +211,8 @@
 		sent->request->may_have_run[sent->shard]--;
 	struct replica_set *set = sent->use.replica->set;
 	if (end == SUB_END_NOT_RUN && input_below (input, 2) != 0)
-		replica_note_busy (
-			sent->use.replica, now_us + (int64_t)input_below (input, 64) * 10 * MS);
+		replica_note_busy (sent->use.replica,
+			now_us + (int64_t)input_below (input, 64) * 10 * MS, now_us);
 	replica_end (&sent->use, (enum replica_outcome)input_below (input, 5), now_us);
 	scatter_sub_ended (&sent->request->scatter, sent->shard, end, &answer, now_us);
 	scatter_serve_waiting (set, now_us);
--- a/test/routes.c
+++ b/test/routes.c
@@ -575,11 +575,11 @@
 	int used = 0;
 	/* All are busy in turns, the local one with the longest time, and repeats are shorter. */
 	int64_t start_us = now_us;
-	replica_note_busy (&replicas[0], start_us + 4000 * MS);
+	replica_note_busy (&replicas[0], start_us + 4000 * MS, now_us);
 	for (; now_us < start_us + 4000 * MS; now_us += 20 * MS) {
-		replica_note_busy (&replicas[0], now_us + 1);
+		replica_note_busy (&replicas[0], now_us + 1, now_us);
 		int other = 1 + (int)((now_us - start_us) / (500 * MS)) % 2;
-		replica_note_busy (&replicas[other], now_us + 30 * MS);
+		replica_note_busy (&replicas[other], now_us + 30 * MS, now_us);
 		struct replica *chosen = choose (&testbed);
 		CU_ASSERT_PTR_NOT_EQUAL (chosen, &replicas[0]);
 		CU_ASSERT_PTR_NOT_EQUAL (chosen, &replicas[other]);
@@ -649,7 +649,7 @@
 			replica_begin (&replicas[i], &uses[j], now_us);
 		now_us += MS;
 		for (int j = 0; j < 4; j++) {
-			replica_note_busy (&replicas[i], now_us + 300 * MS);
+			replica_note_busy (&replicas[i], now_us + 300 * MS, now_us);
 			replica_end (&uses[j], REPLICA_DEFERRED, now_us);
 		}
 	}
@@ -697,7 +697,7 @@
 		CU_ASSERT_TRUE (chosen->busy_until_us <= now_us);
 		replica_begin (chosen, &use, now_us);
 		if (chosen != &replicas[2])
-			replica_note_busy (chosen, now_us + 50 * MS);
+			replica_note_busy (chosen, now_us + 50 * MS, now_us);
 		replica_end (
 			&use, chosen != &replicas[2] ? REPLICA_DEFERRED : REPLICA_ANSWERED, now_us);
 		refused += chosen != &replicas[2];
@@ -714,7 +714,7 @@
 	replica_end (&use, REPLICA_ANSWERED, now_us);
 	CU_ASSERT_EQUAL (replicas[0].deferrals, 0);
 	replica_begin (&replicas[0], &use, now_us);
-	replica_note_busy (&replicas[0], now_us + 50 * MS);
+	replica_note_busy (&replicas[0], now_us + 50 * MS, now_us);
 	replica_end (&use, REPLICA_DEFERRED, now_us);
 	CU_ASSERT_TRUE (replicas[0].avoid_until_us <= now_us);
 	routing_unref (testbed.routing);
@@ -730,14 +730,22 @@
 	struct replica *replicas = testbed.replicas[0];
 	reply_head_init (&head);
 	reply_head_add_line (&head, "Retry-After: 99999999999999999999", 33);
-	replica_note_busy (&replicas[0], now_us + head.retry_after_us);
+	replica_note_busy (&replicas[0], now_us + head.retry_after_us, now_us);
 	int64_t start_us = now_us;
 	const int64_t day_us = (int64_t)86400 * US_PER_S;
 	for (; now_us < start_us + 100 * 365 * day_us; now_us += day_us) {
 		/* An older refusal that comes late asks for less. */
-		replica_note_busy (&replicas[0], now_us + 4000 * MS);
+		replica_note_busy (&replicas[0], now_us + 4000 * MS, now_us);
 		CU_ASSERT_PTR_NOT_EQUAL (choose (&testbed), &replicas[0]);
 	}
+	/* A list that leaves it out for some time does not end the time, but its end does. */
+	replicas[0].listed = false;
+	replica_note_busy (&replicas[1], now_us + 3000 * MS, now_us);
+	CU_ASSERT_TRUE (replica_is_kept (&replicas[1], now_us + 2999 * MS));
+	CU_ASSERT_FALSE (replica_is_kept (&replicas[1], now_us + 3000 * MS));
+	CU_ASSERT_TRUE (replica_is_kept (&replicas[0], start_us));
+	CU_ASSERT_FALSE (replica_is_kept (&replicas[0], now_us));
+	replicas[0].listed = true;
 	/* Another target at its address is another one. */
 	struct replica next = {.set = &testbed.sets[0], .slots = 3, .listed = true};
 	str_copy (next.id, sizeof (next.id), "i-next");
@@ -759,9 +767,9 @@
 	struct scatter late;
 	testbed_init (&testbed, 1, "non_idempotent", 2);
 	struct replica *replicas = testbed.replicas[0];
-	replica_note_busy (&replicas[0], now_us + 300 * MS);
-	replica_note_busy (&replicas[1], now_us + 2000 * MS);
-	replica_note_busy (&replicas[2], now_us + 2000 * MS);
+	replica_note_busy (&replicas[0], now_us + 300 * MS, now_us);
+	replica_note_busy (&replicas[1], now_us + 2000 * MS, now_us);
+	replica_note_busy (&replicas[2], now_us + 2000 * MS, now_us);
 	testbed_start (&testbed, &early, "all");
 	testbed_start (&testbed, &urgent, "one");
 	CU_ASSERT_EQUAL (send_count, 0);
@@ -775,7 +783,7 @@
 	CU_ASSERT_EQUAL (urgent.shards[0].running, 1);
 	CU_ASSERT_FALSE (scatter_has_returned (&early, now_us));
 	/* Refused once more: no attempt is used up, and the target is tried again at its time. */
-	replica_note_busy (&replicas[0], now_us + 200 * MS);
+	replica_note_busy (&replicas[0], now_us + 200 * MS, now_us);
 	end_sub_request (&urgent, 0, SUB_END_NOT_RUN, NULL);
 	CU_ASSERT_EQUAL (urgent.shards[0].attempts_used, 0);
 	CU_ASSERT_TRUE (urgent.shards[0].queued);
@@ -785,7 +793,7 @@
 	CU_ASSERT_EQUAL (send_count, 2);
 	CU_ASSERT_PTR_EQUAL (sends[1].replica, &replicas[0]);
 	/* Its caller's deadline comes before any target returns. */
-	replica_note_busy (&replicas[0], now_us + 1500 * MS);
+	replica_note_busy (&replicas[0], now_us + 1500 * MS, now_us);
 	testbed_start (&testbed, &late, "one");
 	CU_ASSERT_EQUAL (delivered, 1);
 	CU_ASSERT_EQUAL (late.result, SCATTER_REFUSED);
@@ -818,7 +826,7 @@
 	CU_ASSERT_EQUAL (scatter_wake_us (&queued), queued.deadline_us);
 	rearmed = 0;
 	for (int i = 0; i < 3; i++) {
-		replica_note_busy (&testbed.replicas[0][i], now_us + (600 + 200 * i) * MS);
+		replica_note_busy (&testbed.replicas[0][i], now_us + (600 + 200 * i) * MS, now_us);
 		end_sub_request (&running[i], i, SUB_END_STATUS, "");
 	}
 	scatter_serve_waiting (&testbed.sets[0], now_us);
@@ -892,7 +900,7 @@
 		struct replica *chosen = choose (&testbed);
 		CU_ASSERT_TRUE (chosen != NULL && chosen != &replicas[0]);
 		CU_ASSERT_EQUAL (replica_is_kept (&replicas[0], now_us),
-			now_us < announced_us + REPLICA_LEAVING_KEEP_US);
+			now_us < announced_us + REPLICA_ANNOUNCED_KEEP_US);
 	}
 	/* All of them leave: for the drain time one is used, then requests are refused at once. */
 	announced_us = now_us;
--- a/test/target.c
+++ b/test/target.c
@@ -105,6 +105,7 @@
 	bool malformed;     /* replies are not valid JSON */
 	bool wrong_shard;   /* replies name another shard */
 	char held_snapshots[128];
+	bool unlisted;        /* left out of the list */
 	bool announces;       /* its answers say that it leaves */
 	int64_t announced_us; /* when one first did; 0: none has */
 	struct busy busy;
@@ -322,15 +323,18 @@
 {
 	struct buf list;
 	char name[64];
+	int written = 0;
 	buf_init (&list);
 	buf_addf (&list, "{\"instances\":[");
 	for (int i = 0; i < settings.count; i++) {
+		if (targets[i].unlisted)
+			continue;
 		name_of (&targets[i], name, sizeof (name));
 		buf_addf (&list,
 			"%s{\"id\":\"%s\",\"service\":\"s%ld\",\"address\":\"127.0.0.1:%d\","
 			"\"zone\":\"z%ld\",\"version\":\"v1\",\"slots\":%ld,\"state\":\"ready\","
 			"\"warmup_left_ms\":0,\"born\":1700000000000}",
-			i ? "," : "", name, i / settings.replicas, targets[i].port,
+			written++ ? "," : "", name, i / settings.replicas, targets[i].port,
 			i % settings.replicas, settings.slots);
 	}
 	buf_addf (&list, "],\"next_page_token\":null}");
@@ -388,6 +392,8 @@
 	if ((value = json_object_get (body, "hold")))
 		str_copy (target->held_snapshots, sizeof (target->held_snapshots),
 			json_string_value (value));
+	if ((value = json_object_get (body, "unlisted")))
+		target->unlisted = json_is_true (value);
 	if ((value = json_object_get (body, "announce")))
 		target->announces = json_is_true (value);
 	if (json_object_get (body, "busy_ms"))
