front: each declared state is applied, also behind a newer one

What callers would see: targets that get more than their bounds (extra work, cold starts) while many states arrive in series.

Cause: since the stop follows one plan, a state that a newer one in the mailbox replaced was skipped, and the newer one's revision was reported as applied. The settled epochs rest on a node that skips an epoch withholding its release (docs/design/control.md); the front's skips were not withheld. And if states came faster than the loop's turns, none would have been applied.

A stopping front that refuses requests drops states whole, and reports none of them as applied.

--- a/daemon/front.c
+++ b/daemon/front.c
@@ -423,11 +423,9 @@
 	/* Binds all sets to the new routing, which what follows relies on. */
 	cds_list_for_each_entry (set, &front->sets, node)
 		front_configure_set (front, set);
-	if (needs_changes (front)) {
-		update_share (front);
-		update_evacuation (front);
-		front_update_fan_outs (front);
-	}
+	update_share (front);
+	update_evacuation (front);
+	front_update_fan_outs (front);
 	apply_caller_limits (front);
 	if (state->routing && state->routing != old_routing)
 		log_event (&front->log, EVENT_ROUTING_IN_FORCE,
@@ -470,7 +468,6 @@
 {
 	struct front_state *state = xcalloc (1, sizeof (*state));
 	state->mail.kind = FRONT_STATE;
-	state->number = atomic_load (&front->posted_states) + 1;
 	if (declared->routing.version > front->posted_version) {
 		struct error error = {0};
 		struct routing *routing = decode_routing (&declared->routing, &error);
@@ -505,7 +502,6 @@
 		state->is_member =
 			state->is_member || member->incarnation == front->node->incarnation;
 	}
-	atomic_store (&front->posted_states, state->number);
 	mailbox_post (&front->mailbox, &state->mail);
 }
 
@@ -533,11 +529,11 @@
 	free (roster);
 }
 
-/* A state that a newer one in the mailbox replaces would only delay callers. */
+/* Each state is applied, since shares depend on every epoch in between. */
 static void
 take_state (struct front *front, struct front_state *state)
 {
-	if (needs_changes (front) && state->number == atomic_load (&front->posted_states))
+	if (needs_changes (front))
 		apply_state (front, state);
 	else
 		free_state (state);
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -59,7 +59,6 @@
 /** The part of the declared state that the front uses. */
 struct front_state {
 	struct mail mail;
-	uint64_t number; /**< in the order of posting */
 	uint64_t revision;
 	struct routing *routing; /**< holds a reference; NULL: none was accepted yet */
 	char **leaving;          /**< names of leaving data centres, owned */
@@ -126,9 +125,8 @@
 	_Atomic int64_t stop_began_us;     /**< when a planned stop began; 0: none */
 	/** How far the stop may go before it is due; set by other threads, never lowered. */
 	_Atomic int asked_phase;
-	_Atomic uint64_t posted_states; /**< number of the state posted last */
-	bool mail_left;                 /**< the mailbox was not emptied */
-	enum stop_phase phase;          /**< how far the stop has come on this thread */
+	bool mail_left;        /**< the mailbox was not emptied */
+	enum stop_phase phase; /**< how far the stop has come on this thread */
 };
 
 /** Starts the front's thread; messages may be posted from then on. */
