ingress: the limit of unread answers spares callers that read

What callers would see: an answer that breaks off, if answers of over 24 MB wait in one server at once. Seven callers that read as fast as they can and are answered together with 25 MB lost one answer.

Cause: the largest answer was dropped even if none had been waiting for long. Now only answers that have been waiting for half a second are; their reports also no longer take our own end of the connection for the caller's.

Ruled out: counting only what the socket has not taken, which libmicrohttpd does not tell. A caller that reads steadily for more than half a second may still be dropped when there are too many bytes; docs/design/inputs.md.

unit-ingress limit_of_unread_answers_spares_callers_that_read failed before.

--- a/net/ingress.c
+++ b/net/ingress.c
@@ -158,7 +158,8 @@
 report_unanswered (struct ingress *ingress, const struct ingress_client *client)
 {
 	const struct ingress_request *request = client->receiving;
-	if (!ingress->unanswered || is_closed_by_caller (client))
+	bool is_dropped = request && request->dropped;
+	if (!ingress->unanswered || (!is_dropped && is_closed_by_caller (client)))
 		return;
 	if (request)
 		ingress->unanswered (request, request_state (request),
@@ -531,15 +532,7 @@
 	return now_us - request->answered_us >= INGRESS_SLOW_US;
 }
 
-/* Whether the first is dropped before the second. */
-static bool
-goes_first (const struct ingress_request *a, const struct ingress_request *b, int64_t now_us)
-{
-	if (is_slow (a, now_us) != is_slow (b, now_us))
-		return is_slow (a, now_us);
-	return a->answer_len > b->answer_len;
-}
-
+/* The largest answer of a slow reader. */
 static struct ingress_request *
 find_answer_to_drop (const struct ingress *ingress)
 {
@@ -548,9 +541,10 @@
 	for (int i = 0; i < ingress->client_count; i++) {
 		struct ingress_client *client = ingress->clients[i];
 		struct ingress_request *request = client ? client->receiving : NULL;
-		if (!request || !request->answered || request->dropped)
+		if (!request || !request->answered || request->dropped ||
+			!is_slow (request, now_us))
 			continue;
-		if (!found || goes_first (request, found, now_us))
+		if (!found || request->answer_len > found->answer_len)
 			found = request;
 	}
 	return found;
--- a/test/ingress.c
+++ b/test/ingress.c
@@ -580,7 +580,9 @@
 	LARGE_ANSWER = 4 * 1024 * 1024,
 	SMALL_ANSWER =
 		3 * 1024 * 1024, /* more than the kernel takes for a caller that does not read */
-	SLOW_TURNS = 700,        /* longer than INGRESS_SLOW_US */
+	/* One answer of as many callers, over the limit together. */
+	ALL_TOO_LARGE = INGRESS_ANSWER_BYTES_MAX / SLOW_CALLERS + 65536,
+	SLOW_TURNS = 700, /* longer than INGRESS_SLOW_US */
 };
 
 static void
@@ -603,6 +605,34 @@
 	return fd;
 }
 
+/* Guards against a limit of unread answers that cuts those which are being read. */
+static void
+test_limit_of_unread_answers_spares_callers_that_read (void)
+{
+	struct fixture fixture;
+	struct reader readers[SLOW_CALLERS];
+	fixture_init (&fixture);
+	for (int i = 0; i < SLOW_CALLERS; i++) {
+		int fd = ask_slowly (&fixture);
+		run (&fixture, 5);
+		reader_start (&readers[i], fd, 0);
+	}
+	CU_ASSERT_EQUAL_FATAL (fixture.held_count, SLOW_CALLERS);
+	for (int i = 0; i < SLOW_CALLERS; i++)
+		ingress_answer (fixture.held[i], 200, NULL, xcalloc (1, ALL_TOO_LARGE),
+			ALL_TOO_LARGE, true);
+	fixture.held_count = 0;
+	for (int i = 0; i < STOP_TURNS && fixture.ingress.request_count > 0; i++)
+		run (&fixture, 1);
+	stop (&fixture);
+	for (int i = 0; i < SLOW_CALLERS; i++) {
+		reader_join (&readers[i]);
+		CU_ASSERT_TRUE (readers[i].len > ALL_TOO_LARGE);
+		free (readers[i].data);
+	}
+	CU_ASSERT_EQUAL (fixture.unanswered[INGRESS_WRITTEN], 0);
+}
+
 /* Guards against answers that callers do not read and that take all memory of the node. */
 static void
 test_unread_answers_have_a_common_limit (void)
@@ -757,6 +787,7 @@
 		TEST (ends_that_callers_expect_are_not_reported),
 		TEST (stopped_listener_turns_callers_away),
 		TEST (unread_answers_have_a_common_limit),
+		TEST (limit_of_unread_answers_spares_callers_that_read),
 		TEST (bodies_of_requests_have_a_common_limit),
 	};
 	return suite_run ("ingress", tests, sizeof (tests) / sizeof (tests[0]));
