--- a/daemon/batch_serve.c
+++ b/daemon/batch_serve.c
@@ -265,7 +265,8 @@
 	if (!batch_decode_request (&batch, key, request->body.data, request->body.len)) {
 		metric_add (METRIC_PEER_DROPPED, 1);
 		answer_status (request, 400);
-	} else if (!front_has_view (front) || is_closing (front) || is_outdated (front)) {
+	} else if (!front_has_view (front) || is_closing (front) || front->phase >= STOP_REFUSING ||
+		   is_outdated (front)) {
 		answer_status (request, 503);
 	} else {
 		struct routing_rule *rule = find_rule (front, &batch);
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -814,6 +814,16 @@
 	return front->callers.request_count + front->batches.request_count;
 }
 
+/* Whether there is something to write, or a caller that may be about to send the rest. */
+static bool
+is_flushing (const struct front *front, const struct stop_plan *plan, int64_t end_us)
+{
+	int64_t now_us = front_now_us (front);
+	int unwritten = ingress_unwritten (&front->callers) + ingress_unwritten (&front->batches);
+	return (open_requests (front) > 0 && now_us < end_us) ||
+	       (unwritten > 0 && now_us < plan->write_us);
+}
+
 /*
  * Answers every request that was read, and waits until the answers are written. No connection is
  * accepted after that; those that were, and requests that have been received in part, are refused.
@@ -829,9 +839,7 @@
 	ingress_stop_listening (&front->callers);
 	ingress_stop_listening (&front->batches);
 	/* Each socket gets a turn even if this thread did not run for a while. */
-	for (int i = 0; i < DRAIN_FLUSH_TURNS ||
-			(open_requests (front) > 0 && front_now_us (front) < end_us);
-		i++)
+	for (int i = 0; i < DRAIN_FLUSH_TURNS || is_flushing (front, &plan, end_us); i++)
 		iterate (front, DRAIN_WAIT_MS);
 	ingress_shutdown (&front->callers);
 	ingress_shutdown (&front->batches);
--- a/net/ingress.c
+++ b/net/ingress.c
@@ -74,6 +74,18 @@
 	free (lingering);
 }
 
+/* Turns away a connection that the server cannot take. */
+static void
+refuse_connection (struct ingress *ingress, int fd)
+{
+	struct lingering *lingering = xcalloc (1, sizeof (*lingering));
+	if (send (fd, refusal, sizeof (refusal) - 1, MSG_NOSIGNAL | MSG_DONTWAIT) > 0)
+		shutdown (fd, SHUT_WR);
+	lingering->fd = fd;
+	lingering->until_us = clock_now_us (ingress->clock) + INGRESS_LINGER_US;
+	cds_list_add_tail (&lingering->node, &ingress->lingering);
+}
+
 /* Returns how many connections linger on. */
 static int
 discard_lingering (struct ingress *ingress)
@@ -393,6 +405,7 @@
 	ingress->clock = clock;
 	ingress->epoll_fd = epoll_fd;
 	ingress->limits = *limits;
+	ingress->max_connections = max_connections;
 	ingress->hooks = *hooks;
 	CDS_INIT_LIST_HEAD (&ingress->lingering);
 	ingress->daemon = MHD_start_daemon (MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
@@ -425,9 +438,14 @@
 		socklen_t len = sizeof (peer);
 		int fd = accept4 (
 			listen_fd, (struct sockaddr *)&peer, &len, SOCK_NONBLOCK | SOCK_CLOEXEC);
+		if (fd < 0 && (errno == EINTR || errno == ECONNABORTED))
+			continue;
 		if (fd < 0)
 			break;
-		MHD_add_connection (ingress->daemon, fd, (struct sockaddr *)&peer, len);
+		if (ingress->connection_count < ingress->max_connections)
+			MHD_add_connection (ingress->daemon, fd, (struct sockaddr *)&peer, len);
+		else
+			refuse_connection (ingress, fd);
 	}
 	close (listen_fd);
 }
@@ -473,6 +491,17 @@
 	}
 }
 
+int
+ingress_unwritten (const struct ingress *ingress)
+{
+	int count = 0;
+	for (int i = 0; ingress->daemon && i < ingress->client_count; i++) {
+		const struct ingress_client *client = ingress->clients[i];
+		count += client && client->receiving && client->receiving->answered;
+	}
+	return count;
+}
+
 int
 ingress_discard (struct ingress *ingress)
 {
@@ -487,6 +516,22 @@
 	return open;
 }
 
+/* The library aborts the process when it is stopped with suspended connections. */
+static void
+abandon_suspended (struct ingress *ingress)
+{
+	for (int i = 0; i < ingress->client_count; i++) {
+		struct ingress_client *client = ingress->clients[i];
+		struct ingress_request *request = client ? client->request : NULL;
+		if (!request || !request->suspended)
+			continue;
+		if (!request->caller_left && !request->answered && request->user)
+			ingress->hooks.caller_left (request, ingress->hooks.user);
+		request->caller_left = true;
+		resume (request);
+	}
+}
+
 void
 ingress_stop (struct ingress *ingress)
 {
@@ -494,6 +539,7 @@
 	struct lingering *next;
 	if (!ingress->daemon)
 		return;
+	abandon_suspended (ingress);
 	MHD_stop_daemon (ingress->daemon);
 	cds_list_for_each_entry_safe (lingering, next, &ingress->lingering, node)
 		end_lingering (lingering);
--- a/net/ingress.h
+++ b/net/ingress.h
@@ -92,6 +92,7 @@
 	int epoll_fd; /**< of the thread's event loop, which also watches the callers' sockets */
 	struct ingress_hooks hooks;
 	struct ingress_limits limits;
+	int max_connections;
 	int connection_count;
 	int request_count;
 	size_t body_bytes;               /**< memory of the bodies of requests */
@@ -124,6 +125,10 @@
 void
 ingress_stop_listening (struct ingress *ingress);
 
+/** How many answers have not been written whole. */
+int
+ingress_unwritten (const struct ingress *ingress);
+
 /**
  * Ends the sending side of all connections; to be called once the answers are written. A request
  * that has not been read, or only in part, gets an answer that says that it did not run. Only
--- a/query/drain.c
+++ b/query/drain.c
@@ -21,6 +21,7 @@
 	plan.exit_us = plan.end_us - step_us (DRAIN_TEARDOWN_US, stop_us);
 	plan.refuse_us = plan.answer_us - step_us (DRAIN_END_US, stop_us);
 	plan.late_us = plan.end_us + step_us (DRAIN_END_US, stop_us);
+	plan.write_us = plan.late_us - 2 * plan.linger_us;
 	return plan;
 }
 
--- a/query/drain.h
+++ b/query/drain.h
@@ -54,7 +54,8 @@
 	int64_t linger_us; /**< and how long callers may then read them */
 	int64_t exit_us;   /**< threads that have not ended are left to the exit */
 	int64_t end_us;    /**< the process has ended */
-	int64_t late_us;   /**< last answers that are late may be written until then */
+	int64_t late_us;   /**< callers' connections that were late have ended */
+	int64_t write_us;  /**< answers that callers still read may be written until then */
 };
 
 /** Plans a stop that has ended @p stop_us after it began. */
--- a/test/ingress.c
+++ b/test/ingress.c
@@ -4,6 +4,7 @@
  * kernel does with unread bytes does not show in a model.
  */
 #include "net/ingress.h"
+#include "query/drain.h"
 #include "test/suite.h"
 
 #include <arpa/inet.h>
@@ -21,7 +22,7 @@
 
 enum {
 	MAX_CONNECTIONS = 16,
-	HELD_MAX = 8,
+	HELD_MAX = 24,
 	ANSWER_MAX_BYTES = 4 * 1024 * 1024,
 	SMALL_BUFFER = 4096,
 	READ_PAUSE_US = 200,
@@ -132,12 +133,20 @@
 	}
 }
 
+static bool
+is_flushing (struct fixture *fixture, int turn, int64_t end_us)
+{
+	return (fixture->ingress.request_count > 0 && clock_now_us (&fixture->clock) < end_us) ||
+	       (ingress_unwritten (&fixture->ingress) > 0 && turn < STOP_TURNS);
+}
+
 /* The end of a planned stop, as the front does it. */
 static void
 stop (struct fixture *fixture)
 {
 	ingress_stop_listening (&fixture->ingress);
-	for (int i = 0; i < STOP_TURNS && (i < 3 || fixture->ingress.request_count > 0); i++) {
+	int64_t end_us = clock_now_us (&fixture->clock) + DRAIN_FLUSH_US;
+	for (int i = 0; i < 3 || is_flushing (fixture, i, end_us); i++) {
 		ingress_run (&fixture->ingress);
 		for (int j = 0; j < fixture->held_count; j++)
 			ingress_answer (fixture->held[j], 503, NULL, NULL, 0, true);
@@ -353,6 +362,63 @@
 	}
 }
 
+/* Guards against callers that get nothing because the server has as many as it may. */
+static void
+test_stop_refuses_connections_beyond_the_limit (void)
+{
+	enum { CALLERS = MAX_CONNECTIONS + 4 };
+	struct fixture fixture;
+	struct reader readers[CALLERS];
+	fixture_init (&fixture);
+	for (int i = 0; i < CALLERS; i++) {
+		int fd = connect_caller (&fixture, 0);
+		send_text (fd, "GET /all/x HTTP/1.1\r\nHost: site.example\r\n\r\n");
+		reader_start (&readers[i], fd, 0);
+	}
+	stop (&fixture);
+	for (int i = 0; i < CALLERS; i++) {
+		reader_join (&readers[i]);
+		CU_ASSERT_TRUE (is_refusal (&readers[i]));
+		free (readers[i].data);
+	}
+}
+
+/* Guards against an abort of the process when a request is left over. */
+static void
+test_stop_with_a_request_being_handled_ends_its_connection (void)
+{
+	struct fixture fixture;
+	struct reader reader;
+	fixture_init (&fixture);
+	int fd = connect_caller (&fixture, 0);
+	send_text (fd, "GET /all/x HTTP/1.1\r\nHost: site.example\r\n\r\n");
+	run (&fixture, 5);
+	CU_ASSERT_EQUAL_FATAL (fixture.held_count, 1);
+	reader_start (&reader, fd, 0);
+	ingress_shutdown (&fixture.ingress);
+	ingress_stop (&fixture.ingress);
+	reader_join (&reader);
+	CU_ASSERT_EQUAL (fixture.left_count, 1);
+	CU_ASSERT_EQUAL (fixture.unanswered[INGRESS_HANDLED], 1);
+	free (reader.data);
+	close (fixture.epoll_fd);
+}
+
+/* Guards against a stop that waits for a caller which has not sent its whole request. */
+static void
+test_partial_requests_are_not_awaited_as_answers (void)
+{
+	struct fixture fixture;
+	fixture_init (&fixture);
+	int fd = connect_caller (&fixture, 0);
+	send_text (fd, head);
+	run (&fixture, 5);
+	CU_ASSERT_EQUAL (fixture.ingress.request_count, 1);
+	CU_ASSERT_EQUAL (ingress_unwritten (&fixture.ingress), 0);
+	close (fd);
+	stop (&fixture);
+}
+
 /* Guards against an answer that is cut because its caller reads slowly. */
 static void
 test_stop_waits_for_slow_readers (void)
@@ -368,6 +434,8 @@
 	ingress_answer (fixture.held[0], 200, NULL, xcalloc (1, LEN), LEN, false);
 	fixture.held_count = 0;
 	reader_start (&reader, fd, READ_PAUSE_US);
+	run (&fixture, 2);
+	CU_ASSERT_EQUAL (ingress_unwritten (&fixture.ingress), 1);
 	stop (&fixture);
 	reader_join (&reader);
 	CU_ASSERT_TRUE (reader.len > LEN);
@@ -781,6 +849,9 @@
 		TEST (stop_refuses_requests_not_read),
 		TEST (stop_refuses_requests_that_arrive_before_its_last_step),
 		TEST (stop_refuses_requests_read_in_part),
+		TEST (stop_refuses_connections_beyond_the_limit),
+		TEST (stop_with_a_request_being_handled_ends_its_connection),
+		TEST (partial_requests_are_not_awaited_as_answers),
 		TEST (stop_waits_for_slow_readers),
 		TEST (closing_answer_survives_unread_bytes),
 		TEST (connections_ended_without_an_answer_are_reported),
