daemon: mailboxes outlive the threads that post to them

At the end of a stop, the workers' and the control thread's mailboxes were closed while the control thread and the thread of the peer links could still post, which writes eight bytes to a descriptor that may be in use again, a file of the data folder for example. Found in the review by reading; a control thread that is held up makes the time in which it can happen longer.

The exit closes them now.

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -556,6 +556,6 @@
 		voter_finish (&control->voter);
 		store_close (&control->store);
 	}
-	mailbox_finish (&control->mailbox);
+	/* The thread of the peer links may still post to the mailbox, which is left to the exit. */
 	return true;
 }
--- a/daemon/worker.c
+++ b/daemon/worker.c
@@ -237,7 +237,7 @@
 		return false;
 	fetch_loop_finish (&worker->fetches);
 	timers_finish (&worker->timers);
-	mailbox_finish (&worker->mailbox);
 	close (worker->epoll_fd);
+	/* Other threads may still post to the mailbox, which is left to the exit. */
 	return true;
 }
