ingress: an answer whose headers are too large gets 502, not nothing

The server keeps the head of an answer beside that of its request, in 36 kB. An answer with more was not sent: the connection was closed, although the request had run. A fan-out over hundreds of parts with long stamps has such a head; it was found while the limit of attempt ids was checked.

Such an answer is replaced by 502 with its first line, the attempt id, and counted.

Before: unit-ingress long_heads_are_answered fails, no byte was received for a head of 60 kB.

--- a/net/ingress.c
+++ b/net/ingress.c
@@ -21,6 +21,8 @@
 	TIMEOUT_MAX_MS = 1000,
 	DISCARD_BYTES = 16384, /* of one connection in one call */
 	NO_ROOM_RETRY_MS = 200,
+	HEADER_EXTRA_BYTES = 4,    /* colon, space and end of line */
+	ANSWER_EXTRA_BYTES = 1024, /* lines that the library adds, and its own data */
 };
 
 /** A caller's connection. */
@@ -563,22 +565,6 @@
 	return ms > TIMEOUT_MAX_MS ? TIMEOUT_MAX_MS : (int)ms;
 }
 
-void
-ingress_answer (struct ingress_request *request, int status, const struct buf *head, char *body,
-	size_t len, bool close)
-{
-	request->answered = true;
-	request->status = status;
-	request->answer = body ? body : xstrdup ("");
-	request->answer_len = len;
-	request->answered_us = clock_now_us (request->ingress->clock);
-	request->ingress->answer_bytes += len;
-	request->close = close;
-	if (head && head->len)
-		buf_add (&request->head, head->data, head->len);
-	resume (request);
-}
-
 const char *
 ingress_header (struct ingress_request *request, const char *name)
 {
@@ -608,3 +594,52 @@
 	struct each_header call = {callback, user};
 	MHD_get_connection_values (request->connection, MHD_HEADER_KIND, on_header, &call);
 }
+
+static void
+add_header_bytes (void *user, const char *name, const char *value)
+{
+	size_t *bytes = user;
+	*bytes += strlen (name) + strlen (value) + HEADER_EXTRA_BYTES;
+}
+
+/* The server keeps the head of the answer beside that of the request, or sends none. */
+static bool
+head_fits (struct ingress_request *request, size_t len)
+{
+	size_t bytes = len + strlen (request->uri) + ANSWER_EXTRA_BYTES;
+	ingress_headers (request, add_header_bytes, &bytes);
+	return bytes <= (size_t)request->ingress->limits.header_bytes + POOL_OVERHEAD_BYTES;
+}
+
+/* The first line of the head, which says what was answered, is kept if it fits. */
+static void
+set_head (struct ingress_request *request, const struct buf *head)
+{
+	if (head_fits (request, head->len)) {
+		buf_add (&request->head, head->data, head->len);
+		return;
+	}
+	const char *end = memchr (head->data, '\n', head->len);
+	size_t len = end ? (size_t)(end + 1 - head->data) : head->len;
+	metric_add (METRIC_HEADS_TOO_LARGE, 1);
+	request->status = MHD_HTTP_BAD_GATEWAY;
+	request->answer_len = 0;
+	if (head_fits (request, len))
+		buf_add (&request->head, head->data, len);
+}
+
+void
+ingress_answer (struct ingress_request *request, int status, const struct buf *head, char *body,
+	size_t len, bool close)
+{
+	request->answered = true;
+	request->status = status;
+	request->answer = body ? body : xstrdup ("");
+	request->answer_len = len;
+	request->answered_us = clock_now_us (request->ingress->clock);
+	request->close = close;
+	if (head && head->len)
+		set_head (request, head);
+	request->ingress->answer_bytes += request->answer_len;
+	resume (request);
+}
--- a/test/ingress.c
+++ b/test/ingress.c
@@ -87,7 +87,7 @@
 {
 	struct error error = {0};
 	char address[32];
-	struct ingress_limits limits = {16384, 262144, 20000000};
+	struct ingress_limits limits = {32768, 262144, 20000000}; /* as the front has */
 	struct ingress_hooks hooks = {hold_request, count_caller_left, fixture};
 	memset (fixture, 0, sizeof (*fixture));
 	clock_init_system (&fixture->clock);
@@ -534,6 +534,65 @@
 	free (refused.data);
 }
 
+enum { LONG_HEAD = 16000, READ_BYTES = 65536 };
+
+enum head_size { HEAD_FITS, HEAD_TOO_LARGE, HEAD_NEAR_LIMIT };
+
+/* The answer of a fan-out has a stamp of each part, and returns the caller's attempt id. */
+static void
+check_long_heads (size_t request_len, size_t answer_len, enum head_size size)
+{
+	struct fixture fixture;
+	struct reader reader;
+	struct buf lines;
+	struct buf text;
+	fixture_init (&fixture);
+	buf_init (&lines);
+	buf_init (&text);
+	char *value = xmalloc (READ_BYTES + 1);
+	memset (value, 'v', READ_BYTES);
+	value[READ_BYTES] = '\0';
+	buf_addf (&text, "GET /all/x HTTP/1.1\r\nHost: site.example\r\nX-Long: %.*s\r\n\r\n",
+		(int)request_len, value);
+	buf_addf (&lines, "X-Attempt: a\nX-Long: %.*s\n", (int)answer_len, value);
+	int fd = connect_caller (&fixture, 0);
+	send_text (fd, text.data);
+	run (&fixture, 20);
+	CU_ASSERT_EQUAL_FATAL (fixture.held_count, 1);
+	ingress_answer (fixture.held[0], 200, &lines, xstrdup ("body"), 4, true);
+	fixture.held_count = 0;
+	reader_start (&reader, fd, 0);
+	run (&fixture, 50);
+	reader_join (&reader);
+	bool is_sent = strncmp (reader.data, "HTTP/1.1 200 ", 13) == 0;
+	bool is_refused = strncmp (reader.data, "HTTP/1.1 502 ", 13) == 0;
+	CU_ASSERT_TRUE (is_sent || is_refused);
+	if (size != HEAD_NEAR_LIMIT)
+		CU_ASSERT_EQUAL (is_sent, size == HEAD_FITS);
+	CU_ASSERT_EQUAL (reader.len > answer_len, is_sent);
+	CU_ASSERT_PTR_NOT_NULL (strstr (reader.data, "X-Attempt: a\r\n"));
+	stop (&fixture);
+	buf_finish (&lines);
+	buf_finish (&text);
+	free (reader.data);
+	free (value);
+}
+
+/* Guards against an answer that is not sent since its head does not fit beside the request's. */
+static void
+test_long_heads_are_answered (void)
+{
+	check_long_heads (100, LONG_HEAD, HEAD_FITS);
+	check_long_heads (LONG_HEAD, LONG_HEAD, HEAD_FITS);
+	check_long_heads (100, 2 * LONG_HEAD, HEAD_FITS);
+	check_long_heads (LONG_HEAD, 2 * LONG_HEAD, HEAD_TOO_LARGE);
+	check_long_heads (100, 60000, HEAD_TOO_LARGE);
+	for (size_t len = 34000; len < 38000; len += 100)
+		check_long_heads (100, len, HEAD_NEAR_LIMIT);
+	for (size_t len = 17500; len < 20500; len += 100)
+		check_long_heads (LONG_HEAD, len, HEAD_NEAR_LIMIT);
+}
+
 int
 main (void)
 {
@@ -548,6 +607,7 @@
 		TEST (stopped_listener_turns_callers_away),
 		TEST (unread_answers_have_a_common_limit),
 		TEST (bodies_of_requests_have_a_common_limit),
+		TEST (long_heads_are_answered),
 	};
 	return suite_run ("ingress", tests, sizeof (tests) / sizeof (tests[0]));
 }
