--- a/test/busy.sh
+++ b/test/busy.sh
@@ -139,6 +139,18 @@
 [ $(($(sum_service 0 busy) - before)) -le 40 ] || fail "a flood of short times got a flood of requests"
 each_target '{"busy_ms":0}'
 
+echo "answers to other requests prove nothing:"
+known="$(metric targets_announced_leaving_total) $(metric targets_busy_total)"
+set_service 0 '{"clear":true}'
+set_service 0 '{"foreign":true,"announce":true}'
+send_load /one/x 100 1 > "$RUN/x"
+[ "$(sum_service 0 requests)" -gt 0 ] || fail "the targets got no requests"
+set_service 0 '{"announce":false,"busy_ms":60000}'
+send_load /one/x 100 1 > "$RUN/x"
+[ "$(sum_service 0 busy)" -gt 0 ] || fail "the targets have refused nothing"
+expect "none is taken for an announcement" "$(metric targets_announced_leaving_total) $(metric targets_busy_total)" "^$known\$"
+set_service 0 '{"foreign":false,"busy_ms":0}'
+
 echo "all targets of a service announce that they leave:"
 set_service 1 '{"clear":true}'
 set_service 1 '{"announce":true}'
--- a/test/target.c
+++ b/test/target.c
@@ -105,6 +105,7 @@
 	bool malformed;     /* replies are not valid JSON */
 	bool wrong_shard;   /* replies name another shard */
 	char held_snapshots[128];
+	bool foreign;         /* its answers carry the id of another request */
 	bool unlisted;        /* left out of the list */
 	bool announces;       /* its answers say that it leaves */
 	int64_t announced_us; /* when one first did; 0: none has */
@@ -235,7 +236,8 @@
 	struct MHD_Response *response = MHD_create_response_from_buffer (
 		strlen (text), (void *)text, MHD_RESPMEM_MUST_COPY);
 	const char *id = header (connection, "Oleanderstile-Attempt-Id");
-	MHD_add_response_header (response, "Oleanderstile-Attempt-Id", id);
+	MHD_add_response_header (
+		response, "Oleanderstile-Attempt-Id", target->foreign ? "another" : id);
 	name_of (target, value, sizeof (value));
 	MHD_add_response_header (response, "Oleanderstile-Instance-Id", value);
 	if (status == 200)
@@ -392,6 +394,8 @@
 	if ((value = json_object_get (body, "hold")))
 		str_copy (target->held_snapshots, sizeof (target->held_snapshots),
 			json_string_value (value));
+	if ((value = json_object_get (body, "foreign")))
+		target->foreign = json_is_true (value);
 	if ((value = json_object_get (body, "unlisted")))
 		target->unlisted = json_is_true (value);
 	if ((value = json_object_get (body, "announce")))
