--- a/daemon/main.c
+++ b/daemon/main.c
@@ -385,8 +385,8 @@
 /*
  * Stops in this order: the load balancer stops sending requests and other nodes take over the
  * targets while this node still serves; then requests in flight end; then the addresses close.
- * Nothing here waits for another thread without a limit: a thread may be held up by a slow disk or
- * a busy processor, and the platform kills the process while callers still wait.
+ * The steps of the front do not wait for another thread without a limit: a thread may be held up by
+ * a slow disk or a busy processor, and the platform kills the process while callers still wait.
  */
 static void
 stop_node (struct node *node, struct servers *servers, const sigset_t *signals)
