--- a/soak/callers.c
+++ b/soak/callers.c
@@ -2,36 +2,52 @@
 
 #include "core/buf.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
 enum {
-	DEADLINE_MS = 4000,
-	GIVE_UP_US = 5500000, /* later than any route's timeout and the caller's deadline */
-	LARGE_BODY_BYTES = 200000,
+	GIVE_UP_SLACK_US = 1500000, /* callers wait for longer than their deadline */
+	LARGE_BODY_MAX_BYTES = 200000,
 	SMALL_BODY_BYTES = 400,
 	SLOW_RECEIVE_BUFFER = 4096,
 	SLOW_READ_PAUSE_US = 3000,
 	SLOW_SEND_PAUSE_MAX_MS = 400,
-	TEXT_MAX_BYTES = LARGE_BODY_BYTES + 1024,
+	TEXT_MAX_BYTES = LARGE_BODY_MAX_BYTES + 1024,
 	LONG_PERCENT = 3,
 	LONGEST_PERCENT = 2,
 	LONG_WORK_MS = 700,
 	LONGEST_WORK_MS = 1500,
 	USUAL_WORK_MAX_MS = 60,
-	PAUSE_MAX_MS = 60,
+	WORK_MAX_FACTOR = 6,
 	LAGGING_ONE_IN = 8,
 	IDLE_PAUSE_MAX_MS = 6000, /* longer than a planned stop takes */
+	/* The users' rule: planned work lasts until so long after SIGTERM, and a request is not
+	 * counted if it was sent early in the grace period and its target worked until late in it.
+	 */
+	RULE_END_US = CLUSTER_GRACE_US + 1000000,
+	RULE_EARLY_US = 3000000,
+	RULE_LATE_US = CLUSTER_GRACE_US - CLUSTER_GRACE_US / 6,
 };
 
 static const char *const kind_names[] = {
 	"kept", "idle", "new", "slow-sender", "slow-reader", "pipeline"};
-static const char *const route_names[] = {"all", "look", "file"};
+static const struct site_route *
+site_route (const struct caller *caller, enum caller_route route)
+{
+	return &caller->callers->cluster->site->routes[route];
+}
 
+/* An exponential distribution with a bound, or a mixture of short and long work. */
 static int
-work_ms (struct rng *rng)
+work_ms (struct rng *rng, int mean_ms)
 {
+	if (mean_ms > 0) {
+		double uniform = (double)(1 + rng_below (rng, 1000000)) / 1000000;
+		double ms = -log (uniform) * mean_ms;
+		return (int)fmin (ms, (double)WORK_MAX_FACTOR * mean_ms);
+	}
 	uint64_t percent = rng_below (rng, 100);
 	if (percent < LONG_PERCENT)
 		return LONG_WORK_MS;
@@ -79,25 +95,45 @@
 static enum caller_route
 choose_route (struct caller *caller)
 {
+	int weights = 0;
+	int at = 0;
 	if (caller->kind == CALLER_SLOW_SENDER || caller->kind == CALLER_SLOW_READER)
 		return ROUTE_FILE;
-	return (enum caller_route)rng_below (&caller->rng, 3);
+	for (int i = 0; i < SITE_ROUTES; i++)
+		weights += site_route (caller, (enum caller_route)i)->weight;
+	int left = (int)rng_below (&caller->rng, (uint64_t)weights);
+	while (left >= site_route (caller, (enum caller_route)at)->weight)
+		left -= site_route (caller, (enum caller_route)at++)->weight;
+	return (enum caller_route)at;
+}
+
+static size_t
+body_bytes (const struct caller *caller)
+{
+	return caller->kind == CALLER_SLOW_READER
+		       ? (size_t)caller->callers->cluster->site->large_body_bytes
+		       : SMALL_BODY_BYTES;
 }
 
 /* Writes a request; returns the length of its head. */
 static size_t
 write_request (struct caller *caller, struct caller_case *item, size_t *len)
 {
-	size_t body_len = 0;
-	if (item->route == ROUTE_FILE)
-		body_len = caller->kind == CALLER_SLOW_READER ? LARGE_BODY_BYTES : SMALL_BODY_BYTES;
-	snprintf (item->id, sizeof (item->id), "%s-%s-%d-%ld", caller->callers->run,
-		route_names[item->route], caller->number, caller->count++);
+	const struct site_route *route = site_route (caller, item->route);
+	size_t body_len = item->route == ROUTE_FILE ? body_bytes (caller) : 0;
+	item->body_len = body_len;
+	if (route->answer_max_bytes)
+		item->body_len = 1 + rng_below (&caller->rng, (uint64_t)route->answer_max_bytes);
+	snprintf (item->id, sizeof (item->id), "%s-%s-%d-%ld", caller->callers->run, route->name,
+		caller->number, caller->count++);
 	int head = snprintf (caller->text, TEXT_MAX_BYTES,
 		"%s /%s/x HTTP/1.1\r\nHost: site.example\r\nOleanderstile-Attempt-Id: %s\r\n"
 		"Oleanderstile-Deadline-Ms: %d\r\nX-Work-Ms: %d\r\n",
-		body_len ? "POST" : "GET", route_names[item->route], item->id, DEADLINE_MS,
-		work_ms (&caller->rng));
+		body_len ? "POST" : "GET", route->name, item->id, route->deadline_ms,
+		work_ms (&caller->rng, route->work_ms));
+	if (route->answer_max_bytes)
+		head += snprintf (caller->text + head, TEXT_MAX_BYTES - (size_t)head,
+			"X-Answer-Bytes: %zu\r\n", item->body_len);
 	if (body_len)
 		head += snprintf (caller->text + head, TEXT_MAX_BYTES - (size_t)head,
 			"Content-Length: %zu\r\n", body_len);
@@ -127,14 +163,17 @@
 has_own_body (const struct caller *caller, const struct caller_case *item)
 {
 	const struct http_answer *answer = caller->answer;
-	if (item->route != ROUTE_FILE || answer->status != 200)
+	if (item->body_len == 0 || answer->status != 200)
 		return true;
-	size_t expected = caller->kind == CALLER_SLOW_READER ? LARGE_BODY_BYTES : SMALL_BODY_BYTES;
+	size_t id_len = strlen (item->id);
 	for (size_t i = 0; i < answer->body_len; i++) {
-		if (answer->body[i] != (char)('a' + (i + (size_t)caller->number) % 26))
+		char expected = item->route == ROUTE_FILE
+					? (char)('a' + (i + (size_t)caller->number) % 26)
+					: item->id[i % id_len];
+		if (answer->body[i] != expected)
 			return false;
 	}
-	return answer->body_len == expected;
+	return answer->body_len == item->body_len;
 }
 
 /* Whether the end of a request can only be judged at the targets. */
@@ -169,14 +208,14 @@
 	const struct cluster_node *node = cluster_entry (caller->callers->cluster, item->node);
 	struct http_answer *answer = caller->answer;
 	int64_t pause_us = caller->kind == CALLER_SLOW_READER ? SLOW_READ_PAUSE_US : 0;
-	http_read (caller->fd, pause_us, sent_us + GIVE_UP_US, answer);
-	int64_t now_us = http_now_us ();
-	int64_t stop_us = node->stop_us;
+	int64_t deadline_us = 1000 * (int64_t)site_route (caller, item->route)->deadline_ms;
+	http_read (caller->fd, pause_us, sent_us + deadline_us + GIVE_UP_SLACK_US, answer);
 	item->end = answer->end;
 	item->status = answer->status;
 	item->received = answer->received;
-	item->waited_us = now_us - sent_us;
-	item->since_stop_us = stop_us ? now_us - stop_us : -1;
+	item->sent_us = sent_us;
+	item->end_us = http_now_us ();
+	item->stop_us = node->last_stop_us;
 	record (caller, item);
 }
 
@@ -223,7 +262,8 @@
 			callers->report.not_connected++;
 			pthread_mutex_unlock (&callers->lock);
 		}
-		int64_t max_ms = caller->kind == CALLER_IDLE ? IDLE_PAUSE_MAX_MS : PAUSE_MAX_MS;
+		int64_t max_ms = caller->kind == CALLER_IDLE ? IDLE_PAUSE_MAX_MS
+							     : callers->cluster->site->pause_max_ms;
 		int64_t pause_ms = (int64_t)rng_below (&caller->rng, (uint64_t)max_ms);
 		http_sleep_us (pause_ms * 1000);
 	}
@@ -264,38 +304,82 @@
 		pthread_join (callers->items[i].thread, NULL);
 }
 
+/* Whether the users' rule counts a request without a whole answer, or why not. */
+static const char *
+rule_verdict (
+	const struct callers *callers, const struct caller_case *item, struct cluster_work work)
+{
+	const struct site_route *route = &callers->cluster->site->routes[item->route];
+	int64_t waited_us = item->end_us - item->sent_us;
+	int timeout_ms =
+		route->timeout_ms < route->deadline_ms ? route->timeout_ms : route->deadline_ms;
+	if (!item->whole_sent)
+		return "not sent whole";
+	if (item->stop_us == 0 || item->end_us < item->stop_us ||
+		item->end_us > item->stop_us + RULE_END_US)
+		return "no SIGTERM near";
+	if (work.broke_off > 0)
+		return "a target broke off";
+	if (waited_us >= 1000 * (int64_t)timeout_ms)
+		return "its time was up";
+	if (item->sent_us <= item->stop_us + RULE_EARLY_US &&
+		work.last_us >= item->stop_us + RULE_LATE_US)
+		return "its target was at work late in the grace period";
+	if (work.runs == 0 && waited_us <= CALLERS_LOSS_SLACK_US)
+		return "not run, closed at once";
+	return "counted";
+}
+
+/* From SIGTERM of the node; -1 if there was none. */
+static long long
+ms_since_stop (const struct caller_case *item, int64_t at_us)
+{
+	return item->stop_us ? (long long)(at_us - item->stop_us) / 1000 : -1;
+}
+
 static void
-print_case (FILE *out, const char *rule, const struct caller_case *item, int runs)
+print_case (const struct callers *callers, FILE *out, const char *promise,
+	const struct caller_case *item, struct cluster_work work)
 {
+	static const char *const ends[] = {"answered", "closed", "no answer"};
+	const struct site_route *route = &callers->cluster->site->routes[item->route];
 	char text[512];
 	snprintf (text, sizeof (text),
 		"%s: %s, %s caller of entry node %d, route %s: %s, status %d, %zu bytes, %lld ms "
-		"after "
-		"it was sent, %lld ms after SIGTERM, ran %d times\n",
-		rule, item->id, kind_names[item->kind], item->node, route_names[item->route],
-		item->end == HTTP_CLOSED      ? "closed"
-		: item->end == HTTP_TIMED_OUT ? "no answer"
-					      : "answered",
-		item->status, item->received, (long long)(item->waited_us / 1000),
-		(long long)(item->since_stop_us < 0 ? -1 : item->since_stop_us / 1000), runs);
+		"after it was sent; sent %lld ms and ended %lld ms after SIGTERM, ran %d times; "
+		"rule: %s\n",
+		promise, item->id, kind_names[item->kind], item->node, route->name, ends[item->end],
+		item->status, item->received, (long long)(item->end_us - item->sent_us) / 1000,
+		ms_since_stop (item, item->sent_us), ms_since_stop (item, item->end_us), work.runs,
+		item->end == HTTP_ANSWERED ? "answered" : rule_verdict (callers, item, work));
 	fputs (text, out);
 	fputs (text, stdout);
 }
 
+static void
+count_lost (struct callers *callers, const struct caller_case *item, struct cluster_work work,
+	FILE *out)
+{
+	callers->report.lost++;
+	if (strcmp (rule_verdict (callers, item, work), "counted") == 0)
+		callers->report.lost_by_rule++;
+	print_case (callers, out, "LOST", item, work);
+}
+
 static void
 check_unanswered (struct callers *callers, const struct caller_case *item, FILE *out)
 {
 	struct callers_report *report = &callers->report;
-	int runs = cluster_runs (callers->cluster, item->id);
+	struct cluster_work work = cluster_work (callers->cluster, item->id);
+	int64_t waited_us = item->end_us - item->sent_us;
 	if (item->end == HTTP_TIMED_OUT) {
 		report->timed_out++;
-		print_case (out, "NO ANSWER", item, runs);
-	} else if (!item->whole_sent && runs == 0) {
+		print_case (callers, out, "NO ANSWER", item, work);
+	} else if (!item->whole_sent && work.runs == 0) {
 		report->cut_sending++;
-	} else if (item->received > 0 || runs != 0 ||
-		   (item->waited_us > CALLERS_LOSS_SLACK_US && !item->excused)) {
-		report->lost++;
-		print_case (out, "LOST", item, runs);
+	} else if (item->received > 0 || work.runs != 0 ||
+		   (waited_us > CALLERS_LOSS_SLACK_US && !item->excused)) {
+		count_lost (callers, item, work, out);
 	} else {
 		report->crossed++;
 	}
@@ -306,16 +390,17 @@
 {
 	for (int i = 0; i < callers->case_count; i++) {
 		const struct caller_case *item = &callers->cases[i];
+		struct cluster_work work = {0};
 		if (item->end != HTTP_ANSWERED) {
 			check_unanswered (callers, item, out);
 			continue;
 		}
-		int runs =
-			item->route == ROUTE_FILE ? cluster_runs (callers->cluster, item->id) : 0;
-		if (runs == 0)
+		if (item->route == ROUTE_FILE)
+			work = cluster_work (callers->cluster, item->id);
+		if (work.runs == 0)
 			continue;
 		callers->report.false_refusal++;
-		print_case (out, "REFUSED", item, runs);
+		print_case (callers, out, "REFUSED", item, work);
 	}
 	callers->report.twice = cluster_repeated (callers->cluster, "-file-");
 	if (callers->report.twice != 0)
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -16,7 +16,7 @@
 #include <stdio.h>
 
 enum {
-	CALLERS_MAX = 96,
+	CALLERS_MAX = 256,
 	CALLERS_CASES_MAX = 20000,
 	/** A request that was read may end without an answer within this time of being sent. */
 	CALLERS_LOSS_SLACK_US = 200000,
@@ -32,7 +32,8 @@
 	CALLER_KINDS,
 };
 
-enum caller_route { ROUTE_ALL, ROUTE_LOOK, ROUTE_FILE };
+/** Index in the routes of the site. */
+enum caller_route { ROUTE_ALL, ROUTE_LOOK, ROUTE_FILE, ROUTE_BRIEF };
 
 /** A request whose end is checked once the callers have ended. */
 struct caller_case {
@@ -45,8 +46,10 @@
 	bool whole_sent;
 	bool excused; /**< an earlier answer on its connection had said that it closes */
 	size_t received;
-	int64_t waited_us;     /**< since its last byte was sent */
-	int64_t since_stop_us; /**< from SIGTERM of its node to its end; -1: there was none */
+	size_t body_len; /**< of the answer that it asks for; 0: any */
+	int64_t sent_us; /**< its last byte */
+	int64_t end_us;
+	int64_t stop_us; /**< last SIGTERM of its node; 0: none */
 };
 
 /** Counts of requests by their end, and of broken promises. */
@@ -58,6 +61,7 @@
 	long cut_sending; /**< closed without an answer before the request was whole */
 	long crossed;     /**< closed without an answer, not run, within the slack */
 	long lost;
+	long lost_by_rule; /**< of these, those that the users' rule counts */
 	long timed_out;
 	long mixed;         /**< answers of another request, or with another body */
 	long false_refusal; /**< refused, though it ran */
--- a/soak/cluster.c
+++ b/soak/cluster.c
@@ -31,13 +31,13 @@
 struct cluster_node *
 cluster_entry (struct cluster *cluster, int index)
 {
-	return &cluster->nodes[CLUSTER_CONTROL_NODES + index];
+	return &cluster->nodes[cluster->site->control_nodes + index];
 }
 
 int
 cluster_entry_port (const struct cluster *cluster, int index)
 {
-	return cluster->base_port + CLUSTER_CONTROL_NODES + 1 + index;
+	return cluster->base_port + cluster->site->control_nodes + 1 + index;
 }
 
 int
@@ -50,6 +50,7 @@
 write_settings (const struct cluster *cluster, const struct cluster_node *node)
 {
 	char path[TEXT_SIZE];
+	const struct site *site = cluster->site;
 	int base = cluster->base_port;
 	int n = node->number;
 	snprintf (path, sizeof (path), "%s/n%d.ini", cluster->folder, n);
@@ -60,23 +61,25 @@
 		"[node]\nname = n%d\ndata_center = z%d\ncaller_address =\n"
 		"operator_address = 127.0.0.1:%d\npeer_address = 127.0.0.1:%d\n"
 		"metrics_address = 127.0.0.1:%d\nworkers = 1\n[control]\nkey = %s\npeers = ",
-		n, n % 3, base + OPERATOR_OFFSET + n, base + PEER_OFFSET + n,
+		n, n % site->zones, base + OPERATOR_OFFSET + n, base + PEER_OFFSET + n,
 		base + METRICS_OFFSET + n, key);
-	for (int i = 1; i <= CLUSTER_CONTROL_NODES; i++)
+	for (int i = 1; i <= site->control_nodes; i++)
 		fprintf (out, "%s127.0.0.1:%d", i > 1 ? "," : "", base + PEER_OFFSET + i);
 	fprintf (out, "\nreplace_ms = 2000\n");
-	if (n <= CLUSTER_CONTROL_NODES)
+	if (n <= site->control_nodes)
 		fprintf (out,
 			"bootstrap = true\norders_address = 127.0.0.1:%d\ndata_dir = %s/data%d\n",
 			base + n, cluster->folder, n);
+	if (n <= site->control_nodes && site->losses)
+		fprintf (out, "losses = %d\ncompact_entries = 256\n", site->losses);
 	fprintf (out, "[front]\nlist_address = 127.0.0.1:%d\nlist_rate = 50\n",
 		base + PLATFORM_OFFSET);
-	if (n > CLUSTER_CONTROL_NODES)
+	if (n > site->control_nodes)
 		fprintf (out,
-			"address = 127.0.0.1:%d\nready_address = 127.0.0.1:%d\ngroup_nodes = 1\n"
+			"address = 127.0.0.1:%d\nready_address = 127.0.0.1:%d\ngroup_nodes = %d\n"
 			"batch_port_step = %d\nextra_ratio = 0.2\nextra_slack = 60\n"
 			"cold_factor = 1\ncold_slack = 4\n",
-			base + n, base + READY_OFFSET + n, BATCH_STEP);
+			base + n, base + READY_OFFSET + n, site->group_nodes, BATCH_STEP);
 	fclose (out);
 }
 
@@ -115,7 +118,7 @@
 	if (node->pid <= 0)
 		return;
 	if (signal == SIGTERM && node->stop_us == 0)
-		node->stop_us = http_now_us ();
+		node->last_stop_us = node->stop_us = http_now_us ();
 	kill (node->pid, signal);
 }
 
@@ -128,31 +131,61 @@
 	return true;
 }
 
-/* A slow and a fast kind of single requests, and a fan-out; the route "extra" has changing names.
- */
+static void
+write_shards (const struct cluster *cluster, struct buf *out)
+{
+	const struct site *site = cluster->site;
+	int first = cluster->moved ? site->shards : 0;
+	int end = cluster->moved ? site->shards + site->later_shards : site->shards;
+	for (int i = first; i < end; i++)
+		buf_addf (out, "%s\"s%d\"", i > first ? "," : "", i);
+}
+
+static void
+write_route (const struct cluster *cluster, const struct site_route *route, struct buf *out)
+{
+	buf_addf (out,
+		"{\"name\":\"%s\",\"host\":\"site.example\",\"path_prefix\":\"/%s/\","
+		"\"route_type\":\"%s\",\"timeout_ms\":%d,\"target_latency_ms\":%d,"
+		"\"priority\":%d,\"max_attempts\":2,",
+		route->name, route->name, route->type, route->timeout_ms, route->target_latency_ms,
+		route->priority);
+	if (!route->fanout) {
+		buf_addf (out, "\"service\":\"s%d\"},", site_services (cluster->site) - 1);
+		return;
+	}
+	buf_addf (out, "\"top_k\":%d,\"min_shard_ratio\":%.2f,\"fanout\":[", route->top_k,
+		route->min_shard_ratio);
+	write_shards (cluster, out);
+	buf_addf (out, "]},");
+}
+
+/* The route "extra" has changing names; others that nobody uses make the document large. */
 static char *
-routes_document (long version)
+routes_document (const struct cluster *cluster, long version)
 {
+	const struct site *site = cluster->site;
+	int services = site_services (site);
 	struct buf out;
 	buf_init (&out);
+	buf_addf (&out, "{\"version\":%ld,\"routes\":[", version);
+	for (int i = 0; i < SITE_ROUTES && site->routes[i].name; i++)
+		write_route (cluster, &site->routes[i], &out);
+	for (int i = 0; i < cluster->extra_routes; i++)
+		buf_addf (&out,
+			"{\"name\":\"more-%d\",\"host\":\"site.example\",\"path_prefix\":\"/"
+			"more-%d/\","
+			"\"route_type\":\"idempotent\",\"timeout_ms\":900,\"max_attempts\":2,"
+			"\"service\":\"s%d\"},",
+			i, i, i % services);
 	buf_addf (&out,
-		"{\"version\":%ld,\"routes\":["
-		"{\"name\":\"all\",\"host\":\"site.example\",\"path_prefix\":\"/all/\","
-		"\"route_type\":\"idempotent\",\"timeout_ms\":1100,\"target_latency_ms\":80,"
-		"\"priority\":1,\"max_attempts\":2,\"top_k\":3,\"min_shard_ratio\":0.66,"
-		"\"fanout\":[\"s0\",\"s1\",\"s2\"]},"
-		"{\"name\":\"look\",\"host\":\"site.example\",\"path_prefix\":\"/look/\","
-		"\"route_type\":\"idempotent\",\"timeout_ms\":1100,\"target_latency_ms\":250,"
-		"\"priority\":2,\"max_attempts\":2,\"service\":\"s3\"},"
-		"{\"name\":\"file\",\"host\":\"site.example\",\"path_prefix\":\"/file/\","
-		"\"route_type\":\"non_idempotent\",\"timeout_ms\":4000,\"target_latency_ms\":250,"
-		"\"priority\":0,\"max_attempts\":2,\"service\":\"s3\"},"
 		"{\"name\":\"extra-%ld\",\"host\":\"site.example\",\"path_prefix\":\"/extra-%ld/\","
 		"\"route_type\":\"idempotent\",\"timeout_ms\":900,\"max_attempts\":2,"
 		"\"service\":\"s0\"}],\"services\":[",
-		version, version, version);
-	for (int i = 0; i < CLUSTER_SERVICES; i++)
-		buf_addf (&out, "%s{\"name\":\"s%d\",\"max_connections\":60}", i ? "," : "", i);
+		version, version);
+	for (int i = 0; i < services; i++)
+		buf_addf (&out, "%s{\"name\":\"s%d\",\"max_connections\":%d}", i ? "," : "", i,
+			i == services - 1 ? site->single_connections : site->connections);
 	buf_addf (&out, "]}");
 	return out.data;
 }
@@ -162,7 +195,7 @@
 {
 	static _Thread_local struct http_answer answer;
 	long version = ++cluster->routing_version;
-	char *document = routes_document (version);
+	char *document = routes_document (cluster, version);
 	int status = http_call (
 		cluster->base_port + 1 + control, "POST", "/config/replace", document, &answer);
 	free (document);
@@ -178,7 +211,7 @@
 {
 	static _Thread_local struct http_answer answer;
 	static const char field[] = "\"version\":";
-	for (int i = 0; i < CLUSTER_CONTROL_NODES; i++) {
+	for (int i = 0; i < cluster->site->control_nodes; i++) {
 		if (http_call (cluster->base_port + 1 + i, "GET", "/config/get", "", &answer) !=
 			200)
 			continue;
@@ -213,10 +246,21 @@
 	return (int)strtol (answer.body, NULL, 10);
 }
 
-int
-cluster_runs (const struct cluster *cluster, const char *id)
+struct cluster_work
+cluster_work (const struct cluster *cluster, const char *id)
 {
-	return ask_platform (cluster, "runs", id);
+	static _Thread_local struct http_answer answer;
+	struct cluster_work work = {.runs = -1};
+	char path[96];
+	char *end;
+	snprintf (path, sizeof (path), "/work/%s", id);
+	if (http_call (cluster_platform_port (cluster), "GET", path, "", &answer) != 200)
+		return work;
+	answer.body[answer.body_len] = '\0';
+	work.runs = (int)strtol (answer.body, &end, 10);
+	work.broke_off = (int)strtol (end, &end, 10);
+	work.last_us = 1000 * strtoll (end, NULL, 10);
+	return work;
 }
 
 int
@@ -266,23 +310,39 @@
 	return true;
 }
 
+static void
+start_platform (struct cluster *cluster)
+{
+	const struct site *site = cluster->site;
+	const struct {
+		const char *format;
+		int value;
+	} numbers[] = {{"%d", cluster_platform_port (cluster)}, {"%d", site_services (site)},
+		{"%d", site->replicas}, {"%d", 2}, {"plain=%d", cluster->plain_list},
+		{"last=%d", site->single_targets}, {"zones=%d", site->zones},
+		{"slots=%d", site->slots}, {"last_slots=%d", site->single_slots},
+		{"pause_ms=%d", site->pause_ms},
+		{"pause_every_ms=%d", site->pause_every_ms ? site->pause_every_ms : 1}};
+	enum { COUNT = sizeof (numbers) / sizeof (numbers[0]) };
+	char texts[COUNT][32];
+	char *arguments[COUNT + 2] = {(char *)cluster->platform};
+	for (int i = 0; i < COUNT; i++) {
+		snprintf (texts[i], sizeof (texts[i]), numbers[i].format, numbers[i].value);
+		arguments[i + 1] = texts[i];
+	}
+	cluster->platform_pid = start_process (cluster, "platform", arguments);
+}
+
 bool
 cluster_start (struct cluster *cluster)
 {
-	char port[16];
-	char services[16];
-	char replicas[16];
 	char path[TEXT_SIZE];
-	snprintf (port, sizeof (port), "%d", cluster_platform_port (cluster));
-	snprintf (services, sizeof (services), "%d", CLUSTER_SERVICES);
-	snprintf (replicas, sizeof (replicas), "%d", CLUSTER_REPLICAS);
-	char *platform[] = {(char *)cluster->platform, port, services, replicas, "2", NULL};
-	cluster->platform_pid = start_process (cluster, "platform", platform);
-	for (int i = 0; i < CLUSTER_CONTROL_NODES + cluster->entry_count; i++) {
+	start_platform (cluster);
+	for (int i = 0; i < cluster->site->control_nodes + cluster->entry_count; i++) {
 		struct cluster_node *node = &cluster->nodes[i];
 		node->number = i + 1;
 		snprintf (path, sizeof (path), "%s/data%d", cluster->folder, node->number);
-		if (i < CLUSTER_CONTROL_NODES)
+		if (i < cluster->site->control_nodes)
 			mkdir (path, 0700);
 		write_settings (cluster, node);
 		cluster_start_node (cluster, node);
--- a/soak/cluster.h
+++ b/soak/cluster.h
@@ -5,16 +5,16 @@
  */
 #pragma once
 
+#include "soak/site.h"
+
 #include <stdbool.h>
 #include <stdint.h>
 #include <sys/types.h>
 
 enum {
-	CLUSTER_CONTROL_NODES = 3,
-	CLUSTER_ENTRY_MAX = 6,
-	CLUSTER_NODES_MAX = CLUSTER_CONTROL_NODES + CLUSTER_ENTRY_MAX,
-	CLUSTER_SERVICES = 4,
-	CLUSTER_REPLICAS = 3,
+	CLUSTER_CONTROL_MAX = 5,
+	CLUSTER_ENTRY_MAX = 8,
+	CLUSTER_NODES_MAX = CLUSTER_CONTROL_MAX + CLUSTER_ENTRY_MAX,
 	CLUSTER_GRACE_US = 6000000, /**< from SIGTERM until SIGKILL */
 };
 
@@ -23,7 +23,9 @@
 	int number;
 	pid_t pid;               /**< 0: it does not run */
 	_Atomic int64_t stop_us; /**< when SIGTERM was last sent; 0: never */
-	int misses;              /**< readiness probes missed in a row */
+	/** The same, kept when it starts again. */
+	_Atomic int64_t last_stop_us;
+	int misses; /**< readiness probes missed in a row */
 	_Atomic bool in_rotation;
 };
 
@@ -31,11 +33,15 @@
 	const char *daemon; /**< path of the program under test */
 	const char *platform;
 	const char *folder; /**< settings, logs and data */
+	const struct site *site;
+	bool plain_list; /**< the list has no entries that cannot be decoded */
 	int base_port;
 	int entry_count;
 	pid_t platform_pid;
 	_Atomic long routing_version;  /**< sent last */
 	_Atomic long accepted_version; /**< the highest one that was accepted */
+	_Atomic int extra_routes;      /**< routes that nobody uses */
+	_Atomic bool moved;            /**< the index is at the later shards */
 	struct cluster_node nodes[CLUSTER_NODES_MAX];
 };
 
@@ -74,9 +80,16 @@
 void
 cluster_set_fault (const struct cluster *cluster, const char *fault, int target, bool on);
 
-/** How often the request with this id ran at targets. */
-int
-cluster_runs (const struct cluster *cluster, const char *id);
+/** What targets did for a request. */
+struct cluster_work {
+	int runs;
+	int broke_off; /**< runs that the target ended without an answer */
+	int64_t last_us;
+};
+
+/** Asks for the work on the request with this id; runs is -1 if that is not known. */
+struct cluster_work
+cluster_work (const struct cluster *cluster, const char *id);
 
 /** How many requests ran more than once, of those whose id contains a text. */
 int
--- a/soak/main.c
+++ b/soak/main.c
@@ -10,6 +10,7 @@
 #include "soak/cluster.h"
 
 #include <argp.h>
+#include <errno.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -17,12 +18,14 @@
 #include <sys/wait.h>
 
 enum {
-	PENDING_MAX = 64,
+	PENDING_MAX = 256,
 	STEP_US = 10000,
+	LIMIT_STEP_US = 2000,
 	PROBE_INTERVAL_US = 1000000,
 	READ_TIMEOUT_US = 8000000,
 	TAIL_US = 2500000, /* callers go on after the last restart, and calls end */
-	TARGETS = CLUSTER_SERVICES * CLUSTER_REPLICAS,
+	LARGE_MIN_ROUTES = 370,
+	LARGE_MAX_ROUTES = 1871,
 };
 
 enum action {
@@ -31,6 +34,8 @@
 	ACTION_RELOAD,
 	ACTION_START,
 	ACTION_ROUTES,
+	ACTION_LARGE_ROUTES,
+	ACTION_MOVE_INDEX,
 	ACTION_FREEZE_CONTROL,
 	ACTION_THAW_CONTROL,
 	ACTION_KILL_CONTROL,
@@ -42,23 +47,32 @@
 
 static const char *const action_names[] = {"SIGTERM to entry node", "second SIGTERM to entry node",
 	"SIGHUP to entry node", "start of entry node", "new routes through control node",
+	"large routes through control node", "index moved through control node",
 	"SIGSTOP to control node", "SIGCONT to control node", "SIGKILL to control node",
 	"SIGTERM to control node", "start of control node", "fault at target",
 	"end of the fault at target"};
 
-static const char *const faults[] = {"silent", "draining", "announce", "busy"};
+static const char *const faults[] = {
+	"silent", "draining", "announce", "busy", "slow", "close", "reset"};
+
+/* The first of them are used by the plan of the small site. */
+enum { SMALL_FAULTS = 4, ALL_FAULTS = sizeof (faults) / sizeof (faults[0]) };
 
 struct pending {
 	int64_t at_us;
 	enum action action;
 	int subject; /* index of the node or target */
-	int fault;   /* in faults[] */
+	int value;   /* in faults[], or number of extra routes */
 };
 
 struct settings {
 	const char *daemon;
 	const char *platform;
 	const char *folder;
+	const struct site *site;
+	bool plain_list;
+	long on_ms; /* entry nodes run for so long in each period; 0: all the time */
+	long period_ms;
 	long base_port;
 	long first_seed;
 	long seeds;
@@ -77,6 +91,7 @@
 	int64_t start_us;
 	long failures; /* of processes and orders */
 	_Atomic bool probing;
+	bool limited; /* entry nodes do not run at the moment */
 	FILE *log;
 };
 
@@ -87,11 +102,11 @@
 };
 
 static void
-schedule (struct scenario *scenario, int64_t at_us, enum action action, int subject, int fault)
+schedule (struct scenario *scenario, int64_t at_us, enum action action, int subject, int value)
 {
 	if (scenario->pending_count < PENDING_MAX)
 		scenario->pending[scenario->pending_count++] =
-			(struct pending){at_us, action, subject, fault};
+			(struct pending){at_us, action, subject, value};
 }
 
 static int64_t
@@ -106,20 +121,12 @@
 	return rng_below (&scenario->rng, count) == 0;
 }
 
-/* What else happens around a stop. */
+/* Control nodes that are lost or stopped, and a fault at a target. */
 static void
-plan_companions (struct scenario *scenario, int64_t at_us, int entry)
+plan_impairments (struct scenario *scenario, int64_t at_us, int fault_kinds)
 {
-	if (one_in (scenario, 3))
-		schedule (scenario, at_us + random_us (scenario, 5000), ACTION_SIGNAL_AGAIN, entry,
-			0);
-	if (one_in (scenario, 3))
-		schedule (scenario, at_us + random_us (scenario, 1500) - 500000, ACTION_RELOAD,
-			entry, 0);
-	if (!one_in (scenario, 3))
-		schedule (scenario, at_us + random_us (scenario, 4000), ACTION_ROUTES,
-			(int)rng_below (&scenario->rng, CLUSTER_CONTROL_NODES), 0);
-	int control = (int)rng_below (&scenario->rng, CLUSTER_CONTROL_NODES);
+	int control =
+		(int)rng_below (&scenario->rng, (uint64_t)scenario->cluster.site->control_nodes);
 	int64_t lost_us = at_us + random_us (scenario, 4000);
 	if (one_in (scenario, 5)) {
 		schedule (scenario, lost_us, ACTION_FREEZE_CONTROL, control, 0);
@@ -132,20 +139,92 @@
 		schedule (scenario, lost_us + random_us (scenario, 500), ACTION_ROUTES, control, 0);
 	}
 	if (one_in (scenario, 2)) {
-		int target = (int)rng_below (&scenario->rng, TARGETS);
-		int fault = (int)rng_below (&scenario->rng, sizeof (faults) / sizeof (faults[0]));
+		int target = (int)rng_below (
+			&scenario->rng, (uint64_t)site_targets (scenario->cluster.site));
+		int fault = (int)rng_below (&scenario->rng, (uint64_t)fault_kinds);
 		schedule (scenario, lost_us, ACTION_FAULT, target, fault);
 		schedule (scenario, lost_us + 1500000 + random_us (scenario, 2000), ACTION_HEAL,
 			target, fault);
 	}
 }
 
+static void
+plan_reload (struct scenario *scenario, int64_t at_us, int entry)
+{
+	if (one_in (scenario, 3))
+		schedule (scenario, at_us + random_us (scenario, 5000), ACTION_SIGNAL_AGAIN, entry,
+			0);
+	if (one_in (scenario, 3))
+		schedule (scenario, at_us + random_us (scenario, 1500) - 500000, ACTION_RELOAD,
+			entry, 0);
+}
+
+/* Some versions in a series; the last ones may grow or shrink. */
+static void
+plan_large_routes (struct scenario *scenario, int64_t at_us)
+{
+	int versions = 1 + (int)rng_below (&scenario->rng, 4);
+	for (int i = 0; i < versions; i++) {
+		int control = (int)rng_below (
+			&scenario->rng, (uint64_t)scenario->cluster.site->control_nodes);
+		int routes = LARGE_MIN_ROUTES + (int)rng_below (&scenario->rng,
+							LARGE_MAX_ROUTES - LARGE_MIN_ROUTES + 1);
+		schedule (scenario, at_us, ACTION_LARGE_ROUTES, control, routes);
+		at_us += 300000 + random_us (scenario, 700);
+	}
+}
+
+/* What else happens around a stop. */
+static void
+plan_companions (struct scenario *scenario, int64_t at_us, int entry)
+{
+	plan_reload (scenario, at_us, entry);
+	if (!one_in (scenario, 3))
+		schedule (scenario, at_us + random_us (scenario, 4000), ACTION_ROUTES,
+			(int)rng_below (
+				&scenario->rng, (uint64_t)scenario->cluster.site->control_nodes),
+			0);
+	plan_impairments (scenario, at_us, SMALL_FAULTS);
+}
+
+/* A rolling restart of a share of the entry nodes, beside large versions of the routes. */
+static void
+plan_rolling (struct scenario *scenario)
+{
+	int entries = scenario->cluster.entry_count;
+	int control =
+		(int)rng_below (&scenario->rng, (uint64_t)scenario->cluster.site->control_nodes);
+	int64_t at_us = scenario->start_us + 2000000;
+	int64_t gap_us = 1000000 + random_us (scenario, 1000);
+	int first = (int)rng_below (&scenario->rng, (uint64_t)entries);
+	int stops = entries * (40 + (int)rng_below (&scenario->rng, 61)) / 100;
+	bool planned_only = one_in (scenario, 2);
+	for (int i = 0; i < stops; i++, at_us += gap_us) {
+		int entry = (first + i) % entries;
+		schedule (scenario, at_us, ACTION_STOP, entry, 0);
+		plan_reload (scenario, at_us, entry);
+		if (!one_in (scenario, 3))
+			plan_large_routes (scenario, at_us + random_us (scenario, 5500));
+		if (!planned_only)
+			plan_impairments (scenario, at_us, ALL_FAULTS);
+	}
+	if (one_in (scenario, 2))
+		schedule (scenario, scenario->start_us + 2000000 + random_us (scenario, 8000),
+			ACTION_MOVE_INDEX, control, 0);
+	fprintf (scenario->log, "%d stops %lld ms apart, %s\n", stops, (long long)gap_us / 1000,
+		planned_only ? "planned work only" : "beside impairments");
+}
+
 /* Entry nodes are stopped in turn, so that a stop may overlap the ones before. */
 static void
 plan (struct scenario *scenario)
 {
 	const struct settings *settings = scenario->settings;
 	int64_t at_us = scenario->start_us + 1500000;
+	if (settings->site->rolling) {
+		plan_rolling (scenario);
+		return;
+	}
 	int first = (int)rng_below (&scenario->rng, (uint64_t)settings->entry_nodes);
 	for (long i = 0; i < settings->stops; i++) {
 		int entry = (first + (int)i) % (int)settings->entry_nodes;
@@ -194,10 +273,11 @@
 	struct cluster *cluster = &scenario->cluster;
 	struct cluster_node *entry =
 		cluster_entry (cluster, pending->subject % cluster->entry_count);
-	struct cluster_node *control = &cluster->nodes[pending->subject % CLUSTER_CONTROL_NODES];
-	fprintf (scenario->log, "%7.3f %s %d\n",
+	struct cluster_node *control =
+		&cluster->nodes[pending->subject % cluster->site->control_nodes];
+	fprintf (scenario->log, "%7.3f %s %d (%d)\n",
 		(double)(http_now_us () - scenario->start_us) / 1000000,
-		action_names[pending->action], pending->subject);
+		action_names[pending->action], pending->subject, pending->value);
 	switch (pending->action) {
 	case ACTION_STOP:
 	case ACTION_SIGNAL_AGAIN:
@@ -210,6 +290,14 @@
 		entry->stop_us = 0;
 		cluster_start_node (cluster, entry);
 		return;
+	case ACTION_LARGE_ROUTES:
+		cluster->extra_routes = pending->value;
+		start_routes (scenario, pending->subject);
+		return;
+	case ACTION_MOVE_INDEX:
+		cluster->moved = cluster->site->later_shards > 0;
+		start_routes (scenario, pending->subject);
+		return;
 	case ACTION_ROUTES:
 		start_routes (scenario, pending->subject);
 		return;
@@ -232,7 +320,7 @@
 		return;
 	case ACTION_FAULT:
 	case ACTION_HEAL:
-		cluster_set_fault (cluster, faults[pending->fault], pending->subject,
+		cluster_set_fault (cluster, faults[pending->value], pending->subject,
 			pending->action == ACTION_FAULT);
 		return;
 	}
@@ -297,7 +385,7 @@
 	int status = 0;
 	for (int i = 0; i < cluster->entry_count; i++)
 		watch_entry (scenario, i);
-	for (int i = 0; i < CLUSTER_CONTROL_NODES; i++) {
+	for (int i = 0; i < cluster->site->control_nodes; i++) {
 		struct cluster_node *node = &cluster->nodes[i];
 		if (node->pid == 0 || !cluster_reap (node, &status))
 			continue;
@@ -320,6 +408,30 @@
 	return scenario->pending_count == 0;
 }
 
+/* Entry nodes with a share of a processor: they are stopped and continued in turns. */
+static void
+limit_entry_nodes (struct scenario *scenario, bool on)
+{
+	for (int i = 0; i < scenario->cluster.entry_count; i++) {
+		struct cluster_node *node = cluster_entry (&scenario->cluster, i);
+		cluster_signal (node, on ? SIGCONT : SIGSTOP);
+	}
+}
+
+static void
+limit_in_turns (struct scenario *scenario)
+{
+	const struct settings *settings = scenario->settings;
+	if (settings->on_ms == 0)
+		return;
+	int64_t phase_ms = http_now_us () / 1000 % settings->period_ms;
+	bool on = phase_ms < settings->on_ms;
+	if (on != scenario->limited)
+		return;
+	limit_entry_nodes (scenario, on);
+	scenario->limited = !on;
+}
+
 static void
 play (struct scenario *scenario)
 {
@@ -331,10 +443,12 @@
 	while (http_now_us () < end_us) {
 		run_due (scenario);
 		watch_processes (scenario);
+		limit_in_turns (scenario);
 		if (end_us == INT64_MAX && all_run (scenario))
 			end_us = http_now_us () + TAIL_US;
-		http_sleep_us (STEP_US);
+		http_sleep_us (scenario->settings->on_ms ? LIMIT_STEP_US : STEP_US);
 	}
+	limit_entry_nodes (scenario, true);
 	scenario->probing = false;
 	pthread_join (prober, NULL);
 }
@@ -363,7 +477,6 @@
 run_seed (const struct settings *settings, long seed)
 {
 	static struct scenario scenario;
-	static const int counts[CALLER_KINDS] = {30, 30, 8, 6, 4, 4};
 	char folder[512];
 	char path[560];
 	char run[32];
@@ -379,12 +492,15 @@
 	scenario.cluster = (struct cluster){.daemon = settings->daemon,
 		.platform = settings->platform,
 		.folder = folder,
+		.site = settings->site,
+		.plain_list = settings->plain_list,
 		.base_port = (int)settings->base_port,
 		.entry_count = (int)settings->entry_nodes};
 	bool started = scenario.log && cluster_start (&scenario.cluster);
 	if (started) {
 		scenario.start_us = http_now_us ();
-		callers_start (&scenario.callers, &scenario.cluster, run, counts, (uint64_t)seed);
+		callers_start (&scenario.callers, &scenario.cluster, run, settings->site->callers,
+			(uint64_t)seed);
 		play (&scenario);
 		callers_stop (&scenario.callers);
 		callers_check (&scenario.callers, scenario.log);
@@ -394,12 +510,13 @@
 	const struct callers_report *r = &scenario.callers.report;
 	bool clean = started && scenario.failures == 0 && callers_report_is_clean (r);
 	printf ("seed %ld: %s; answered %ld, failed %ld, refused %ld, not connected %ld, cut while "
-		"sending %ld, crossed a close %ld; lost %ld, no answer %ld, mixed %ld, false "
+		"sending %ld, crossed a close %ld; lost %ld, by the rule %ld, no answer %ld, mixed "
+		"%ld, false "
 		"refusals "
 		"%ld, twice %ld, processes %ld; %s\n",
 		seed, clean ? "kept" : "BROKEN", r->answered, r->failed, r->refused,
-		r->not_connected, r->cut_sending, r->crossed, r->lost, r->timed_out, r->mixed,
-		r->false_refusal, r->twice, scenario.failures, path);
+		r->not_connected, r->cut_sending, r->crossed, r->lost, r->lost_by_rule,
+		r->timed_out, r->mixed, r->false_refusal, r->twice, scenario.failures, path);
 	fflush (stdout);
 	if (started)
 		callers_finish (&scenario.callers);
@@ -413,6 +530,18 @@
 {
 	struct settings *settings = state->input;
 	switch (key) {
+	case 'S':
+		settings->site = site_find (arg);
+		return settings->site ? 0 : EINVAL;
+	case 'P':
+		settings->plain_list = true;
+		return 0;
+	case 'o':
+		settings->on_ms = strtol (arg, NULL, 10);
+		return 0;
+	case 'O':
+		settings->period_ms = strtol (arg, NULL, 10);
+		return 0;
 	case 'd':
 		settings->daemon = arg;
 		return 0;
@@ -443,14 +572,18 @@
 }
 
 static const struct argp_option options_table[] = {
+	{"site", 'S', "NAME", 0, "small, registry or kombucha", 0},
+	{"plain-list", 'P', NULL, 0, "Leave out list entries that cannot be decoded", 0},
+	{"on-ms", 'o', "MS", 0, "Entry nodes run for so long in each period; 0: all the time", 0},
+	{"period-ms", 'O', "MS", 0, "The period", 0},
 	{"daemon", 'd', "PATH", 0, "oleanderstiled", 0},
 	{"platform", 'p', "PATH", 0, "stand-in-platform", 0},
 	{"folder", 'f', "PATH", 0, "Existing folder for logs and data", 0},
 	{"base-port", 'b', "PORT", 0, "First of the ports in use; parallel runs need others", 0},
 	{"seed", 's', "N", 0, "First seed", 0},
 	{"seeds", 'n', "N", 0, "Number of seeds", 0},
-	{"entry-nodes", 'e', "N", 0, "Number of entry nodes, 2 to 6", 0},
-	{"stops", 't', "N", 0, "Planned stops of each run", 0},
+	{"entry-nodes", 'e', "N", 0, "Number of entry nodes, 2 to 8, instead of the site's", 0},
+	{"stops", 't', "N", 0, "Planned stops of each run of the small site", 0},
 	{0},
 };
 
@@ -467,10 +600,15 @@
 		.base_port = 25000,
 		.first_seed = 1,
 		.seeds = 1,
-		.entry_nodes = 3,
+		.site = site_find ("small"),
+		.period_ms = 100,
 		.stops = 3};
 	long broken = 0;
 	argp_parse (&argp, argc, argv, 0, NULL, &settings);
+	if (settings.entry_nodes == 0)
+		settings.entry_nodes = settings.site->entry_nodes;
+	if (settings.period_ms < 1)
+		return EXIT_FAILURE;
 	if (settings.entry_nodes < 2 || settings.entry_nodes > CLUSTER_ENTRY_MAX)
 		return EXIT_FAILURE;
 	signal (SIGPIPE, SIG_IGN);
