--- a/soak/cluster.c
+++ b/soak/cluster.c
@@ -290,7 +290,7 @@
 	struct cluster_work work = {.runs = -1};
 	char path[96];
 	char *end;
-	snprintf (path, sizeof (path), "/work/%s", id);
+	snprintf (path, sizeof (path), "/progress/%s", id);
 	if (http_call (cluster_platform_port (cluster), "GET", path, "", &answer) != 200)
 		return work;
 	answer.body[answer.body_len] = '\0';
