review: ports of the scripts below those of outgoing connections, exit status 2

A backend that starts again could find its port taken by an outgoing connection. An unexpected error of a script now ends it with 2 instead of 1.

--- a/review/stand_in.py
+++ b/review/stand_in.py
@@ -40,14 +40,21 @@
     """The case could not run; exit status 2."""
 
 
+def is_free(port):
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+    """The first of so many free ports in a row, below those of outgoing connections."""
+    while True:
+        first = random.randrange(20000, 32000 - count)
+        if all(is_free(port) for port in range(first, first + count)):
+            return first
 
 
 def deploy_commands():
@@ -68,9 +75,9 @@
         self.folder = tempfile.mkdtemp(prefix="oleanderstile-review-")
         self.processes = {}
         self.commands = deploy_commands()
-        ports = free_ports(6)
-        self.front_port, self.ready_port, self.control_port, self.list_port = ports[:4]
-        self.first_port, self.last_port = ports[4:]
+        first = free_ports(20)
+        self.front_port, self.ready_port, self.control_port, self.list_port = range(first, first + 4)
+        self.first_port, self.last_port = first + 4, first + 19  # the internal port range
         net = f"127.{random.randint(10, 250)}.{random.randint(1, 250)}"
         self.nodes = {}
         for i in range(control_nodes):
@@ -171,7 +178,7 @@
         self.world, self.service, self.zone = world, service, zone
         self.work_s, self.slots, self.warmup_s = work_s, slots, warmup_s
         self.id = f"i-{random.getrandbits(32):08x}"
-        self.port = free_ports(1)[0]
+        self.port = free_ports(1)
         self.is_up, self.starts, self.born_ms, self.cold_until_s = False, 0, 0, 0
         self.writers = set()
         self.cold_arrivals = []  # (time, attempt id)
@@ -417,9 +424,9 @@
     signal.alarm(RUN_MAX_S)
     try:
         status = 1 if asyncio.run(case(world)) else 0
-    except (CannotRun, OSError) as error:
-        world.record(f"cannot run: {error}")
-        print(f"cannot run: {error}", file=sys.stderr)
+    except Exception as error:  # status 1 is for a broken rule alone
+        world.record(f"cannot run: {error!r}")
+        print(f"cannot run: {error!r}", file=sys.stderr)
     finally:
         signal.alarm(0)
         with open(os.path.join(folder, "record.txt"), "w", encoding="utf-8") as file:
