--- a/review/9/case.py
+++ b/review/9/case.py
@@ -9,7 +9,6 @@
 RAISED_BYTES = 65536
 LINE_BYTES = 1024
 CONFIG_APPLY_S = 3
-CONTACT_S = 4
 REQUESTS = 300
 
 
@@ -26,7 +25,7 @@
             manifest["limits"]["max_header_bytes"] = RAISED_BYTES
         if not await world.configure(cluster, manifest):
             raise stand_in.CannotRun("the second manifest is not acknowledged")
-        await asyncio.sleep(CONFIG_APPLY_S + CONTACT_S)
+        await asyncio.sleep(CONFIG_APPLY_S + stand_in.CONTACT_S)
         # Five eighths of the limit, which leaves room for the first line and the other headers.
         count = manifest["limits"]["max_header_bytes"] * 5 // 8 // LINE_BYTES
         lines = "".join(f"X-{i:04d}: {'v' * (LINE_BYTES - 10)}\r\n" for i in range(count))
