query, daemon: suspect targets that ended or refused connections of a restart

Cause: a start is known by the target list alone, which is up to two seconds old. Refused, reset and closed connections changed no more than the order of choice.

Change: such a target is suspected (query/restart.h) and gets the cold rate, after sound ones, and nothing while it accepts no connection. An older connection that still works, the health answer (daemon/target_watch.h) or a newer list rules a restart out. Requests that wait for cold targets now wake at the turn of their node, or are refused at once. Nodes that have just started or were suspended suspect targets without a connection.

The stand-in of test/busy.sh now answers health checks as the protocol says; before, its targets stayed suspected for the first second.

Ruled out: a shorter interval of the list, which lags by 800 ms in any case.

--- a/daemon/discovery.c
+++ b/daemon/discovery.c
@@ -6,6 +6,7 @@
 #include "daemon/forward.h"
 #include "daemon/front.h"
 #include "daemon/rollouts.h"
+#include "daemon/target_watch.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -46,6 +47,29 @@
 	return NULL;
 }
 
+/*
+ * Takes over from an earlier start of the target what the list may not know yet, and when this node
+ * last used its share of the cold rate.
+ */
+static void
+inherit_start (struct front *front, struct replica *replica, int64_t read_us)
+{
+	const struct replica *other;
+	cds_list_for_each_entry (other, &replica->set->replicas, node) {
+		if (other == replica || strcmp (other->id, replica->id) != 0 ||
+			strcmp (other->address, replica->address) != 0)
+			continue;
+		if (other->cold_next_us > replica->cold_next_us)
+			replica->cold_next_us = other->cold_next_us;
+		if (!restart_is_list_outdated (&other->restart, read_us, replica->set->list_lag_us))
+			continue;
+		if (other->restart.suspected)
+			target_watch_suspect (front, replica, other->restart.sign);
+		else if (other->cold_until_us > replica->cold_until_us)
+			replica->cold_until_us = other->cold_until_us;
+	}
+}
+
 static void
 apply_target (struct discovery *discovery, const struct listed_target *target, int64_t read_us)
 {
@@ -62,6 +86,7 @@
 		replica->start_unix_ms = target->start_unix_ms;
 		replica->evacuated = front_is_leaving (front, target->data_centre);
 		CDS_INIT_LIST_HEAD (&replica->running);
+		inherit_start (front, replica, read_us);
 		cds_list_add_tail (&replica->node, &set->replicas);
 	}
 	if (is_new || replica->state != target->state)
@@ -78,6 +103,8 @@
 	if (target->cold_remaining_us <= 0)
 		return;
 	front_update_cold_interval (front, replica);
+	if (restart_is_list_outdated (&replica->restart, read_us, set->list_lag_us))
+		return;
 	replica_note_cold (replica, read_us + target->cold_remaining_us, front_now_us (front));
 }
 
@@ -92,6 +119,7 @@
 			continue;
 		log_event (&front->log, EVENT_TARGET_STATE, "%s of %s at %s: no longer listed",
 			replica->id, set->name, replica->address);
+		target_watch_end (replica);
 		forward_drop_connections (replica);
 		cds_list_del (&replica->node);
 		free (replica);
@@ -141,12 +169,15 @@
 	}
 	if (data && decode_list (&list, data, len)) {
 		apply_list (discovery, &list, read_us);
+		if (discovery->read_us == 0)
+			target_watch_note_gap (discovery->front);
 		log_event (&discovery->front->log, EVENT_LIST_TAKEN, "%d targets, read %lld ms ago",
 			list.count,
 			(long long)((front_now_us (discovery->front) - read_us) / US_PER_MS));
 	}
 	if (read_us > discovery->read_us)
 		discovery->read_us = read_us;
+	target_watch_note_list (discovery->front, discovery->read_us);
 	front_readmit (discovery->front, discovery->read_us);
 	forward_release_held (discovery->front);
 	listed_targets_finish (&list);
@@ -160,8 +191,11 @@
 	size_t len = 0;
 	if (front->node->options.front_address[0]) {
 		apply_list (discovery, &discovery->list, front_now_us (front));
+		if (discovery->read_us == 0)
+			target_watch_note_gap (front);
 		/* The leader's next list is applied even if its stamp was seen before. */
 		atomic_store (&front->posted_roster_stamp, 0);
+		target_watch_note_list (front, front_now_us (front));
 		front_readmit (front, front_now_us (front));
 		return;
 	}
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -9,6 +9,7 @@
 #include "daemon/placement.h"
 #include "daemon/quota.h"
 #include "daemon/route_stats.h"
+#include "daemon/target_watch.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -54,10 +55,10 @@
 const struct scatter_hooks forward_hooks = {
 	send_sub, finish_forward, batch_serve_progress, rearm_timer};
 
-static struct fetch_pool *
-get_pool (struct front *front, struct replica *replica)
+struct fetch_pool *
+forward_pool (struct front *front, struct replica *replica)
 {
-	struct fetch_hooks pool_hooks = {0};
+	struct fetch_hooks pool_hooks = target_watch_hooks (front, replica);
 	if (!replica->pool)
 		replica->pool = fetch_pool_new (
 			&front->fetches, replica->address, replica->set->connections, &pool_hooks);
@@ -415,7 +416,9 @@
 			"%s at %s: no reply to %.127s in %lld ms", replica->id, replica->address,
 			sub->attempt_id, (long long)((now_us - sub->use.sent_us) / US_PER_MS));
 		forward_drop_connections (replica);
+		target_watch_suspect (front, replica, RESTART_SILENT);
 	}
+	target_watch_note_end (front, &sub->use, fetch, result);
 	/* Opening a connection says nothing about a version, but the new one often needs it. */
 	int64_t took_us = now_us - (fetch->written_us ? fetch->written_us : sub->use.sent_us);
 	replica_end (&sub->use, target_outcome (end, sub, result, now_us), now_us);
@@ -494,7 +497,7 @@
 	placement_count (&sub->use);
 	front_rollouts_sent (front, &sub->rollout, replica, scatter->rule, sub->attempt_id);
 	cds_list_add (&sub->node, &forward->subs);
-	fetch_start (&sub->fetch, get_pool (front, replica), &request, on_sub_done);
+	fetch_start (&sub->fetch, forward_pool (front, replica), &request, on_sub_done);
 	free (lines);
 	for (int i = 0; i < SUB_REQUEST_LINES; i++)
 		buf_finish (&own_lines[i]);
--- a/daemon/forward.h
+++ b/daemon/forward.h
@@ -106,6 +106,10 @@
 forward_note_leaving (
 	const struct forward *forward, const struct replica_set *set, const char *target_id);
 
+/** The connections to a target; created if there are none. */
+struct fetch_pool *
+forward_pool (struct front *front, struct replica *replica);
+
 /** Closes the connections to a target once they are known to be unusable. */
 void
 forward_drop_connections (struct replica *replica);
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -7,6 +7,7 @@
 #include "daemon/forward_log.h"
 #include "daemon/front_dump.h"
 #include "daemon/quota.h"
+#include "daemon/target_watch.h"
 #include "net/join.h"
 #include "platform/manifest.h"
 
@@ -124,7 +125,7 @@
 {
 	struct replica *replica;
 	cds_list_for_each_entry (replica, &set->replicas, node) {
-		if (replica->cold_until_us > front_now_us (front))
+		if (replica_is_cold (replica, front_now_us (front)))
 			front_update_cold_interval (front, replica);
 	}
 }
@@ -713,6 +714,8 @@
 			forward_timer_due (timer);
 		else if (timer->kind == QUOTA_TIMER)
 			front_quota_timer_due (front);
+		else if (timer->kind == TARGET_WATCH_TIMER)
+			target_watch_timer_due (timer);
 		else
 			discovery_timer_due (&front->discovery);
 	}
@@ -768,21 +771,20 @@
  * then be reused. Most iterations only bring replies from targets; checking mailbox and callers
  * each time would cost more than handling the reply, so the result says which of them to serve.
  */
-static struct pending
-handle_events (struct front *front, const struct epoll_event *events, int count)
+static void
+handle_events (
+	struct front *front, const struct epoll_event *events, int count, struct pending *pending)
 {
-	/* Without events, the wait may have ended for a timer of one of the HTTP servers. */
-	struct pending pending = {count == 0, count == 0, count == 0, count == 0};
 	for (int i = 0; i < count; i++) {
 		int fd = events[i].data.fd;
 		bool mail = fd == front->mailbox.event_fd;
 		bool callers = serves_callers (front) && fd == ingress_fd (&front->callers);
 		bool balancer = serves_callers (front) && fd == ingress_fd (&front->balancer);
-		pending.mail = pending.mail || mail;
-		pending.callers = pending.callers || callers;
+		pending->mail = pending->mail || mail;
+		pending->callers = pending->callers || callers;
 		bool batches = serves_batches (front) && fd == ingress_fd (&front->batches);
-		pending.balancer = pending.balancer || balancer;
-		pending.batches = pending.batches || batches;
+		pending->balancer = pending->balancer || balancer;
+		pending->batches = pending->batches || batches;
 		if (mail || callers || balancer || batches)
 			continue;
 		if (!ingress_socket_event (&front->callers, fd, events[i].events) &&
@@ -790,7 +792,6 @@
 			!ingress_socket_event (&front->balancer, fd, events[i].events))
 			fetch_socket_event (&front->fetches, fd, events[i].events);
 	}
-	return pending;
 }
 
 /* Waits for events for at most max_ms, and handles them. */
@@ -807,7 +808,16 @@
 	}
 	front->woken_us = woken_us;
 	turn_begin (&front->turn, woken_us);
-	struct pending pending = handle_events (front, events, count);
+	/* Without events, the wait may have ended for a timer of one of the HTTP servers. */
+	struct pending pending = {count == 0, count == 0, count == 0, count == 0};
+	handle_events (front, events, count, &pending);
+	/* Connections that ended during a suspension are noted before new requests are read. */
+	while (resumed && count == EVENTS_PER_WAIT) {
+		count = epoll_wait (front->epoll_fd, events, EVENTS_PER_WAIT, 0);
+		handle_events (front, events, count, &pending);
+	}
+	if (resumed)
+		target_watch_note_gap (front);
 	turn_mark (&front->turn, FRONT_PART_SOCKETS, front_now_us (front));
 	if (pending.mail)
 		mailbox_clear (&front->mailbox);
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -42,7 +42,7 @@
 };
 
 /** Kinds of timers of the front's loop, in addition to those of net/fetch.h. */
-enum { FORWARD_TIMER = FETCH_TIMER_KIND_END, DISCOVERY_TIMER, QUOTA_TIMER };
+enum { FORWARD_TIMER = FETCH_TIMER_KIND_END, DISCOVERY_TIMER, QUOTA_TIMER, TARGET_WATCH_TIMER };
 
 /** Kinds of messages to the front's thread. */
 enum front_mail { FRONT_STATE, FRONT_ROSTER, FRONT_DUMP, FRONT_SERVE };
--- a/daemon/front_dump.c
+++ b/daemon/front_dump.c
@@ -8,13 +8,15 @@
 	STANDING_READY,
 	STANDING_AVOIDED,
 	STANDING_COLD,
+	STANDING_SUSPECTED,
+	STANDING_UNREACHABLE,
 	STANDING_LEAVING,
 	STANDING_BUSY,
 	STANDING_COUNT
 };
 
 static const char *const standing_names[STANDING_COUNT] = {
-	"ready", "avoided", "cold", "leaving", "busy"};
+	"ready", "avoided", "cold", "suspected", "unreachable", "leaving", "busy"};
 
 static enum replica_standing
 standing_of (const struct replica *replica, int64_t now_us)
@@ -23,6 +25,8 @@
 		return STANDING_LEAVING;
 	if (replica->busy_until_us > now_us)
 		return STANDING_BUSY;
+	if (replica->restart.suspected)
+		return replica->restart.unreachable ? STANDING_UNREACHABLE : STANDING_SUSPECTED;
 	if (replica->cold_until_us > now_us)
 		return STANDING_COLD;
 	return replica->avoid_until_us > now_us ? STANDING_AVOIDED : STANDING_READY;
--- a/daemon/owned.c
+++ b/daemon/owned.c
@@ -120,7 +120,7 @@
 }
 
 static void
-handle_idle_closed (void *user);
+handle_idle_closed (void *user, enum fetch_idle_end end, int64_t idle_us);
 static bool
 may_open_connection (void *user);
 
@@ -137,9 +137,11 @@
 }
 
 static void
-handle_idle_closed (void *user)
+handle_idle_closed (void *user, enum fetch_idle_end end, int64_t idle_us)
 {
 	struct owned_target *owned = user;
+	(void)end;
+	(void)idle_us;
 	gate_enter_cold_start (&owned->gate, COLD_RESET);
 }
 
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -37,6 +37,8 @@
 	struct response_parser response;
 	bool too_large;        /**< the body exceeds a limit */
 	int64_t keep_until_us; /**< not reused after this time */
+	int64_t connected_us;  /**< when it was established */
+	int64_t idle_since_us; /**< CONN_IDLE: when its last request ended */
 };
 
 static int64_t
@@ -184,6 +186,17 @@
 	return pool->conn_count;
 }
 
+bool
+fetch_pool_is_connected (const struct fetch_pool *pool)
+{
+	const struct fetch_conn *conn;
+	cds_list_for_each_entry (conn, &pool->conns, node) {
+		if (conn->state != CONN_CONNECTING)
+			return true;
+	}
+	return false;
+}
+
 void
 fetch_pool_set_max_connections (struct fetch_pool *pool, int max_connections)
 {
@@ -224,19 +237,22 @@
 		fail_later (fetch);
 }
 
+/* Returns NULL if no connection can be opened; @p refused: because the target refuses it. */
 static struct fetch_conn *
-open_conn (struct fetch_pool *pool)
+open_conn (struct fetch_pool *pool, bool *refused)
 {
 	struct fetch_loop *loop = pool->loop;
 	int fd = pool->peer.sin_family == AF_INET
 			 ? socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0)
 			 : -1;
 	int one = 1;
+	*refused = false;
 	if (fd < 0)
 		return NULL;
 	setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof (one));
 	if (connect (fd, (const struct sockaddr *)&pool->peer, sizeof (pool->peer)) != 0 &&
 		errno != EINPROGRESS) {
+		*refused = errno == ECONNREFUSED;
 		close (fd);
 		return NULL;
 	}
@@ -361,6 +377,7 @@
 attach (struct fetch *fetch, struct fetch_conn *conn)
 {
 	fetch->conn = conn;
+	fetch->connected_us = conn->connected_us;
 	conn->fetch = fetch;
 	cds_list_del (&fetch->node);
 	cds_list_add (&fetch->node, &fetch->pool->running);
@@ -434,7 +451,7 @@
 		fail_later (fetch);
 		return;
 	}
-	struct fetch_conn *conn = open_conn (pool);
+	struct fetch_conn *conn = open_conn (pool, &fetch->connect_refused);
 	if (!conn) {
 		fail_later (fetch);
 		return;
@@ -495,7 +512,9 @@
 	fetch->written_us = 0;
 	fetch->active = true;
 	fetch->open_denied = fetch->opened_connection = fetch->sent = fetch->dropped = false;
-	fetch->received = false;
+	fetch->received = fetch->conn_lost = false;
+	fetch->connect_refused = fetch->connect_timed_out = false;
+	fetch->connected_us = 0;
 	fetch->new_connection = request->new_connection;
 	fetch->head_only = request->method && strcmp (request->method, "HEAD") == 0;
 	fetch->connect_timeout_us = request->connect_timeout_us;
@@ -537,6 +556,7 @@
 	if (conn) {
 		conn->fetch = NULL;
 		conn->state = CONN_IDLE;
+		conn->idle_since_us = loop_now_us (pool->loop);
 		if (!reusable || pool->retired || fetch->new_connection) {
 			close_conn (conn);
 		} else {
@@ -568,14 +588,35 @@
 	fetch->done (fetch, end);
 }
 
+static enum fetch_idle_end
+idle_end (const struct fetch_conn *conn)
+{
+	char byte;
+	ssize_t n = recv (conn->fd, &byte, 1, MSG_PEEK);
+	if (n > 0)
+		return FETCH_IDLE_DATA;
+	return n == 0 ? FETCH_IDLE_CLOSED : FETCH_IDLE_RESET;
+}
+
 static void
 handle_idle_event (struct fetch_conn *conn)
 {
 	struct fetch_pool *pool = conn->pool;
-	bool expected = conn->keep_until_us <= loop_now_us (pool->loop);
+	int64_t now_us = loop_now_us (pool->loop);
+	int64_t idle_us = now_us - conn->idle_since_us;
+	bool expected = conn->keep_until_us <= now_us;
+	enum fetch_idle_end end = idle_end (conn);
 	close_conn (conn);
 	if (!pool->retired && !expected && pool->hooks.idle_closed)
-		pool->hooks.idle_closed (pool->hooks.user);
+		pool->hooks.idle_closed (pool->hooks.user, end, idle_us);
+}
+
+/* The target has ended the connection while its request was in progress. */
+static void
+end_lost (struct fetch *fetch)
+{
+	fetch->conn_lost = fetch->sent;
+	end_fetch (fetch, fetch->sent ? FETCH_FAILED : FETCH_NOT_SENT, false);
 }
 
 /* Parses received bytes; returns false if the fetch has ended. */
@@ -602,6 +643,7 @@
 		return false;
 	}
 	case RESPONSE_INVALID:
+		fetch->conn_lost = len == 0;
 		end_fetch (fetch, conn->too_large ? FETCH_TOO_LARGE : FETCH_FAILED, false);
 		return false;
 	}
@@ -618,7 +660,7 @@
 		n = recv (conn->fd, conn->pool->loop->read_buffer, READ_BUFFER_BYTES, 0);
 	while (n < 0 && errno == EINTR);
 	if (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK)
-		end_fetch (conn->fetch, FETCH_FAILED, false);
+		end_lost (conn->fetch);
 	return n;
 }
 
@@ -677,13 +719,16 @@
 	socklen_t len = sizeof (socket_error);
 	getsockopt (conn->fd, SOL_SOCKET, SO_ERROR, &socket_error, &len);
 	if (socket_error != 0) {
+		fetch->connect_refused = true;
 		end_fetch (fetch, FETCH_NOT_SENT, false);
 		return;
 	}
 	conn->state = CONN_BUSY;
+	conn->connected_us = loop_now_us (conn->pool->loop);
+	fetch->connected_us = conn->connected_us;
 	set_timer (fetch, fetch->deadline_us);
 	if (!write_request (conn))
-		end_fetch (fetch, fetch->sent ? FETCH_FAILED : FETCH_NOT_SENT, false);
+		end_lost (fetch);
 }
 
 void
@@ -698,7 +743,7 @@
 			return;
 	} else if (conn->state == CONN_BUSY && events & EPOLLOUT &&
 		   conn->written < conn->fetch->out.len && !write_request (conn)) {
-		end_fetch (conn->fetch, FETCH_FAILED, false);
+		end_lost (conn->fetch);
 		return;
 	}
 	if (!(events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)))
@@ -715,6 +760,8 @@
 fetch_timer_due (struct timer *timer)
 {
 	struct fetch *fetch = caa_container_of (timer, struct fetch, timer);
+	fetch->connect_timed_out = fetch->conn && fetch->conn->state == CONN_CONNECTING &&
+				   loop_now_us (fetch->loop) < fetch->deadline_us;
 	if (fetch->dropped)
 		end_fetch (fetch, FETCH_TOO_LARGE, false);
 	else if (!fetch->sent)
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -33,6 +33,13 @@
 /** Default of fetch_loop.body_bytes_max; a node has little more than 100 MB on the smallest VMs. */
 enum { FETCH_BODY_BYTES_MAX = 32 * 1024 * 1024 };
 
+/** How a connection ended that had no request. */
+enum fetch_idle_end {
+	FETCH_IDLE_DATA,   /**< bytes came that belong to no request */
+	FETCH_IDLE_CLOSED, /**< the target closed it */
+	FETCH_IDLE_RESET,  /**< the target, or the host it ran on, reset it */
+};
+
 /** How a fetch ended. */
 enum fetch_end {
 	FETCH_OK,       /**< a complete HTTP reply */
@@ -66,7 +73,11 @@
 					   may_open_connection (probes) */
 	bool opened_connection;         /**< a connection was opened for this request */
 	bool received;                  /**< bytes of a reply came, possibly invalid ones */
-	bool sent; /**< bytes were written to a connection and may have arrived */
+	bool sent;              /**< bytes were written to a connection and may have arrived */
+	bool connect_refused;   /**< the connection opened for it was refused */
+	bool connect_timed_out; /**< it was not established within connect_timeout_us */
+	bool conn_lost;       /**< the target ended the connection before the reply was complete */
+	int64_t connected_us; /**< when its connection was established; 0: it has none */
 	bool (*on_header_line) (struct fetch *fetch, const char *line, size_t len);
 	void (*done) (struct fetch *fetch, enum fetch_end end);
 };
@@ -90,8 +101,11 @@
 
 /** Callbacks of a pool to the code that created it; each may be NULL. */
 struct fetch_hooks {
-	/** The target closed an idle connection early, which suggests that it restarted. */
-	void (*idle_closed) (void *user);
+	/**
+	 * An idle connection ended earlier than announced, which suggests that the target
+	 * restarted. It had been idle for @p idle_us.
+	 */
+	void (*idle_closed) (void *user, enum fetch_idle_end end, int64_t idle_us);
 	/** Returns whether a new connection may be opened now. */
 	bool (*may_open_connection) (void *user);
 	void *user;
@@ -158,6 +172,10 @@
 int
 fetch_pool_connections (const struct fetch_pool *pool);
 
+/** True if the pool has a connection that is established, as far as is known. */
+bool
+fetch_pool_is_connected (const struct fetch_pool *pool);
+
 /** Retires a pool: its fetches may complete, but no connection is reused. */
 void
 fetch_pool_retire (struct fetch_pool *pool);
--- a/query/exposure.c
+++ b/query/exposure.c
@@ -48,7 +48,7 @@
 	const struct replica *replica;
 	cds_list_for_each_entry (replica, &set->replicas, node) {
 		if (is_side (side, replica) && replica_usable (replica) &&
-			replica->busy_until_us <= now_us && replica->cold_until_us <= now_us)
+			replica->busy_until_us <= now_us && !replica_is_cold (replica, now_us))
 			return true;
 	}
 	return false;
@@ -71,7 +71,7 @@
 	const struct replica *replica;
 	cds_list_for_each_entry (replica, &set->replicas, node) {
 		if (is_side (EXPOSURE_NEW, replica) && replica_usable (replica) &&
-			replica->busy_until_us <= now_us && replica->cold_until_us <= now_us &&
+			replica->busy_until_us <= now_us && !replica_is_cold (replica, now_us) &&
 			!is_avoided (replica, now_us) && replica_has_place (replica))
 			return true;
 	}
--- a/query/replica.c
+++ b/query/replica.c
@@ -33,6 +33,13 @@
 	       replica->leaving_since_us == 0 && replica->replaced_us == 0;
 }
 
+bool
+replica_is_cold (const struct replica *replica, int64_t now_us)
+{
+	bool suspected = replica->restart.suspected && replica->set->cold_rate_per_s > 0;
+	return replica->cold_until_us > now_us || suspected;
+}
+
 bool
 replica_has_place (const struct replica *replica)
 {
@@ -73,7 +80,8 @@
 	const struct replica *replica = use->replica;
 	/* One that was chosen later, as a last resort, did not get a connection. */
 	bool left = replica->leaving_since_us != 0 && replica->leaving_since_us >= use->sent_us;
-	return left || replica->busy_until_us > now_us;
+	bool suspected = replica->restart.suspected && replica->restart.sign_us >= use->sent_us;
+	return left || suspected || replica->busy_until_us > now_us;
 }
 
 void
@@ -479,7 +487,7 @@
 		*any = true;
 		int64_t wait_us = expected_wait_us (replica, criteria, now_us);
 		if (!replica_has_place (replica) || wait_us >= *best_us ||
-			replica->cold_until_us > now_us)
+			replica_is_cold (replica, now_us))
 			continue;
 		best = replica;
 		*best_us = wait_us;
@@ -521,6 +529,15 @@
 	       now_us < replica->set->share_until_us;
 }
 
+/* A target that accepts no connection is left out, so that requests go elsewhere at once. */
+static bool
+is_candidate (const struct replica *replica, const struct replica_criteria *criteria,
+	enum exposure_side side)
+{
+	return replica_usable (replica) && !replica->restart.unreachable &&
+	       !was_tried (criteria, replica) && exposure_admits (side, replica);
+}
+
 enum replica_selection
 replica_choose (struct replica_set *set, const struct replica_criteria *criteria, int64_t now_us,
 	struct replica **chosen)
@@ -539,8 +556,7 @@
 	if (!criteria->hedge && !criteria->queued && criteria->tried_count == 0)
 		update_request_interval (set, now_us);
 	cds_list_for_each_entry (replica, &set->replicas, node) {
-		if (!replica_usable (replica) || was_tried (criteria, replica) ||
-			!exposure_admits (side, replica))
+		if (!is_candidate (replica, criteria, side))
 			continue;
 		if (replica->busy_until_us > now_us) {
 			any_refusing = true;
@@ -549,7 +565,7 @@
 		any_usable = true;
 		if (!replica_has_place (replica))
 			continue;
-		if (replica->cold_until_us > now_us) {
+		if (replica_is_cold (replica, now_us)) {
 			if (takes_cold_request (replica, now_us))
 				cold = replica;
 			continue;
@@ -588,8 +604,7 @@
 	int64_t first_us = INT64_MAX;
 	enum exposure_side side = exposure_choose_side (set, criteria, now_us);
 	cds_list_for_each_entry (replica, &set->replicas, node) {
-		if (!replica_usable (replica) || was_tried (criteria, replica) ||
-			!exposure_admits (side, replica))
+		if (!is_candidate (replica, criteria, side))
 			continue;
 		if (replica->busy_until_us <= now_us)
 			return 0;
@@ -599,6 +614,55 @@
 	return first_us;
 }
 
+int64_t
+replica_cold_turn_us (
+	const struct replica_set *set, const struct replica_criteria *criteria, int64_t now_us)
+{
+	const struct replica *replica;
+	int64_t first_us = INT64_MAX;
+	enum exposure_side side = exposure_choose_side (set, criteria, now_us);
+	cds_list_for_each_entry (replica, &set->replicas, node) {
+		if (!is_candidate (replica, criteria, side) || replica->busy_until_us > now_us)
+			continue;
+		if (!replica_is_cold (replica, now_us))
+			return INT64_MAX;
+		int64_t turn_us = replica->cold_next_us;
+		if (replica->cold_interval_us == 0 || now_us >= set->share_until_us)
+			turn_us = INT64_MAX;
+		else if (turn_us <= now_us)
+			turn_us = now_us + replica->cold_interval_us;
+		if (!replica->restart.suspected && replica->cold_until_us < turn_us)
+			turn_us = replica->cold_until_us;
+		first_us = turn_us < first_us ? turn_us : first_us;
+	}
+	return first_us;
+}
+
+int64_t
+replica_cold_wait_us (const struct replica_set *set, const struct replica_criteria *criteria,
+	int ahead, int64_t now_us)
+{
+	const struct replica *replica;
+	int64_t turn_us = replica_cold_turn_us (set, criteria, now_us);
+	int64_t warm_us = INT64_MAX;
+	double per_us = 0;
+	enum exposure_side side = exposure_choose_side (set, criteria, now_us);
+	cds_list_for_each_entry (replica, &set->replicas, node) {
+		if (!is_candidate (replica, criteria, side) || replica->busy_until_us > now_us)
+			continue;
+		if (replica->restart.suspected || replica->cold_until_us <= now_us)
+			return 0;
+		if (replica->cold_until_us < warm_us)
+			warm_us = replica->cold_until_us;
+		if (replica->cold_interval_us > 0 && now_us < set->share_until_us)
+			per_us += 1 / (double)replica->cold_interval_us;
+	}
+	if (turn_us == INT64_MAX)
+		return 0;
+	int64_t wait_us = turn_us - now_us + (per_us > 0 ? (int64_t)(ahead / per_us) : 0);
+	return wait_us < warm_us - now_us ? wait_us : warm_us - now_us;
+}
+
 int64_t
 replica_cold_interval_us (double rate_per_s, int nodes, int rank)
 {
@@ -627,7 +691,7 @@
 	use->sent_us = now_us;
 	use->estimate = replica->estimate;
 	replica->in_flight++;
-	if (replica->cold_until_us > now_us)
+	if (replica_is_cold (replica, now_us))
 		replica->cold_next_us = now_us + replica->cold_interval_us;
 	cds_list_add_tail (&use->node, &replica->running);
 }
--- a/query/replica.h
+++ b/query/replica.h
@@ -27,6 +27,7 @@
 #include "query/budget.h"
 #include "query/cost.h"
 #include "query/fairness.h"
+#include "query/restart.h"
 #include "query/routing.h"
 #include "query/target_load.h"
 
@@ -149,6 +150,7 @@
 	int64_t cold_until_us;    /**< until then it takes only the cold rate of the service */
 	int64_t cold_next_us;     /**< while cold: earliest time of the next request of this node */
 	int64_t cold_interval_us; /**< while cold: minimum time between two of them; 0: send none */
+	struct restart_watch restart;
 	int64_t avoid_until_us;
 	int failures;        /**< consecutive */
 	int refusals;        /**< for lack of capacity, consecutive */
@@ -165,6 +167,7 @@
 	int connections_open;               /**< as of the newest answer of its service */
 	struct placement_estimate estimate; /**< of the latest selection by cost or work */
 	void *pool;                         /**< connections of the I/O layer to it */
+	void *watch;                        /**< of the I/O layer */
 };
 
 /** A sub-request in flight, embedded in that of the I/O layer. */
@@ -193,6 +196,7 @@
 	int64_t share_until_us;        /**< this node may send to cold targets until then */
 	int64_t drain_us;              /**< how long a leaving target may still get requests */
 	int64_t list_lag_us;           /**< by which the target list may lag */
+	int64_t idle_close_us;         /**< usual idle time until targets close; 0: not known */
 	int64_t reported_us;           /**< when a target last reported its load; 0: never */
 	int64_t mean_work_us;          /**< moving average of the work of all requests to it */
 	struct rng rng;                /**< for lots; nodes should start with different states */
@@ -252,6 +256,27 @@
 void
 replica_note_cold (struct replica *replica, int64_t end_us, int64_t now_us);
 
+/** True while it may take the cold rate only, because it is cold or may have been restarted. */
+bool
+replica_is_cold (const struct replica *replica, int64_t now_us);
+
+/**
+ * When this node may send the next request to one of the usable targets, all of which are cold.
+ * @return INT64_MAX if one of them is not cold, or none may get a request
+ */
+int64_t
+replica_cold_turn_us (
+	const struct replica_set *set, const struct replica_criteria *criteria, int64_t now_us);
+
+/**
+ * How long a request waits until one of the usable targets takes it, all of which are known to be
+ * cold. 0 if that is not known: one is not cold, or may have been restarted.
+ * @param ahead requests that wait before it
+ */
+int64_t
+replica_cold_wait_us (const struct replica_set *set, const struct replica_criteria *criteria,
+	int ahead, int64_t now_us);
+
 /** The placement that a setting names; false if none has the name. */
 bool
 placement_parse (const char *name, enum placement *placement);
@@ -321,7 +346,7 @@
 
 /**
  * Whether this node may have ended a sub-request before it was sent, because its target has asked
- * for no requests or announced that it leaves, both after it was chosen.
+ * for no requests, announced that it leaves or may have been restarted, after it was chosen.
  */
 bool
 replica_was_recalled (const struct replica_use *use, int64_t now_us);
--- a/query/scatter.c
+++ b/query/scatter.c
@@ -388,7 +388,7 @@
 {
 	struct replica_criteria criteria = criteria_of (scatter, shard, false);
 	int64_t first_us = replica_return_us (shard->set, &criteria, now_us);
-	return first_us > now_us ? first_us : INT64_MAX;
+	return first_us > now_us ? first_us : replica_cold_turn_us (shard->set, &criteria, now_us);
 }
 
 static void
@@ -468,6 +468,17 @@
 	return at_us < scatter->deadline_us - needed_us;
 }
 
+/* False when it is known that cold targets take the shard too late. */
+static bool
+is_cold_turn_in_time (
+	const struct scatter *scatter, const struct scatter_shard *shard, int64_t now_us)
+{
+	struct replica_criteria criteria = criteria_of (scatter, shard, false);
+	int64_t wait_us =
+		replica_cold_wait_us (shard->set, &criteria, shard->set->waiting_count, now_us);
+	return wait_us == 0 || has_time_from (scatter, now_us + wait_us);
+}
+
 /*
  * Queues a shard until a target takes requests again, if it can still be answered in time then.
  * Otherwise its caller learns when to come back.
@@ -532,10 +543,12 @@
 		send_to (scatter, shard, replica, now_us);
 		return;
 	case REPLICA_BUSY:
-		if (get_place (shard, now_us))
+		if (is_cold_turn_in_time (scatter, shard, now_us) && get_place (shard, now_us)) {
 			enter_queue (scatter, shard, now_us);
-		else
+			shard->return_us = return_us (scatter, shard, now_us);
+		} else {
 			refuse (scatter, shard, GIVE_UP_QUEUE_FULL, now_us);
+		}
 		return;
 	case REPLICA_REFUSING:
 		wait_for_return (scatter, shard, now_us);
--- a/test/fetch.c
+++ b/test/fetch.c
@@ -24,6 +24,7 @@
 	int epoll_fd;
 	int listen_fd;
 	int idle_closed_count;
+	enum fetch_idle_end idle_end; /* of the last one */
 };
 
 /* A fetch and its result. */
@@ -34,9 +35,12 @@
 };
 
 static void
-on_idle_closed (void *user)
+on_idle_closed (void *user, enum fetch_idle_end end, int64_t idle_us)
 {
-	((struct fetch_fixture *)user)->idle_closed_count++;
+	struct fetch_fixture *fixture = user;
+	(void)idle_us;
+	fixture->idle_closed_count++;
+	fixture->idle_end = end;
 }
 
 static bool
--- a/test/platform.c
+++ b/test/platform.c
@@ -14,9 +14,15 @@
  *                               paceslow, pacezero, pacejump: its answers report a pace of
  *                               PACE_LIE, of 0, or one of load_reports in turn
  *                               close, reset: works and ends the connection without an answer
+ *                               down: it ends, and starts again under its id when the
+ *                               fault is taken back; it is cold for COLD_MS then, which the
+ *                               list shows lag_ms later
  *                               status: its answers have the status code 999; liststatus of
  *                               target 0: so has the list
  *                               announce: its answers say that it leaves, the list does not
+ *                               cut: ends its connections but goes on
+ *   GET  /coldest/TARGET        most requests in a second while a target was cold after a
+ *                               start under its id
  *   GET  /worked/ID             longest time in ms that a target worked on the request with this id
  *   GET  /runs/ID               how often the request with this id ran, over all targets
  *   GET  /account/ID            the account that the first run of this request was for, "none"
@@ -38,6 +44,7 @@
  *   slots           slots of a target
  *   last_slots      slots of a target of the last service
  *   new             the last so many targets of each service have version v2, the others v1
+ *   lag_ms          how late the list shows that a target was started again
  *   drain_ms        how long a draining target may be used
  *   pause_ms        each target pauses for so long
  *   pause_every_ms  in each such time, at a phase of its own
@@ -69,6 +76,9 @@
 	MAX_SPANS = 4096,
 	ENDLESS_BLOCK_BYTES = 65536,
 	PACE_LIE = 900,
+	COLD_MS = 3000,
+	FAULTS_CHECK_MS = 10,
+	MAX_COLD_ARRIVALS = 4096,
 };
 
 enum fault {
@@ -92,12 +102,14 @@
 	FAULT_PACE_SLOW,
 	FAULT_PACE_ZERO,
 	FAULT_PACE_JUMP,
+	FAULT_DOWN,
+	FAULT_CUT,
 	FAULT_COUNT,
 };
 
 static const char *const fault_names[FAULT_COUNT] = {"draining", "unlisted", "shed", "fail", "slow",
 	"silent", "mismatch", "cold", "stuck", "announce", "busy", "endless", "close", "reset",
-	"status", "liststatus", "restarted", "paceslow", "pacezero", "pacejump"};
+	"status", "liststatus", "restarted", "paceslow", "pacezero", "pacejump", "down", "cut"};
 
 /* What a target with the fault pacejump reports, one after another. */
 static const char *const load_reports[] = {"1,0,4,100", "1,0,4,5000", "1,0,4,1", "0,0,4,0",
@@ -114,6 +126,11 @@
 	int64_t draining_ms; /* since when */
 	int late;            /* arrivals after drain_ms of it */
 	bool faults[FAULT_COUNT];
+	struct MHD_Daemon *daemon; /* NULL: down */
+	int64_t started_ms;        /* when it was last started again; 0: never */
+	int64_t previous_ms;       /* the start before that */
+	int64_t cold_arrivals_ms[MAX_COLD_ARRIVALS];
+	int cold_arrivals;
 };
 
 static struct {
@@ -124,6 +141,7 @@
 	int last_slots;
 	int new;
 	int drain_ms;
+	int lag_ms;
 	int pause_ms;
 	int pause_every_ms;
 } settings = {.slots = 4, .last_slots = 4, .drain_ms = 3000, .pause_every_ms = 1000};
@@ -133,8 +151,8 @@
 	int *value;
 } options[] = {{"plain", &settings.plain}, {"last", &settings.last}, {"zones", &settings.zones},
 	{"slots", &settings.slots}, {"last_slots", &settings.last_slots}, {"new", &settings.new},
-	{"drain_ms", &settings.drain_ms}, {"pause_ms", &settings.pause_ms},
-	{"pause_every_ms", &settings.pause_every_ms}};
+	{"drain_ms", &settings.drain_ms}, {"lag_ms", &settings.lag_ms},
+	{"pause_ms", &settings.pause_ms}, {"pause_every_ms", &settings.pause_every_ms}};
 
 static struct target targets[MAX_TARGETS];
 static int target_count;
@@ -202,6 +220,49 @@
 	return target->faults[FAULT_RESTARTED] ? "j" : "i";
 }
 
+static int64_t
+now_ms (void)
+{
+	struct timespec ts;
+	clock_gettime (CLOCK_MONOTONIC, &ts);
+	return ts.tv_sec * 1000LL + ts.tv_nsec / 1000000;
+}
+
+/* How long a target stays cold after it was started again. */
+static int
+cold_left_ms (const struct target *target)
+{
+	int64_t left_ms = target->started_ms + COLD_MS - now_ms ();
+	return target->started_ms != 0 && left_ms > 0 ? (int)left_ms : 0;
+}
+
+/* The start that the list shows, in ms of the monotonic clock; 0: the first one. */
+static int64_t
+listed_start_ms (const struct target *target)
+{
+	return now_ms () >= target->started_ms + settings.lag_ms ? target->started_ms
+								 : target->previous_ms;
+}
+
+static void
+note_cold_arrival (struct target *target)
+{
+	if (cold_left_ms (target) > 0 && target->cold_arrivals < MAX_COLD_ARRIVALS)
+		target->cold_arrivals_ms[target->cold_arrivals++] = now_ms ();
+}
+
+static int
+most_cold_arrivals (const struct target *target)
+{
+	int most = 0;
+	for (int first = 0, last = 0; last < target->cold_arrivals; last++) {
+		while (target->cold_arrivals_ms[first] + 1000 <= target->cold_arrivals_ms[last])
+			first++;
+		most = last - first + 1 > most ? last - first + 1 : most;
+	}
+	return most;
+}
+
 static void
 write_list (struct buf *out, int first)
 {
@@ -217,14 +278,17 @@
 		buf_addf (out,
 			"%s{\"id\":\"%s-%d\",\"service\":\"s%d\",\"address\":\"127.0.0.1:%d\","
 			"\"zone\":\"z%d\",\"version\":\"v%d\",\"slots\":%d,\"state\":\"%s\","
-			"\"warmup_left_ms\":%d,\"born\":1700000000000}",
+			"\"warmup_left_ms\":%d,\"born\":%lld}",
 			out->data[out->len - 1] == '[' ? "" : ",", name_of (target), i,
 			target->service, base_port + 1 + i,
 			i % (settings.zones ? settings.zones : replicas_per_service),
 			i % replicas_per_service >= replicas_per_service - settings.new ? 2 : 1,
 			last ? settings.last_slots : settings.slots,
 			target->faults[FAULT_DRAINING] ? "draining" : "ready",
-			target->faults[FAULT_COLD] ? 2000 : 0);
+			target->faults[FAULT_COLD]                       ? 2000
+			: listed_start_ms (target) == target->started_ms ? cold_left_ms (target)
+									 : 0,
+			1700000000000 + (long long)listed_start_ms (target));
 	}
 	/* Entries of another writer: nested, a port out of range, and a broken one. */
 	if (!settings.plain)
@@ -307,14 +371,6 @@
 	buf_addf (out, "%d %d %lld", runs, broken, (long long)last_ms);
 }
 
-static int64_t
-now_ms (void)
-{
-	struct timespec ts;
-	clock_gettime (CLOCK_MONOTONIC, &ts);
-	return ts.tv_sec * 1000LL + ts.tv_nsec / 1000000;
-}
-
 static void
 count_early (struct target *target)
 {
@@ -390,6 +446,8 @@
 		buf_addf (&out, "%d", count_repeated (url + 10));
 	} else if (strncmp (url, "/worked/", 8) == 0) {
 		buf_addf (&out, "%d", longest_work_ms (url + 8));
+	} else if (strncmp (url, "/coldest/", 9) == 0) {
+		buf_addf (&out, "%d", most_cold_arrivals (&targets[atoi (url + 9) % MAX_TARGETS]));
 	} else if (strncmp (url, "/early/", 7) == 0) {
 		buf_addf (&out, "%d", most_early (&targets[atoi (url + 7) % MAX_TARGETS]));
 	} else if (strcmp (url, "/late/all") == 0) {
@@ -520,6 +578,21 @@
 		buf_addf (lines, "Oleanderstile-Server-Load: 1,0,4\n");
 }
 
+static enum MHD_Result
+answer_health (struct MHD_Connection *connection, const struct target *target)
+{
+	struct buf lines;
+	buf_init (&lines);
+	buf_addf (&lines, "Oleanderstile-Instance-Id: %s-%d\n", name_of (target), target->number);
+	pthread_mutex_lock (&lock);
+	if (cold_left_ms (target) > 0)
+		buf_addf (&lines, "Oleanderstile-Warmup-Ms: %d\n", cold_left_ms (target));
+	pthread_mutex_unlock (&lock);
+	enum MHD_Result result = answer (connection, 200, &lines, "", 0);
+	buf_finish (&lines);
+	return result;
+}
+
 static enum MHD_Result
 serve_target (struct MHD_Connection *connection, struct target *target, const char *method,
 	const struct buf *body)
@@ -537,6 +610,7 @@
 	int run = -1;
 	pthread_mutex_lock (&lock);
 	target->arrivals++;
+	note_cold_arrival (target);
 	count_early (target);
 	write_load (target, &lines);
 	bool busy = target->faults[FAULT_BUSY];
@@ -623,6 +697,8 @@
 		*len = 0;
 		return MHD_YES;
 	}
+	if (target && strcmp (url, "/health") == 0)
+		return answer_health (connection, target);
 	return target ? serve_target (connection, target, method, &incoming->body)
 		      : serve_platform (connection, url);
 }
@@ -642,16 +718,44 @@
 	*context = NULL;
 }
 
-static void
+static struct MHD_Daemon *
 listen_at (int port, struct target *target)
 {
-	if (!MHD_start_daemon (
-		    MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL,
-		    (uint16_t)port, NULL, NULL, on_request, target, MHD_OPTION_NOTIFY_COMPLETED,
-		    on_completed, NULL, MHD_OPTION_CONNECTION_TIMEOUT, 20U, MHD_OPTION_END)) {
+	struct MHD_Daemon *daemon = MHD_start_daemon (
+		MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL,
+		(uint16_t)port, NULL, NULL, on_request, target, MHD_OPTION_NOTIFY_COMPLETED,
+		on_completed, NULL, MHD_OPTION_CONNECTION_TIMEOUT, 20U,
+		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+	if (!daemon) {
 		fprintf (stderr, "cannot listen on port %d; free it\n", port);
 		exit (EXIT_FAILURE);
 	}
+	return daemon;
+}
+
+/* Ends or starts a target as its faults demand. */
+static void
+follow_faults (struct target *target)
+{
+	pthread_mutex_lock (&lock);
+	bool down = target->faults[FAULT_DOWN];
+	bool cut = target->faults[FAULT_CUT];
+	target->faults[FAULT_CUT] = false;
+	pthread_mutex_unlock (&lock);
+	if (target->daemon && (down || cut)) {
+		/* Waits for the connections' threads, which may wait for the lock. */
+		MHD_stop_daemon (target->daemon);
+		target->daemon = NULL;
+	}
+	if (target->daemon || down)
+		return;
+	pthread_mutex_lock (&lock);
+	if (!cut) {
+		target->previous_ms = target->started_ms;
+		target->started_ms = now_ms ();
+	}
+	pthread_mutex_unlock (&lock);
+	target->daemon = listen_at (base_port + 1 + target->number, target);
 }
 
 static bool
@@ -694,8 +798,11 @@
 		targets[i].service = i / replicas_per_service < service_count
 					     ? i / replicas_per_service
 					     : service_count - 1;
-		listen_at (base_port + 1 + i, &targets[i]);
+		targets[i].daemon = listen_at (base_port + 1 + i, &targets[i]);
+	}
+	for (;;) {
+		for (int i = 0; i < target_count; i++)
+			follow_faults (&targets[i]);
+		sleep_ms (FAULTS_CHECK_MS);
 	}
-	for (;;)
-		sleep_ms (1000);
 }
--- a/test/routes.c
+++ b/test/routes.c
@@ -1263,6 +1263,43 @@
 	routing_unref (testbed.routing);
 }
 
+/* Guards against requests that wait beside free turns of cold targets, or for turns that come too
+ * late. */
+static void
+test_requests_wait_for_turns_of_cold_targets (void)
+{
+	struct testbed testbed;
+	struct scatter scatters[8];
+	testbed_init (&testbed, 1, "idempotent", 2);
+	for (int i = 0; i < 3; i++) {
+		testbed.replicas[0][i].cold_until_us = now_us + 9000 * MS;
+		testbed.replicas[0][i].cold_interval_us = i == 0 ? 400 * MS : 0;
+	}
+	testbed.sets[0].share_until_us = now_us + 9000 * MS;
+	int64_t start_us = now_us;
+	/* The first is sent, two can have their turns within 1000 ms, the others are told at once.
+	 */
+	for (int i = 0; i < 8; i++)
+		testbed_start (&testbed, &scatters[i], "one");
+	CU_ASSERT_EQUAL (send_count, 1);
+	CU_ASSERT_EQUAL (delivered, 5);
+	for (int i = 3; i < 8; i++)
+		CU_ASSERT_EQUAL (scatters[i].result, SCATTER_REFUSED);
+	end_sub_request (&scatters[0], 0, SUB_END_ANSWERED, "answer");
+	for (int i = 1; i < 3; i++) {
+		CU_ASSERT_EQUAL (scatter_wake_us (&scatters[i]), start_us + 400 * MS * i);
+		now_us = scatter_wake_us (&scatters[i]);
+		scatter_serve_returned (&scatters[i], now_us);
+		for (int j = i + 1; j < 3; j++)
+			scatter_serve_returned (&scatters[j], now_us);
+		CU_ASSERT_EQUAL (send_count, 1 + i);
+		end_sub_request (&scatters[i], i, SUB_END_ANSWERED, "answer");
+	}
+	for (int i = 0; i < 8; i++)
+		scatter_finish (&scatters[i]);
+	routing_unref (testbed.routing);
+}
+
 /* With any number of nodes, no second contains more requests than the target can handle. */
 static void
 test_cold_rate_holds_for_all_nodes (void)
@@ -2060,6 +2097,7 @@
 		TEST (repeated_refusals_back_off),
 		TEST (slow_replica_is_remembered_between_rare_requests),
 		TEST (cold_replica_gets_its_share),
+		TEST (requests_wait_for_turns_of_cold_targets),
 		TEST (end_of_a_cold_start),
 		TEST (cold_rate_holds_for_all_nodes),
 		TEST (share_of_the_connections),
--- a/test/target.c
+++ b/test/target.c
@@ -616,6 +616,8 @@
 		return apply_control (request);
 	if (strcmp (url, "/counters") == 0)
 		return reply_counters (request);
+	if (settings.replicas > 0 && strcmp (url, "/health") == 0)
+		return reply_to_route (request, busy_left_us (request->target) > 0 ? 503 : 200, "");
 	if (settings.replicas > 0)
 		return strncmp (url, "/instances", 10) == 0 ? reply_list (request)
 							    : start_for_route (request);
