daemon: a changed limit of header lines is in force for all connections

The memory of a connection was sized when the server started, and a later limit could only lower what it took. The own server made the memory follow what arrives; it was still told the limit of its start.

Change: the limit of the manifest in force is passed to the server of callers, which reads it at the first byte of each request, on kept connections too, raised or lowered.

--- a/daemon/front.c
+++ b/daemon/front.c
@@ -421,6 +421,7 @@
 	const struct routing *routing = front->state ? front->state->routing : NULL;
 	if (!routing)
 		return;
+	front->callers.limits.header_bytes = routing->limits.header_bytes;
 	front->callers.limits.body_bytes = routing->limits.body_bytes;
 	front->callers.limits.idle_timeout_us = routing->limits.idle_timeout_us + IDLE_MARGIN_US;
 }
--- a/test/callers.sh
+++ b/test/callers.sh
@@ -147,4 +147,28 @@
 done
 expect "a cookie of 500 parts" "$(send_request 4 cookie /all/x -H "Cookie: $(repeat 500 'c%04d=v; ')")" '^HTTP/1.1 200'
 
+# Guards against a changed limit that is acknowledged and not in force, on kept and new connections.
+long=$(repeat 40 "X-%04d: $(head -c 1000 /dev/zero | tr '\0' v)\r\n")$'\n'
+one_line="X-Long: $(head -c 40000 /dev/zero | tr '\0' v)"
+exec 8<> "/dev/tcp/127.0.0.1/$((BASE + 4))"
+send_kept kept1 ''
+expect "a request on a kept connection" "$(read_kept)" '^HTTP/1.1 200'
+expect "40 kB of headers, over the limit" "$(send_request 4 big1 /all/x -H "$one_line")" '^HTTP/1.1 431'
+wait_for 5 configure 2 65536 || fail "the raised limit was not accepted"
+for n in 4 5; do
+	wait_for 5 eval "send_request $n big2 /all/x -H '$one_line' | grep -q '^HTTP/1.1 200'" ||
+		fail "40 kB of headers are not served within a raised limit by node $n"
+done
+expect "and have all parts, although no batch takes the line" \
+	"$(send_request 5 big3 /all/x -H "$one_line")" '^Oleanderstile-Missing-Parts: 0'
+send_kept kept2 "$long"
+expect "40 kB of headers on the kept connection" "$(read_kept)" '^HTTP/1.1 200'
+wait_for 5 configure 3 16384 || fail "the lowered limit was not accepted"
+wait_for 5 eval "send_request 4 big4 /all/x -H '$one_line' | grep -q '^HTTP/1.1 431'" ||
+	fail "a lowered limit is not in force"
+send_kept kept3 "$long"
+expect "40 kB of headers on the kept connection, over the limit again" "$(read_kept)" '^HTTP/1.1 431'
+exec 8>&-
+expect "what is refused does not run" "$(runs kept3)" '^0$'
+
 echo "callers: $checks checks passed"
