core, net, daemon: one pool for the memory of all that comes from outside

Another operator reported that backends which send without end took all memory of the machine that had called them. test/memory.sh holds all nodes to the 112,000 kB of the smallest VMs and sends without end in heads, bodies, chunks, trailers, interim replies, health checks and list pages, fast and slowly, from 99 targets at once. None of these ended a node by itself; other callers were answered.

Cause: each kind of data had its limit and the sum exceeded the VM, while copies were not counted: a body for each target of a fan-out until its answer, heads that were handled, error replies and stamps that a request keeps.

Change: core/memory_pool.h, a pool in which each kind has a reserve and a limit; core/payload.h, bodies that are shared; requests to targets are released once written; daemon/forward_keep.h counts replies that are kept.

Ruled out: the decoder of list pages (it scans, and builds no tree); lower limits for each kind, which would refuse what is served today.

--- a/daemon/batch_send.c
+++ b/daemon/batch_send.c
@@ -1,6 +1,7 @@
 #include "daemon/batch_send.h"
 
 #include "core/metrics.h"
+#include "daemon/forward_keep.h"
 #include "query/batch.h"
 #include "query/failover.h"
 #include "query/load_reports.h"
@@ -191,6 +192,15 @@
 	}
 }
 
+static size_t
+result_bytes (const struct batch_result *result)
+{
+	size_t bytes = result->records_len;
+	for (int i = 0; i < result->part_count; i++)
+		bytes += result->parts[i].answered ? strlen (result->parts[i].stamp) : 0;
+	return bytes;
+}
+
 /* Applies a result; false when it does not belong to the batch. */
 static bool
 apply_result (struct sent_batch *batch, const struct batch_result *result)
@@ -205,6 +215,7 @@
 		if (!is_of_batch (batch, result->parts[i].shard))
 			return false;
 	}
+	bool is_kept = forward_keep (batch->forward, result_bytes (result));
 	for (int i = 0; i < result->part_count; i++) {
 		const struct batch_part *part = &result->parts[i];
 		struct sub_answer answer = {.http_status = 200,
@@ -216,8 +227,10 @@
 		if (part->answered && part->leaving[0])
 			forward_note_leaving (
 				batch->forward, scatter->shards[part->shard].set, part->leaving);
-		if (part->answered)
+		if (part->answered && is_kept)
 			scatter_remote_answered (scatter, part->shard, &answer);
+		else if (part->answered)
+			scatter_remote_given_up (scatter, part->shard, GIVE_UP_AGGREGATOR, true);
 		else
 			scatter_remote_given_up (
 				scatter, part->shard, part->give_up, part->may_have_run);
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -5,6 +5,7 @@
 #include "daemon/authorise.h"
 #include "daemon/batch_send.h"
 #include "daemon/batch_serve.h"
+#include "daemon/forward_keep.h"
 #include "daemon/forward_log.h"
 #include "daemon/placement.h"
 #include "daemon/quota.h"
@@ -90,7 +91,8 @@
 	for (int i = 0; i < forward->line_count; i++)
 		free (forward->lines[i]);
 	free (forward->lines);
-	free (forward->body);
+	payload_unref (forward->body);
+	forward_keep_release (forward);
 	free (forward->uri);
 	caller_head_finish (&forward->head);
 	cds_list_del (&forward->node);
@@ -148,7 +150,7 @@
 	if (dropped == front->logged_dropped)
 		return;
 	log_event (&front->log, EVENT_ANSWERS_DROPPED, "%u answers, %u in all; %zu bytes wait",
-		dropped - front->logged_dropped, dropped, front->callers.answer_bytes);
+		dropped - front->logged_dropped, dropped, front->callers.answers.used);
 	front->logged_dropped = dropped;
 }
 
@@ -162,8 +164,8 @@
 		"%u requests, status 503, no memory for them; %zu bytes of bodies and %zu of heads "
 		"are "
 		"held",
-		refused - front->logged_no_room, front->callers.body_bytes,
-		front->callers.head_bytes);
+		refused - front->logged_no_room, front->callers.bodies.used,
+		front->callers.heads.used);
 	front->logged_no_room = refused;
 }
 
@@ -183,7 +185,7 @@
 finish_forward (struct scatter *scatter)
 {
 	struct forward *forward = caa_container_of (scatter, struct forward, scatter);
-	const struct scatter_shard *shard = &scatter->shards[0];
+	struct scatter_shard *shard = &scatter->shards[0];
 	if (forward->served) {
 		batch_serve_finish (forward);
 		return;
@@ -198,8 +200,9 @@
 		if (scatter->result == SCATTER_MERGED) {
 			body = scatter_merge (scatter, &len);
 		} else if (scatter->result == SCATTER_REPLY) {
-			body = xmemdup (shard->body, shard->body_len + 1);
+			body = shard->body;
 			len = shard->body_len;
+			shard->body = NULL;
 		}
 	}
 	forward_log_end (forward, status);
@@ -416,6 +419,10 @@
 		.body = fetch->body.data,
 		.body_len = fetch->body.len,
 	};
+	bool is_kept =
+		forward && (end == SUB_END_STATUS || (end == SUB_END_ANSWERED && sub->fan_out));
+	if (is_kept && !forward_keep_answer (forward, &answer))
+		end = SUB_END_BROKEN;
 	placement_note_report (replica, &sub->head, now_us);
 	log_sub_failure (sub, end, result, now_us);
 	if (end == SUB_END_ANSWERED && forward) {
@@ -499,8 +506,7 @@
 	struct fetch_request request = {
 		.method = forward->method,
 		.path = forward->uri,
-		.body = forward->body,
-		.body_len = forward->body_len,
+		.payload = forward->body,
 		.headers = lines,
 		.timeout_us = idempotent && silent_us < remaining_us ? silent_us : remaining_us,
 		.connect_timeout_us = SUB_CONNECT_TIMEOUT_US,
@@ -681,18 +687,6 @@
 	       (remaining_us < rule->timeout_us ? remaining_us : rule->timeout_us);
 }
 
-static void
-copy_body (struct forward *forward, struct ingress_request *request)
-{
-	if (!forward->has_body && request->body.len == 0)
-		return;
-	forward->body_len = request->body.len;
-	forward->body = xmalloc (forward->body_len + 1);
-	if (forward->body_len)
-		memcpy (forward->body, request->body.data, forward->body_len);
-	forward->body[forward->body_len] = '\0';
-}
-
 void
 forward_begin (struct forward *forward, struct ingress_request *request)
 {
@@ -714,7 +708,8 @@
 start_request (struct forward *forward, struct ingress_request *request, struct routing_rule *rule)
 {
 	struct front *front = forward->front;
-	copy_body (forward, request);
+	if (forward->has_body || request->body.len > 0)
+		forward->body = ingress_take_body (request);
 	str_copy (forward->method, sizeof (forward->method), request->method);
 	forward->uri = xstrdup (request->uri);
 	metric_add (METRIC_QUERIES, 1);
--- a/daemon/forward.h
+++ b/daemon/forward.h
@@ -29,8 +29,8 @@
 	struct served_batch *served;  /**< owned; NULL for a request of a caller */
 	char **lines;                 /**< the caller's headers that are forwarded to targets */
 	int line_count;
-	char *body; /**< the caller's body; NULL: none */
-	size_t body_len;
+	struct payload *body; /**< the caller's; NULL: none */
+	size_t kept_bytes;    /**< of replies, counted in front.kept */
 	char method[32];
 	char *uri; /**< path and query, as the caller sent them */
 };
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -4,6 +4,7 @@
 #include "daemon/batch_send.h"
 #include "daemon/batch_serve.h"
 #include "daemon/forward.h"
+#include "daemon/forward_keep.h"
 #include "daemon/forward_log.h"
 #include "daemon/front_dump.h"
 #include "daemon/quota.h"
@@ -36,6 +37,12 @@
 	BODY_MAX_BYTES = 262144,    /* likewise */
 	IDLE_MARGIN_US = 2000000,   /* lets callers reuse a connection until its idle time ends */
 	IDLE_TIMEOUT_US = 20000000, /* longer than callers keep an idle connection for reuse */
+	MEGABYTE = 1024 * 1024,
+	/* Together with the reserves 64 MB, so that the smallest VMs bear it. */
+	SHARED_MEMORY_BYTES = 39 * MEGABYTE,
+	CALLERS_RESERVE_BYTES = 4 * MEGABYTE, /* of heads, of bodies and of answers */
+	BATCHES_RESERVE_BYTES = MEGABYTE,     /* likewise */
+	FETCH_RESERVE_BYTES = 8 * MEGABYTE,
 };
 
 /** An order to the front's thread to serve; the sender waits for its completion. */
@@ -612,6 +619,8 @@
 		ingress_start (&front->callers, &node->clock, &listeners[PORT_CALLERS],
 			front->epoll_fd, (int)node->options.front_connections, &limits, &callers,
 			error);
+	ingress_join_memory (&front->callers, &front->memory, CALLERS_RESERVE_BYTES);
+	ingress_join_memory (&front->batches, &front->memory, BATCHES_RESERVE_BYTES);
 	ingress_watch_unanswered (&front->callers, forward_log_unanswered);
 	ingress_watch_unanswered (&front->batches, forward_log_unanswered);
 	/* A routing may have been received before. */
@@ -950,6 +959,9 @@
 	struct epoll_event event = {.events = EPOLLIN, .data.fd = front->mailbox.event_fd};
 	epoll_ctl (front->epoll_fd, EPOLL_CTL_ADD, front->mailbox.event_fd, &event);
 	fetch_loop_init (&front->fetches, front->epoll_fd, &node->clock, &front->timers);
+	front->memory.shared_max = SHARED_MEMORY_BYTES;
+	memory_account_join (&front->fetches.bodies, &front->memory, FETCH_RESERVE_BYTES);
+	forward_keep_init (front);
 	discovery_start (&front->discovery, front);
 	if (pthread_create (&front->thread, NULL, run, front) != 0)
 		return error_set (error, ERROR_IO, "cannot start a thread; raise the limit");
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -88,7 +88,9 @@
 	int epoll_fd;
 	struct mailbox mailbox;
 	struct timers timers;
-	struct turn turn; /**< of the loop, without its wait */
+	struct turn turn;           /**< of the loop, without its wait */
+	struct memory_pool memory;  /**< of what comes from outside */
+	struct memory_account kept; /**< see daemon/forward_keep.h */
 	struct fetch_loop fetches;
 	struct ingress callers;
 	unsigned logged_no_room;   /**< requests refused for their bodies that were logged */
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -11,6 +11,7 @@
 #include <strings.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
+#include <sys/uio.h>
 #include <unistd.h>
 
 enum {
@@ -59,7 +60,7 @@
 	CDS_INIT_LIST_HEAD (&loop->closed);
 	CDS_INIT_LIST_HEAD (&loop->unread);
 	loop->read_budget = READ_BYTES_PER_ITERATION;
-	loop->body_bytes_max = FETCH_BODY_BYTES_MAX;
+	loop->bodies.max = FETCH_BODY_BYTES_MAX;
 	loop->read_buffer = xmalloc (READ_BUFFER_BYTES);
 }
 
@@ -305,7 +306,7 @@
 release_body (struct fetch *fetch)
 {
 	if (fetch->loop)
-		fetch->loop->body_bytes -= fetch->body.cap;
+		memory_account_remove (&fetch->loop->bodies, fetch->body.cap);
 	buf_finish (&fetch->body);
 }
 
@@ -315,7 +316,7 @@
 {
 	struct fetch_loop *loop = fetch->loop;
 	size_t growth = buf_growth (&fetch->body, len);
-	while (loop->body_bytes + growth > loop->body_bytes_max) {
+	while (!memory_account_fits (&loop->bodies, growth)) {
 		struct fetch *largest = larger_body (fetch, &loop->pools);
 		largest = larger_body (largest, &loop->retired);
 		if (largest == fetch)
@@ -337,7 +338,7 @@
 		conn->too_large = true;
 		return false;
 	}
-	fetch->loop->body_bytes += buf_growth (&fetch->body, len);
+	memory_account_add (&fetch->loop->bodies, buf_growth (&fetch->body, len));
 	buf_add (&fetch->body, data, len);
 	return true;
 }
@@ -353,14 +354,44 @@
 	conn->too_large = false;
 }
 
+static size_t
+request_len (const struct fetch *fetch)
+{
+	return fetch->out.len + (fetch->payload ? fetch->payload->bytes.len : 0);
+}
+
+static void
+release_request (struct fetch *fetch)
+{
+	buf_finish (&fetch->out);
+	buf_init (&fetch->out);
+	payload_unref (fetch->payload);
+	fetch->payload = NULL;
+}
+
+/* Sends what is left of the request, in one segment if it fits. */
+static ssize_t
+send_request_bytes (const struct fetch_conn *conn)
+{
+	const struct fetch *fetch = conn->fetch;
+	size_t head = conn->written < fetch->out.len ? conn->written : fetch->out.len;
+	size_t body = conn->written - head;
+	struct iovec parts[2] = {
+		{.iov_base = fetch->out.data + head, .iov_len = fetch->out.len - head}};
+	if (fetch->payload && fetch->payload->bytes.len > 0)
+		parts[1] = (struct iovec){.iov_base = fetch->payload->bytes.data + body,
+			.iov_len = fetch->payload->bytes.len - body};
+	struct msghdr message = {.msg_iov = parts, .msg_iovlen = 2};
+	return sendmsg (conn->fd, &message, MSG_NOSIGNAL);
+}
+
 /* Writes as much as the socket accepts; returns false if the connection failed. */
 static bool
 write_request (struct fetch_conn *conn)
 {
 	struct fetch *fetch = conn->fetch;
-	while (conn->written < fetch->out.len) {
-		ssize_t n = send (conn->fd, fetch->out.data + conn->written,
-			fetch->out.len - conn->written, MSG_NOSIGNAL);
+	while (conn->written < request_len (fetch)) {
+		ssize_t n = send_request_bytes (conn);
 		if (n < 0 && errno == EINTR)
 			continue;
 		if (n < 0)
@@ -370,6 +401,8 @@
 		fetch->sent = true;
 		conn->written += (size_t)n;
 	}
+	fetch->written = true;
+	release_request (fetch);
 	return true;
 }
 
@@ -482,7 +515,9 @@
 static void
 encode_request (struct fetch *fetch, const struct fetch_request *request)
 {
-	const char *default_method = request->body ? "POST" : "GET";
+	bool has_body = request->body || request->payload;
+	size_t body_len = request->payload ? request->payload->bytes.len : request->body_len;
+	const char *default_method = has_body ? "POST" : "GET";
 	bool host = false;
 	buf_init (&fetch->out);
 	buf_addf (&fetch->out, "%s %s HTTP/1.1\r\n",
@@ -494,10 +529,11 @@
 	}
 	if (!host)
 		buf_addf (&fetch->out, "Host: %s\r\n", fetch->pool->address);
-	if (request->body)
-		buf_addf (&fetch->out, "Content-Length: %zu\r\n", request->body_len);
+	if (has_body)
+		buf_addf (&fetch->out, "Content-Length: %zu\r\n", body_len);
 	buf_add (&fetch->out, "\r\n", 2);
-	if (request->body)
+	fetch->payload = request->payload ? payload_ref (request->payload) : NULL;
+	if (request->body && !request->payload)
 		buf_add (&fetch->out, request->body, request->body_len);
 }
 
@@ -512,7 +548,7 @@
 	fetch->written_us = 0;
 	fetch->active = true;
 	fetch->open_denied = fetch->opened_connection = fetch->sent = fetch->dropped = false;
-	fetch->received = fetch->conn_lost = false;
+	fetch->received = fetch->conn_lost = fetch->written = false;
 	fetch->connect_refused = fetch->connect_timed_out = false;
 	fetch->connected_us = 0;
 	fetch->new_connection = request->new_connection;
@@ -550,7 +586,7 @@
 	struct fetch_conn *conn = fetch->conn;
 	timers_clear (pool->loop->timers, &fetch->timer);
 	cds_list_del (&fetch->node);
-	buf_finish (&fetch->out);
+	release_request (fetch);
 	fetch->active = false;
 	fetch->conn = NULL;
 	if (conn) {
@@ -637,8 +673,7 @@
 			conn->keep_until_us = loop_now_us (conn->pool->loop) +
 					      response->keep_alive_us - KEEP_ALIVE_MARGIN_US;
 		/* Bytes after the response belong to no request, so the connection is closed. */
-		bool reusable = !response->closing && used == len &&
-				conn->written == fetch->out.len && len > 0;
+		bool reusable = !response->closing && used == len && fetch->written && len > 0;
 		end_fetch (fetch, FETCH_OK, reusable);
 		return false;
 	}
@@ -741,8 +776,8 @@
 		finish_connect (conn);
 		if (conn->state != CONN_BUSY)
 			return;
-	} else if (conn->state == CONN_BUSY && events & EPOLLOUT &&
-		   conn->written < conn->fetch->out.len && !write_request (conn)) {
+	} else if (conn->state == CONN_BUSY && events & EPOLLOUT && !conn->fetch->written &&
+		   !write_request (conn)) {
 		end_lost (conn->fetch);
 		return;
 	}
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -16,6 +16,7 @@
 
 #include "core/buf.h"
 #include "core/clock.h"
+#include "core/payload.h"
 #include "core/timers.h"
 #include "targets/reply.h"
 
@@ -30,7 +31,7 @@
 /** Kinds of timers that fetches embed; other timers of the loop use FETCH_TIMER_KIND_END and up. */
 enum { FETCH_TIMER = 1, FETCH_TIMER_KIND_END = 16 };
 
-/** Default of fetch_loop.body_bytes_max; a node has little more than 100 MB on the smallest VMs. */
+/** Limit of the memory of bodies; a node has little more than 100 MB on the smallest VMs. */
 enum { FETCH_BODY_BYTES_MAX = 32 * 1024 * 1024 };
 
 /** How a connection ended that had no request. */
@@ -56,7 +57,8 @@
 	struct fetch_conn *conn; /**< NULL while waiting for a connection */
 	struct timer timer;
 	struct reply_headers headers;
-	struct buf out; /**< the encoded request */
+	struct buf out; /**< the encoded request without its payload; empty once it was written */
+	struct payload *payload; /**< NULL: none, or it was written */
 	struct buf body;
 	struct fetch_loop *loop; /**< counts the body */
 	size_t body_max_bytes;
@@ -74,6 +76,7 @@
 	bool opened_connection;         /**< a connection was opened for this request */
 	bool received;                  /**< bytes of a reply came, possibly invalid ones */
 	bool sent;              /**< bytes were written to a connection and may have arrived */
+	bool written;           /**< all of its bytes were */
 	bool connect_refused;   /**< the connection opened for it was refused */
 	bool connect_timed_out; /**< it was not established within connect_timeout_us */
 	bool conn_lost;       /**< the target ended the connection before the reply was complete */
@@ -88,6 +91,7 @@
 	const char *path;   /**< with the query; sent verbatim */
 	const char *body;   /**< NULL: none */
 	size_t body_len;
+	struct payload *payload; /**< a body that is not copied, in place of @p body; NULL: none */
 	const char *const *headers; /**< "Name: value" lines, NULL-terminated */
 	int64_t connect_timeout_us; /**< for opening a connection; 0: only timeout_us applies */
 	int64_t timeout_us;         /**< for the complete reply */
@@ -124,8 +128,7 @@
 	struct cds_list_head closed; /**< connections to free at the end of the iteration */
 	struct cds_list_head unread; /**< connections that may have bytes to read, in turn */
 	size_t read_budget;          /**< bytes that may still be read in this iteration */
-	size_t body_bytes;           /**< memory of the bodies that are held */
-	size_t body_bytes_max;       /**< limit of that; beyond it the largest body is dropped */
+	struct memory_account bodies; /**< memory of those held; beyond it the largest is dropped */
 };
 
 struct fetch_pool {
--- a/net/ingress.c
+++ b/net/ingress.c
@@ -42,8 +42,10 @@
 	struct buf input;                  /**< bytes behind the request that is handled */
 	struct buf output;                 /**< an interim answer, or the head of the answer */
 	size_t written;                    /**< bytes of output and answer */
-	size_t head_bytes;                 /**< of the memory of parser and input; as counted */
-	int64_t active_us;                 /**< when bytes were last read or written */
+	size_t head_bytes;   /**< of the memory of parser, input and handed_bytes; as counted */
+	size_t handed_bytes; /**< of the head of a handled request, of which the hook may keep a
+				copy */
+	int64_t active_us;   /**< when bytes were last read or written */
 	bool is_ready;
 	bool readable; /**< bytes or a close may wait in the socket */
 	bool writable;
@@ -177,8 +179,9 @@
 static void
 count_head_bytes (struct ingress_client *client)
 {
-	size_t bytes = client->input.cap + request_memory (&client->parser);
-	client->ingress->head_bytes += bytes - client->head_bytes;
+	size_t bytes = client->input.cap + client->handed_bytes + request_memory (&client->parser);
+	memory_account_remove (&client->ingress->heads, client->head_bytes);
+	memory_account_add (&client->ingress->heads, bytes);
 	client->head_bytes = bytes;
 }
 
@@ -199,14 +202,20 @@
 	cds_list_add_tail (&client->node, &client->ingress->open);
 }
 
+static size_t
+answer_memory (const struct ingress_request *request)
+{
+	return request->answer_len + request->head.cap;
+}
+
 static void
 free_request (struct ingress_request *request)
 {
 	struct ingress *ingress = request->ingress;
 	ingress->request_count--;
-	ingress->body_bytes -= request->body.cap;
+	memory_account_remove (&ingress->bodies, request->body.cap);
 	if (request->answered && !request->dropped)
-		ingress->answer_bytes -= request->answer_len;
+		memory_account_remove (&ingress->answers, answer_memory (request));
 	free (request->uri);
 	free (request->answer);
 	buf_finish (&request->body);
@@ -234,6 +243,7 @@
 	buf_init (&client->output);
 	request_finish (&client->parser);
 	memset (&client->parser, 0, sizeof (client->parser));
+	client->handed_bytes = 0;
 	count_head_bytes (client);
 	free_request (request);
 }
@@ -268,7 +278,7 @@
 	if (client->is_ready)
 		cds_list_del (&client->ready_node);
 	cds_list_del (&client->node);
-	ingress->head_bytes -= client->head_bytes;
+	memory_account_remove (&ingress->heads, client->head_bytes);
 	buf_finish (&client->input);
 	free (client);
 	ingress->connection_count--;
@@ -325,7 +335,7 @@
 static void
 drop_body (struct ingress_request *request)
 {
-	request->ingress->body_bytes -= request->body.cap;
+	memory_account_remove (&request->ingress->bodies, request->body.cap);
 	buf_finish (&request->body);
 	buf_init (&request->body);
 }
@@ -349,7 +359,7 @@
 static void
 limit_body_bytes (struct ingress *ingress)
 {
-	while (ingress->body_bytes > INGRESS_BODY_BYTES_MAX) {
+	while (memory_account_is_exceeded (&ingress->bodies)) {
 		struct ingress_request *request = find_largest_body (ingress);
 		if (!request)
 			return;
@@ -372,9 +382,8 @@
 		drop_body (request);
 		return;
 	}
-	ingress->body_bytes -= request->body.cap;
+	memory_account_add (&ingress->bodies, buf_growth (&request->body, len));
 	buf_add (&request->body, data, len);
-	ingress->body_bytes += request->body.cap;
 	limit_body_bytes (ingress);
 }
 
@@ -466,6 +475,7 @@
 		return;
 	}
 	client->request = request;
+	client->handed_bytes = request_memory (&client->parser);
 	ingress->hooks.request (request, ingress->hooks.user);
 	request_drop_head (&client->parser);
 }
@@ -489,7 +499,7 @@
 static void
 limit_head_bytes (struct ingress *ingress)
 {
-	while (ingress->head_bytes > INGRESS_HEAD_BYTES_MAX) {
+	while (memory_account_is_exceeded (&ingress->heads)) {
 		struct ingress_client *client = find_largest_head (ingress);
 		if (!client)
 			return;
@@ -796,6 +806,9 @@
 	ingress->hooks = *hooks;
 	ingress->listen_fd = listener->fd;
 	ingress->accepting = true;
+	ingress->heads.max = INGRESS_HEAD_BYTES_MAX;
+	ingress->bodies.max = INGRESS_BODY_BYTES_MAX;
+	ingress->answers.max = INGRESS_ANSWER_BYTES_MAX;
 	ingress->read_buffer = xmalloc (READ_BUFFER_BYTES);
 	CDS_INIT_LIST_HEAD (&ingress->open);
 	CDS_INIT_LIST_HEAD (&ingress->ready);
@@ -808,6 +821,14 @@
 	return true;
 }
 
+void
+ingress_join_memory (struct ingress *ingress, struct memory_pool *pool, size_t reserve)
+{
+	memory_account_join (&ingress->heads, pool, reserve);
+	memory_account_join (&ingress->bodies, pool, reserve);
+	memory_account_join (&ingress->answers, pool, reserve);
+}
+
 bool
 ingress_is_started (const struct ingress *ingress)
 {
@@ -986,12 +1007,12 @@
 static void
 limit_answer_bytes (struct ingress *ingress)
 {
-	while (ingress->answer_bytes > INGRESS_ANSWER_BYTES_MAX) {
+	while (memory_account_is_exceeded (&ingress->answers)) {
 		struct ingress_request *request = find_answer_to_drop (ingress);
 		if (!request)
 			return;
 		request->dropped = true;
-		ingress->answer_bytes -= request->answer_len;
+		memory_account_remove (&ingress->answers, answer_memory (request));
 		ingress->dropped_count++;
 		metric_add (METRIC_ANSWERS_DROPPED, 1);
 		shutdown (request->client->fd, SHUT_RDWR);
@@ -1047,6 +1068,12 @@
 	return round_trip_us * (request->opened_connection ? 2 : 1);
 }
 
+struct payload *
+ingress_take_body (struct ingress_request *request)
+{
+	return payload_new (&request->body, &request->ingress->bodies);
+}
+
 const char *
 ingress_header (struct ingress_request *request, const char *name)
 {
@@ -1079,6 +1106,6 @@
 	request->close = close;
 	if (head && head->len)
 		buf_add (&request->head, head->data, head->len);
-	request->ingress->answer_bytes += request->answer_len;
+	memory_account_add (&request->ingress->answers, answer_memory (request));
 	make_ready (request->client);
 }
--- a/net/ingress.h
+++ b/net/ingress.h
@@ -12,6 +12,8 @@
 #include "core/buf.h"
 #include "core/clock.h"
 #include "core/error.h"
+#include "core/memory_pool.h"
+#include "core/payload.h"
 #include "net/listener.h"
 
 #include <stdbool.h>
@@ -29,7 +31,7 @@
 	INGRESS_ANSWER_BYTES_MAX = 24 * 1024 * 1024,
 	/** Memory of the bodies of one server's requests, of all together. */
 	INGRESS_BODY_BYTES_MAX = 24 * 1024 * 1024,
-	/** Memory of heads that have not arrived whole, and of bytes behind requests. */
+	/** Memory of the heads of requests, until their answers, and of bytes behind requests. */
 	INGRESS_HEAD_BYTES_MAX = 12 * 1024 * 1024,
 	/** After this time, an answer that has not been read has a slow reader. */
 	INGRESS_SLOW_US = 500000,
@@ -100,13 +102,13 @@
 	int max_connections;
 	int connection_count;
 	int request_count;
-	size_t body_bytes;               /**< memory of the bodies of requests */
-	size_t answer_bytes;             /**< of answers that callers have not read yet */
-	size_t head_bytes;               /**< of heads, and of bytes behind requests */
+	struct memory_account bodies;    /**< memory of the bodies of requests */
+	struct memory_account answers;   /**< of answers that callers have not read yet */
+	struct memory_account heads;     /**< of heads, and of bytes behind requests */
 	unsigned malformed_count;        /**< requests refused because they cannot be read */
 	const char *malformed_reason;    /**< of the last one */
-	unsigned no_room_count;          /**< requests refused for the limit of body_bytes */
-	unsigned dropped_count;          /**< answers ended for the limit of answer_bytes */
+	unsigned no_room_count;          /**< requests refused for the limits of heads and bodies */
+	unsigned dropped_count;          /**< answers ended for the limit of answers */
 	char *read_buffer;               /**< NULL: not started */
 	struct cds_list_head open;       /**< struct ingress_client, the longest inactive first */
 	struct cds_list_head ready;      /**< struct ingress_client with work for ingress_run */
@@ -127,6 +129,10 @@
 bool
 ingress_is_started (const struct ingress *ingress);
 
+/** Makes the memory of heads, bodies and answers part of a pool, with a reserve for each. */
+void
+ingress_join_memory (struct ingress *ingress, struct memory_pool *pool, size_t reserve);
+
 /** Reports connections that this side ends without a whole answer although the caller waits. */
 void
 ingress_watch_unanswered (struct ingress *ingress, ingress_unanswered unanswered);
@@ -197,6 +203,10 @@
 int64_t
 ingress_travel_us (const struct ingress_request *request);
 
+/** Takes over the body of a request, which is empty then. The caller releases it. */
+struct payload *
+ingress_take_body (struct ingress_request *request);
+
 /** The first value of a header; empty if the request lacks it. Within the hook request only. */
 const char *
 ingress_header (struct ingress_request *request, const char *name);
--- a/test/check.sh
+++ b/test/check.sh
@@ -99,6 +99,7 @@
 }
 run planned-stops check_planned_stops
 run callers env BUILD="$BUILD" bash test/callers.sh
+run memory env BUILD="$BUILD" bash test/memory.sh
 run restarts env BUILD="$BUILD" bash test/restarts.sh
 run stops env BUILD="$BUILD" bash test/stops.sh
 run early-stop env BUILD="$BUILD" bash test/early_stop.sh
--- a/test/fetch.c
+++ b/test/fetch.c
@@ -612,7 +612,7 @@
 	int fd = read_request (&fixture, -1, text, sizeof (text));
 	send_endlessly (&fixture, &result, fd, "HTTP/1.1 102 Processing\r\n\r\n", 64 * 1024);
 	CU_ASSERT_FALSE (result.done);
-	CU_ASSERT_EQUAL (fixture.loop.body_bytes, 0);
+	CU_ASSERT_EQUAL (fixture.loop.bodies.used, 0);
 	clock_advance (&fixture.clock, TIMEOUT_US);
 	run_loop_once (&fixture);
 	CU_ASSERT_TRUE (result.done);
@@ -632,7 +632,7 @@
 	char block[1001] = "";
 	memset (block, 'b', sizeof (block) - 1);
 	fixture_init (&fixture, FETCHES);
-	fixture.loop.body_bytes_max = BOUND;
+	fixture.loop.bodies.max = BOUND;
 	int fds[FETCHES];
 	for (int i = 0; i < FETCHES; i++) {
 		start_fetch (&fixture, &results[i], "GET", NULL, false);
@@ -644,7 +644,7 @@
 		for (int i = 0; i < FETCHES; i++) {
 			if (!results[i].done)
 				send_reply (&fixture, fds[i], block);
-			CU_ASSERT_TRUE (fixture.loop.body_bytes <= BOUND);
+			CU_ASSERT_TRUE (fixture.loop.bodies.used <= BOUND);
 		}
 	}
 	int too_large = 0;
@@ -657,7 +657,7 @@
 		fetch_finish (&results[i].fetch);
 		close (fds[i]);
 	}
-	CU_ASSERT_EQUAL (fixture.loop.body_bytes, 0);
+	CU_ASSERT_EQUAL (fixture.loop.bodies.used, 0);
 	fixture_finish (&fixture);
 }
 
@@ -673,7 +673,7 @@
 	int fds[SOUND + 1];
 	memset (block, 'b', BLOCK);
 	fixture_init (&fixture, SOUND + 1);
-	fixture.loop.body_bytes_max = BOUND;
+	fixture.loop.bodies.max = BOUND;
 	for (int i = 0; i <= SOUND; i++) {
 		start_fetch (&fixture, &results[i], "GET", NULL, false);
 		results[i].fetch.body_max_bytes = BOUND;
@@ -688,7 +688,7 @@
 	for (int part = 0; part < 2; part++) {
 		for (int i = 1; i <= SOUND; i++) {
 			send_reply (&fixture, fds[i], block);
-			CU_ASSERT_TRUE (fixture.loop.body_bytes <= BOUND);
+			CU_ASSERT_TRUE (fixture.loop.bodies.used <= BOUND);
 		}
 	}
 	CU_ASSERT_TRUE (results[0].done);
@@ -700,7 +700,89 @@
 		fetch_finish (&results[i].fetch);
 		close (fds[i]);
 	}
-	CU_ASSERT_EQUAL (fixture.loop.body_bytes, 0);
+	CU_ASSERT_EQUAL (fixture.loop.bodies.used, 0);
+	fixture_finish (&fixture);
+}
+
+/* Guards against a copy of a body for each target of a fan-out, kept until the last one has
+ * answered. */
+static void
+test_written_request_is_released (void)
+{
+	enum { TARGETS = 3 };
+	static const char *const headers[] = {NULL};
+	struct fetch_fixture fixture;
+	struct fetch_result results[TARGETS];
+	struct buf body;
+	char received[1024];
+	int fds[TARGETS];
+	fixture_init (&fixture, TARGETS);
+	buf_init (&body);
+	buf_add (&body, "shared", 6);
+	struct payload *payload = payload_new (&body, NULL);
+	struct fetch_request request = {
+		.path = "/p", .payload = payload, .headers = headers, .timeout_us = TIMEOUT_US};
+	for (int i = 0; i < TARGETS; i++) {
+		memset (&results[i], 0, sizeof (results[i]));
+		fetch_start (&results[i].fetch, fixture.pool, &request, on_done);
+	}
+	CU_ASSERT_EQUAL (payload->refs, 1 + TARGETS);
+	for (int i = 0; i < TARGETS; i++) {
+		fds[i] = read_request (&fixture, -1, received, sizeof (received));
+		CU_ASSERT_PTR_NOT_NULL (strstr (received, "POST /p HTTP/1.1\r\n"));
+		CU_ASSERT_PTR_NOT_NULL (strstr (received, "Content-Length: 6\r\n\r\nshared"));
+	}
+	CU_ASSERT_EQUAL (payload->refs, 1);
+	for (int i = 0; i < TARGETS; i++) {
+		CU_ASSERT_PTR_NULL (results[i].fetch.out.data);
+		fetch_cancel (&results[i].fetch);
+		fetch_finish (&results[i].fetch);
+		close (fds[i]);
+	}
+	payload_unref (payload);
+	fixture_finish (&fixture);
+}
+
+/* A payload larger than the buffers of the socket is written in parts. */
+static void
+test_large_payload_arrives_whole (void)
+{
+	enum { BODY_BYTES = 8 * 1024 * 1024 };
+	static const char *const headers[] = {NULL};
+	struct fetch_fixture fixture;
+	struct fetch_result result;
+	struct buf body;
+	struct buf received;
+	char chunk[65536];
+	fixture_init (&fixture, 1);
+	buf_init (&body);
+	buf_init (&received);
+	for (int i = 0; i < BODY_BYTES / 8; i++)
+		buf_addf (&body, "%08d", i);
+	struct payload *payload = payload_new (&body, NULL);
+	struct fetch_request request = {
+		.path = "/p", .payload = payload, .headers = headers, .timeout_us = TIMEOUT_US};
+	memset (&result, 0, sizeof (result));
+	fetch_start (&result.fetch, fixture.pool, &request, on_done);
+	int fd = accept (fixture.listen_fd, NULL, NULL);
+	while (!result.fetch.written) {
+		run_loop_once (&fixture);
+		ssize_t n = recv (fd, chunk, sizeof (chunk), MSG_DONTWAIT);
+		buf_add (&received, chunk, n > 0 ? (size_t)n : 0);
+	}
+	size_t head_len = (size_t)(strstr (received.data, "\r\n\r\n") - received.data) + 4;
+	while (received.len < head_len + BODY_BYTES) {
+		ssize_t n = recv (fd, chunk, sizeof (chunk), 0);
+		CU_ASSERT_TRUE_FATAL (n > 0);
+		buf_add (&received, chunk, (size_t)n);
+	}
+	CU_ASSERT_EQUAL_FATAL (received.len, head_len + BODY_BYTES);
+	CU_ASSERT_EQUAL (memcmp (received.data + head_len, payload->bytes.data, BODY_BYTES), 0);
+	fetch_cancel (&result.fetch);
+	fetch_finish (&result.fetch);
+	payload_unref (payload);
+	buf_finish (&received);
+	close (fd);
 	fixture_finish (&fixture);
 }
 
@@ -725,6 +807,8 @@
 		TEST (unread_bytes_and_a_close_are_read_later),
 		TEST (endless_interim_replies_end_with_the_deadline),
 		TEST (endless_bodies_share_one_bound),
+		TEST (written_request_is_released),
+		TEST (large_payload_arrives_whole),
 	};
 	return suite_run ("fetch", tests, sizeof (tests) / sizeof (tests[0]));
 }
--- a/test/ingress.c
+++ b/test/ingress.c
@@ -834,7 +834,7 @@
 	for (int i = 0; i < LARGE_BODIES; i++) {
 		fds[i] = send_head (&fixture, LARGE_BODY);
 		send_body (&fixture, fds[i], LARGE_BODY - 1 - (size_t)i);
-		CU_ASSERT_TRUE (fixture.ingress.body_bytes <= INGRESS_BODY_BYTES_MAX);
+		CU_ASSERT_TRUE (fixture.ingress.bodies.used <= INGRESS_BODY_BYTES_MAX);
 	}
 	CU_ASSERT_EQUAL (fixture.held_count, 0);
 	/* A small one has room, and so have those large ones that were not the largest. */
@@ -856,7 +856,7 @@
 		ingress_answer (fixture.held[i], 200, NULL, NULL, 0, true);
 	fixture.held_count = 0;
 	run (&fixture, 20);
-	CU_ASSERT_EQUAL (fixture.ingress.body_bytes, 0);
+	CU_ASSERT_EQUAL (fixture.ingress.bodies.used, 0);
 	close (fd);
 	for (int i = 1; i < LARGE_BODIES; i++)
 		close (fds[i]);
@@ -1012,7 +1012,7 @@
 	fixture.ingress.limits.header_bytes = 1048576;
 	CU_ASSERT_EQUAL (send_headers (&fixture, fd, 40000), 200);
 	CU_ASSERT_EQUAL (send_headers (&fixture, fd, 1000000), 200);
-	CU_ASSERT_EQUAL (fixture.ingress.head_bytes, 0);
+	CU_ASSERT_EQUAL (fixture.ingress.heads.used, 0);
 	fixture.ingress.limits.header_bytes = 16384;
 	CU_ASSERT_EQUAL (send_headers (&fixture, fd, 40000), 431);
 	fixture.ingress.limits.header_bytes = 1024;
@@ -1076,6 +1076,35 @@
 	stop (&fixture);
 }
 
+/* Guards against heads of requests in flight that no limit counts, since the server has dropped
+ * them. */
+static void
+test_heads_count_until_the_answer (void)
+{
+	enum { HEAD = 8000 };
+	struct fixture fixture;
+	char line[HEAD + 1];
+	fixture_init (&fixture);
+	memset (line, 'a', HEAD);
+	line[HEAD] = '\0';
+	int fd = connect_caller (&fixture, 0);
+	send_text (fd, head);
+	send_text (fd, "X-Long: ");
+	send_text (fd, line);
+	send_text (fd, "\r\n\r\n");
+	for (int i = 0; i < 200 && fixture.held_count == 0; i++)
+		run (&fixture, 1);
+	CU_ASSERT_EQUAL_FATAL (fixture.held_count, 1);
+	run (&fixture, 5);
+	CU_ASSERT_TRUE (fixture.ingress.heads.used >= HEAD);
+	ingress_answer (fixture.held[0], 200, NULL, NULL, 0, false);
+	fixture.held_count = 0;
+	run (&fixture, 20);
+	CU_ASSERT_EQUAL (fixture.ingress.heads.used, 0);
+	close (fd);
+	stop (&fixture);
+}
+
 /* Guards against heads without end that take the memory of the other requests. */
 static void
 test_heads_have_a_common_limit (void)
@@ -1100,7 +1129,7 @@
 				break;
 			sent += n > 0 ? (size_t)n : 0;
 			run (&fixture, 1);
-			CU_ASSERT_TRUE (fixture.ingress.head_bytes <= INGRESS_HEAD_BYTES_MAX);
+			CU_ASSERT_TRUE (fixture.ingress.heads.used <= INGRESS_HEAD_BYTES_MAX);
 		}
 		fcntl (fds[i], F_SETFL, 0);
 	}
@@ -1135,7 +1164,7 @@
 		CU_ASSERT_EQUAL (send_headers (&fixture, fds[i], 15000), 200);
 	}
 	CU_ASSERT_EQUAL (fixture.ingress.connection_count, MAX_CONNECTIONS);
-	CU_ASSERT_EQUAL (fixture.ingress.head_bytes, 0);
+	CU_ASSERT_EQUAL (fixture.ingress.heads.used, 0);
 	CU_ASSERT_EQUAL (fixture.ingress.request_count, 0);
 	for (int i = 0; i < MAX_CONNECTIONS; i++)
 		close (fds[i]);
@@ -1258,6 +1287,7 @@
 		TEST (changed_header_limit_holds_for_kept_connections),
 		TEST (request_inside_another_one_does_not_run),
 		TEST (white_space_around_values_is_no_part_of_them),
+		TEST (heads_count_until_the_answer),
 		TEST (heads_have_a_common_limit),
 		TEST (idle_connections_hold_no_buffers),
 		TEST (changed_idle_time_holds_for_kept_connections),
