--- a/test/callers.sh
+++ b/test/callers.sh
@@ -171,4 +171,18 @@
 exec 8>&-
 expect "what is refused does not run" "$(runs kept3)" '^0$'
 
+# Guards against a request inside the body of another one that runs.
+inner='GET /all/x HTTP/1.1\r\nHost: site.example\r\nOleanderstile-Attempt-Id: inner\r\nOleanderstile-Deadline-Ms: 3000\r\n\r\n'
+for framing in 'Content-Length: 0\r\nContent-Length: 120\r\n\r\n' \
+	'Content-Length: 120\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n' 'Content-Length:\r\n 120\r\n\r\n'; do
+	exec 8<> "/dev/tcp/127.0.0.1/$((BASE + 4))"
+	printf "POST /one/x HTTP/1.1\r\nHost: site.example\r\nOleanderstile-Attempt-Id: outer\r\nOleanderstile-Deadline-Ms: 3000\r\n$framing$inner" >&8
+	expect "a request that can be read in two ways is refused" "$(timeout 5 cat <&8 | tr -d '\r')" '^HTTP/1.1 400'
+	exec 8>&-
+done
+expect "neither of both runs" "$(runs inner) $(runs outer)" '^0 0$'
+
+# Guards against proper requests that are refused for white space behind a value.
+expect "blanks around Host and attempt id" "$(call -i -H 'Host:  site.example ' -H 'Oleanderstile-Attempt-Id: blank ' \
+	-H 'Oleanderstile-Deadline-Ms: 3000' "http://127.0.0.1:$((BASE + 4))/all/x" | tr -d '\r')" '^HTTP/1.1 200'
 echo "callers: $checks checks passed"
