daemon: a planned stop reads no request that it has freed

Cause: end_forward() read forward->served after scatter_end(), which frees the forward.

Measured: the test failed before (heap-use-after-free in end_forward) and passes.

--- a/Makefile
+++ b/Makefile
@@ -25,4 +25,4 @@
 	@BUILD=$(BUILD) bash bench/run.sh
 
 clean:
-	rm -rf $(BUILD) build-fuzz
+	rm -rf $(BUILD) build-fuzz build-sanitised
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -910,11 +910,13 @@
 		refuse_early (forward, request, 503, EARLY_STOPPING, true);
 		return true;
 	}
-	if (forward->served)
+	if (forward->served) {
 		batch_serve_end (forward);
-	else
-		scatter_end (&forward->scatter, front_now_us (forward->front));
-	return !forward->served;
+		return false;
+	}
+	/* Frees the forward. */
+	scatter_end (&forward->scatter, front_now_us (forward->front));
+	return true;
 }
 
 void
--- a/test/check.sh
+++ b/test/check.sh
@@ -98,6 +98,7 @@
 	return "$status"
 }
 run planned-stops check_planned_stops
+run sanitised env BUILD="$BUILD" bash test/sanitised.sh
 run callers env BUILD="$BUILD" bash test/callers.sh
 run memory env BUILD="$BUILD" bash test/memory.sh
 run restarts env BUILD="$BUILD" bash test/restarts.sh
--- a/test/stops.sh
+++ b/test/stops.sh
@@ -9,6 +9,7 @@
 trap 'touch "$RUN/stopped"; stop_all' EXIT # also ends the series of routings
 PLATFORM=$((BASE + 400))
 ROUTES=${ROUTES:-2000}
+PLAYS=${PLAYS:-all} # or the first one only: routings
 STOP_MS=5000  # the default of front.stop_ms, which bounds the whole stop
 GRACE_MS=6000 # the platform then kills the process
 checks=0
@@ -229,6 +230,10 @@
 # Guards against a stop that exceeds its duration, so that the platform kills the node while callers wait.
 start_entry
 play_stop routings
+if [ "$PLAYS" = routings ]; then
+	echo "stops: $checks checks passed"
+	exit 0
+fi
 # The same with a quarter of a processor. The process may be suspended when it is about to exit; all
 # callers have their answers by then.
 start_entry
