test: stop_waits_for_slow_readers checks its premise before the caller reads

The caller's thread reads while the thread of the test is not run, and the kernel takes the rest in the next turn. What is checked is the same: one answer is not written whole when the stop begins, and the caller gets all of it.

--- a/test/ingress.c
+++ b/test/ingress.c
@@ -462,9 +462,11 @@
 	CU_ASSERT_EQUAL_FATAL (fixture.held_count, 1);
 	ingress_answer (fixture.held[0], 200, NULL, xcalloc (1, LEN), LEN, false);
 	fixture.held_count = 0;
-	reader_start (&reader, fd, READ_PAUSE_US);
 	run (&fixture, 2);
+	/* Before the caller reads, since a reader that runs while this thread does not takes all of
+	 * it. */
 	CU_ASSERT_EQUAL (ingress_unwritten (&fixture.ingress), 1);
+	reader_start (&reader, fd, READ_PAUSE_US);
 	stop (&fixture);
 	reader_join (&reader);
 	CU_ASSERT_TRUE (reader.len > LEN);
