query: keep targets that a waiting request has tried

Cause: shards refer to the targets that they tried, and an unlisted target was freed as soon as no sub-request to it was in flight; forget_refusing() could then read freed memory, and a new target at the same place counted as tried.

Change: these references are counted, and replica_is_kept() alone decides what is removed.

Measured: unit-routes tried_target_is_kept_until_the_request_ends failed before and passes.

--- a/daemon/discovery.c
+++ b/daemon/discovery.c
@@ -114,8 +114,7 @@
 	struct replica *replica;
 	struct replica *next;
 	cds_list_for_each_entry_safe (replica, next, &set->replicas, node) {
-		if (replica->listed || replica->in_flight > 0 ||
-			replica_is_kept (replica, front_now_us (front)))
+		if (replica->listed || replica_is_kept (replica, front_now_us (front)))
 			continue;
 		log_event (&front->log, EVENT_TARGET_STATE, "%s of %s at %s: no longer listed",
 			replica->id, set->name, replica->address);
--- a/query/replica.c
+++ b/query/replica.c
@@ -113,7 +113,7 @@
 		       now_us < replica->leaving_since_us + REPLICA_ANNOUNCED_KEEP_US;
 	bool busy = now_us < replica->busy_until_us &&
 		    now_us < replica->busy_since_us + REPLICA_ANNOUNCED_KEEP_US;
-	return leaving || busy;
+	return leaving || busy || replica->in_flight > 0 || replica->tried_count > 0;
 }
 
 /* When the target began to leave; INT64_MIN: that is not known; 0: it does not leave. */
--- a/query/replica.h
+++ b/query/replica.h
@@ -117,7 +117,7 @@
 
 struct exposure;
 
-/** A target. It outlives its entry in the list while sub-requests to it are in flight. */
+/** A target. It outlives its entry in the list while requests refer to it. */
 struct replica {
 	struct cds_list_head node; /**< in its set */
 	struct replica_set *set;
@@ -157,6 +157,7 @@
 	int64_t deferred_us; /**< when it first asked for the present time without requests */
 	int deferrals;       /**< consecutive times without requests, with no answer between */
 	int in_flight;
+	int tried_count; /**< shards of requests that refer to it as tried; not freed before */
 	struct cds_list_head running; /**< struct replica_use, oldest first */
 	int64_t latency_us;           /**< moving average; 0: none yet */
 	int failure_rate;             /**< failures and refusals, moving average */
@@ -379,7 +380,10 @@
 replica_return_us (
 	const struct replica_set *set, const struct replica_criteria *criteria, int64_t now_us);
 
-/** True when an unlisted target has to be kept, so that it stays known as leaving or busy. */
+/**
+ * True when an unlisted target has to be kept: a request refers to it, or it has to stay known as
+ * leaving or busy.
+ */
 bool
 replica_is_kept (const struct replica *replica, int64_t now_us);
 
--- a/query/scatter.c
+++ b/query/scatter.c
@@ -108,12 +108,21 @@
 	shard->body_len = 0;
 }
 
+static void
+forget_tried (struct scatter_shard *shard)
+{
+	for (int i = 0; i < shard->tried_count; i++)
+		shard->tried[i]->tried_count--;
+	shard->tried_count = 0;
+}
+
 void
 scatter_finish (struct scatter *scatter)
 {
 	for (int i = 0; i < scatter->shard_count; i++) {
 		leave_queue (&scatter->shards[i]);
 		clear_reply (&scatter->shards[i]);
+		forget_tried (&scatter->shards[i]);
 	}
 	free (scatter->shards);
 	routing_unref (scatter->routing);
@@ -397,6 +406,7 @@
 {
 	note_served (shard, now_us);
 	shard->tried[shard->tried_count++] = replica;
+	replica->tried_count++;
 	shard->attempts_used++;
 	shard->running++;
 	shard->hedge_at_us = INT64_MAX;
@@ -503,8 +513,11 @@
 {
 	int kept = 0;
 	for (int i = 0; i < shard->tried_count; i++) {
-		if (shard->tried[i]->busy_until_us <= now_us)
-			shard->tried[kept++] = shard->tried[i];
+		struct replica *replica = shard->tried[i];
+		if (replica->busy_until_us <= now_us)
+			shard->tried[kept++] = replica;
+		else
+			replica->tried_count--;
 	}
 	shard->tried_count = kept;
 }
--- a/test/routes.c
+++ b/test/routes.c
@@ -193,6 +193,44 @@
 	testbed_finish (&testbed, &scatter);
 }
 
+/* Guards against requests that wait for a retry and refer to targets that the list has removed. */
+static void
+test_tried_target_is_kept_until_the_request_ends (void)
+{
+	struct testbed testbed;
+	struct scatter scatter;
+	testbed_init (&testbed, 1, "idempotent", 3);
+	testbed_start (&testbed, &scatter, "one");
+	CU_ASSERT_EQUAL_FATAL (send_count, 1);
+	struct replica *replica = sends[0].use.replica;
+	CU_ASSERT_TRUE (replica_is_kept (replica, now_us));
+	replica->listed = false;
+	end_sub_request (&scatter, 0, SUB_END_NOT_RUN, NULL);
+	CU_ASSERT_EQUAL (replica->in_flight, 0);
+	CU_ASSERT_TRUE (replica_is_kept (replica, now_us));
+	testbed_finish (&testbed, &scatter);
+	CU_ASSERT_FALSE (replica_is_kept (replica, now_us));
+}
+
+/* A target that is asked again after it was busy is tried once, so that it can be removed in the
+ * end. */
+static void
+test_target_that_was_busy_can_be_removed (void)
+{
+	struct testbed testbed;
+	struct scatter scatter;
+	testbed_init (&testbed, 1, "idempotent", 3);
+	testbed_start (&testbed, &scatter, "one");
+	for (int i = 0; i < 3; i++)
+		testbed.replicas[0][i].busy_until_us = now_us + 20 * MS;
+	end_sub_request (&scatter, 0, SUB_END_NOT_RUN, NULL);
+	now_us += 30 * MS;
+	scatter_serve_waiting (&testbed.sets[0], now_us);
+	testbed_finish (&testbed, &scatter);
+	for (int i = 0; i < 3; i++)
+		CU_ASSERT_EQUAL (testbed.replicas[0][i].tried_count, 0);
+}
+
 static void
 test_partial_answer_near_the_latency_objective (void)
 {
@@ -2078,6 +2116,8 @@
 {
 	static const struct suite_test tests[] = {
 		TEST (complete_answer_is_merged),
+		TEST (tried_target_is_kept_until_the_request_ends),
+		TEST (target_that_was_busy_can_be_removed),
 		TEST (partial_answer_near_the_latency_objective),
 		TEST (partial_answer_reaches_a_distant_caller_in_time),
 		TEST (late_answer_is_not_held_for_the_last_shard),
