daemon: the last answers of a stop wait for no memory that control holds locked

Cause, by the stacks of a process in this state: the control thread, which the test stops for good, was in free() and held the lock of its arena; the front's thread waited for it while it freed the routing of the last request. With that mended, the exit of the front's thread waited in the same way (the C library returns what a thread has cached).

Change: control frees the routings that it posted (daemon/posted_routings.h); the stop awaits the last work of the front's thread and not its exit.

Ruled out: the lock of the log.

--- a/daemon/front.c
+++ b/daemon/front.c
@@ -9,7 +9,6 @@
 #include "daemon/front_dump.h"
 #include "daemon/quota.h"
 #include "daemon/target_watch.h"
-#include "net/join.h"
 #include "platform/manifest.h"
 #include "query/batch.h"
 
@@ -499,16 +498,16 @@
 		struct error error = {0};
 		struct routing *routing = decode_routing (&declared->routing, &error);
 		front->posted_version = declared->routing.version;
-		if (routing) {
-			routing_unref (front->posted_routing);
-			front->posted_routing = routing;
-		} else {
+		if (routing)
+			posted_routings_add (&front->posted_routings, routing);
+		else
 			log_event (&front->log, EVENT_ORDER_REFUSED, "accepted routing: %s",
 				error.message);
-		}
 	}
+	posted_routings_clean (&front->posted_routings);
+	struct routing *newest = posted_routings_newest (&front->posted_routings);
 	state->revision = declared->applied;
-	state->routing = front->posted_routing ? routing_ref (front->posted_routing) : NULL;
+	state->routing = newest ? routing_ref (newest) : NULL;
 	state->leaving = xcalloc (declared->resources.count + 1, sizeof (*state->leaving));
 	for (size_t i = 0; i < declared->resources.count; i++) {
 		if (declared->resources.items[i]->kind == RESOURCE_DATA_CENTRE)
@@ -920,6 +919,7 @@
 	if (serves_callers (front))
 		end_requests (front);
 	rcu_unregister_thread ();
+	completion_signal (&front->ended);
 	return NULL;
 }
 
@@ -950,6 +950,7 @@
 	CDS_INIT_LIST_HEAD (&front->served);
 	aggregators_init (&front->aggregators, name_hash (node->options.node_name));
 	front_quota_init (front);
+	completion_init (&front->ended);
 	timers_init (&front->timers);
 	shares_init (&front->shares, name_hash (node->options.node_name));
 	set_policy (front);
@@ -1002,5 +1003,5 @@
 bool
 front_join (struct front *front, int64_t until_us)
 {
-	return thread_join (front->thread, &front->node->clock, until_us);
+	return completion_wait_until (&front->ended, &front->node->clock, until_us);
 }
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -17,8 +17,10 @@
 #include "daemon/account_stats.h"
 #include "daemon/discovery.h"
 #include "daemon/node.h"
+#include "daemon/posted_routings.h"
 #include "daemon/rollouts.h"
 #include "daemon/route_stats.h"
+#include "net/completion.h"
 #include "net/fetch.h"
 #include "net/ingress.h"
 #include "net/mailbox.h"
@@ -85,6 +87,7 @@
 	struct node *node;
 	struct log log;
 	pthread_t thread;
+	struct completion ended; /**< of what the thread does; it may exit later */
 	int epoll_fd;
 	struct mailbox mailbox;
 	struct timers timers;
@@ -114,10 +117,10 @@
 	_Atomic uint64_t posted_revision; /**< of the declared state that control posted last */
 	_Atomic uint64_t reconciled;      /**< revision of the declared state that was applied */
 	uint64_t posted_version;          /**< control thread: version of the routing posted last */
-	struct routing *posted_routing;   /**< control thread: the routing posted last */
-	struct cds_list_head sets;        /**< struct replica_set, one per service */
-	struct name_table set_names;      /**< indices in set_items */
-	struct replica_set **set_items;   /**< the same sets; none is removed */
+	struct posted_routings posted_routings;
+	struct cds_list_head sets;      /**< struct replica_set, one per service */
+	struct name_table set_names;    /**< indices in set_items */
+	struct replica_set **set_items; /**< the same sets; none is removed */
 	int set_count;
 	int set_cap;
 	struct discovery discovery;
@@ -164,7 +167,10 @@
 void
 front_end (struct front *front);
 
-/** Waits for the end of the thread; false if it has not ended at @p until_us. */
+/**
+ * Waits until the thread uses the front no more; false if it still does at @p until_us. Its exit is
+ * not awaited, since freeing its memory can wait for a thread that is held up.
+ */
 bool
 front_join (struct front *front, int64_t until_us);
 
--- a/net/completion.h
+++ b/net/completion.h
@@ -4,8 +4,11 @@
  */
 #pragma once
 
+#include "net/join.h"
+
 #include <pthread.h>
 #include <stdbool.h>
+#include <time.h>
 
 struct completion {
 	pthread_mutex_t lock;
@@ -45,3 +48,18 @@
 	pthread_cond_destroy (&completion->cond);
 	pthread_mutex_destroy (&completion->lock);
 }
+
+/** Waits for the signal until @p until_us; returns false if it did not come. Destroys nothing. */
+static inline bool
+completion_wait_until (struct completion *completion, struct clock *clock, int64_t until_us)
+{
+	struct timespec until = join_deadline (clock, until_us);
+	int status = 0;
+	pthread_mutex_lock (&completion->lock);
+	while (!completion->done && status == 0)
+		status = pthread_cond_clockwait (
+			&completion->cond, &completion->lock, CLOCK_MONOTONIC, &until);
+	bool done = completion->done;
+	pthread_mutex_unlock (&completion->lock);
+	return done;
+}
--- a/net/join.c
+++ b/net/join.c
@@ -1,9 +1,7 @@
 #include "net/join.h"
 
-#include <time.h>
-
-bool
-thread_join (pthread_t thread, struct clock *clock, int64_t until_us)
+struct timespec
+join_deadline (struct clock *clock, int64_t until_us)
 {
 	struct timespec until;
 	int64_t left_us = until_us - clock_now_us (clock);
@@ -16,5 +14,12 @@
 		until.tv_sec++;
 		until.tv_nsec -= US_PER_S * 1000;
 	}
+	return until;
+}
+
+bool
+thread_join (pthread_t thread, struct clock *clock, int64_t until_us)
+{
+	struct timespec until = join_deadline (clock, until_us);
 	return pthread_clockjoin_np (thread, NULL, CLOCK_MONOTONIC, &until) == 0;
 }
--- a/net/join.h
+++ b/net/join.h
@@ -8,6 +8,11 @@
 
 #include <pthread.h>
 #include <stdbool.h>
+#include <time.h>
+
+/** A time of @p clock as one of CLOCK_MONOTONIC, for functions that wait. */
+struct timespec
+join_deadline (struct clock *clock, int64_t until_us);
 
 /** Joins a thread; false if it has not ended at @p until_us. */
 bool
--- a/query/routing.c
+++ b/query/routing.c
@@ -24,6 +24,12 @@
 	return routing;
 }
 
+bool
+routing_is_shared (struct routing *routing)
+{
+	return atomic_load (&routing->refs) > 1;
+}
+
 void
 routing_unref (struct routing *routing)
 {
--- a/query/routing.h
+++ b/query/routing.h
@@ -106,6 +106,9 @@
 routing_ref (struct routing *routing);
 void
 routing_unref (struct routing *routing);
+/** Whether there are references besides that of the calling code. */
+bool
+routing_is_shared (struct routing *routing);
 
 /** Makes room for rules and services; called once, before they are added. */
 void
--- a/test/units.c
+++ b/test/units.c
@@ -14,9 +14,11 @@
 #include "core/packed.h"
 #include "core/timers.h"
 #include "core/turn.h"
+#include "daemon/posted_routings.h"
 #include "net/completion.h"
 #include "net/join.h"
 #include "options/options.h"
+#include "platform/manifest.h"
 #include "query/merge.h"
 #include "query/once.h"
 #include "query/query.h"
@@ -1007,6 +1009,67 @@
 }
 
 /* Guards against a dump or metrics that cannot be read for the name of one target. */
+static void *
+signal_and_stay (void *arg)
+{
+	struct completion *completions = arg;
+	completion_signal (&completions[0]);
+	completion_wait (&completions[1]);
+	return NULL;
+}
+
+/* Guards against a stop that waits for a thread which has done its work and is held up at its exit.
+ */
+static void
+test_end_of_work_is_awaited_and_not_the_exit_of_its_thread (void)
+{
+	struct completion completions[2];
+	struct clock clock;
+	pthread_t thread;
+	clock_init_system (&clock);
+	completion_init (&completions[0]);
+	completion_init (&completions[1]);
+	int64_t start_us = clock_now_us (&clock);
+	CU_ASSERT_FALSE (completion_wait_until (&completions[0], &clock, start_us + 20 * MS));
+	CU_ASSERT_TRUE (clock_now_us (&clock) >= start_us + 20 * MS);
+	pthread_create (&thread, NULL, signal_and_stay, completions);
+	CU_ASSERT_TRUE (completion_wait_until (&completions[0], &clock, start_us + 60000 * MS));
+	CU_ASSERT_TRUE (completion_wait_until (&completions[0], &clock, start_us));
+	completion_signal (&completions[1]);
+	pthread_join (thread, NULL);
+}
+
+/* Guards against the front's last answers waiting for memory that the control thread holds locked.
+ */
+static void
+test_routing_is_freed_by_the_thread_that_posted_it (void)
+{
+	static const char text[] =
+		"{\"version\":1,\"routes\":[{\"name\":\"one\",\"host\":\"h.example\","
+		"\"path_prefix\":\"/\",\"route_type\":\"idempotent\",\"timeout_ms\":1000,"
+		"\"max_attempts\":2,\"service\":\"s0\"}],"
+		"\"services\":[{\"name\":\"s0\",\"max_connections\":3}]}";
+	struct posted_routings posted = {0};
+	struct routing *routings[2];
+	struct error error = {0};
+	for (int i = 0; i < 2; i++) {
+		routings[i] = manifest_decode (text, sizeof (text) - 1, &error);
+		CU_ASSERT_PTR_NOT_NULL_FATAL (routings[i]);
+		posted_routings_add (&posted, routing_ref (routings[i]));
+	}
+	CU_ASSERT_PTR_EQUAL (posted_routings_newest (&posted), routings[1]);
+	posted_routings_clean (&posted);
+	CU_ASSERT_EQUAL (posted.count, 2);
+	routing_unref (routings[0]);
+	CU_ASSERT_FALSE (routing_is_shared (routings[0]));
+	routing_unref (routings[1]);
+	posted_routings_clean (&posted);
+	CU_ASSERT_EQUAL (posted.count, 1);
+	CU_ASSERT_PTR_EQUAL (posted_routings_newest (&posted), routings[1]);
+	routing_unref (routings[1]);
+	free (posted.items);
+}
+
 static void
 test_names_are_escaped_in_dumps (void)
 {
@@ -1065,6 +1128,8 @@
 		TEST (timers_fire_in_order),
 		TEST (slow_turn_names_its_longest_part),
 		TEST (thread_that_is_held_up_is_joined_for_a_limited_time),
+		TEST (end_of_work_is_awaited_and_not_the_exit_of_its_thread),
+		TEST (routing_is_freed_by_the_thread_that_posted_it),
 		TEST (names_are_escaped_in_dumps),
 	};
 	hint_table_init (&hints);
