--- a/test/memory_pool.c
+++ b/test/memory_pool.c
@@ -1,6 +1,6 @@
 /**
  * @file memory_pool.c
- * Unit tests of the memory that several kinds of data share, and of the bodies that requests share.
+ * Unit tests of memory pools and shared payloads.
  */
 #include "core/memory_pool.h"
 #include "core/payload.h"
