--- a/core/payload.h
+++ b/core/payload.h
@@ -23,6 +23,6 @@
 struct payload *
 payload_ref (struct payload *payload);
 
-/** Releases a reference, the last one also the memory; NULL is allowed. */
+/** Drops a reference and frees the payload with the last one; NULL is allowed. */
 void
 payload_unref (struct payload *payload);
--- a/daemon/target_watch.h
+++ b/daemon/target_watch.h
@@ -26,7 +26,7 @@
 target_watch_note_end (struct front *front, struct replica_use *use, const struct fetch *fetch,
 	enum fetch_end end);
 
-/** Suspects a target by a sign that no connection showed. */
+/** Marks a target as suspected for a sign that did not come from one of its connections. */
 void
 target_watch_suspect (struct front *front, struct replica *replica, enum restart_sign sign);
 
--- a/query/restart.h
+++ b/query/restart.h
@@ -55,7 +55,7 @@
 	int64_t answered_us; /**< first answer since, on a connection opened since; 0: none */
 	int64_t check_us;    /**< when the next health check is due */
 	int checks;          /**< since the target was first suspected */
-	int64_t health_us;   /**< when its health answer last told whether it is cold; 0: never */
+	int64_t health_us;   /**< time of the last conclusive answer to a health check; 0: none */
 };
 
 /**
