ingress: hold the head of an answer once, and count what is held

Cause: the header lines of an answer were copied twice, and the copy that is written was counted nowhere.

Change: ingress_answer() takes the lines over, and they are freed once the head is written. What is held is counted. An answer of over 16 kB for which the pool has no room becomes a 502, and is counted.

--- a/core/memory_pool.c
+++ b/core/memory_pool.c
@@ -27,11 +27,9 @@
 }
 
 bool
-memory_account_fits (const struct memory_account *account, size_t bytes)
+memory_account_fits_pool (const struct memory_account *account, size_t bytes)
 {
 	size_t used = account->used + bytes;
-	if (used > account->max)
-		return false;
 	if (!account->pool || used <= account->reserve)
 		return true;
 	return account->pool->shared_used - shared_part (account, account->used) +
@@ -39,6 +37,12 @@
 	       account->pool->shared_max;
 }
 
+bool
+memory_account_fits (const struct memory_account *account, size_t bytes)
+{
+	return account->used + bytes <= account->max && memory_account_fits_pool (account, bytes);
+}
+
 void
 memory_account_add (struct memory_account *account, size_t bytes)
 {
--- a/core/memory_pool.h
+++ b/core/memory_pool.h
@@ -28,6 +28,10 @@
 bool
 memory_account_fits (const struct memory_account *account, size_t bytes);
 
+/** Whether @p bytes more are within the reserve or the limit of the pool, whatever @c max is. */
+bool
+memory_account_fits_pool (const struct memory_account *account, size_t bytes);
+
 /** Counts bytes, also beyond the limits. */
 void
 memory_account_add (struct memory_account *account, size_t bytes);
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -205,6 +205,14 @@
 			shard->body = NULL;
 		}
 	}
+	if (!forward_keep_pass (forward, lines.cap + len)) {
+		status = 502;
+		buf_finish (&lines);
+		buf_init (&lines);
+		free (body);
+		body = NULL;
+		len = 0;
+	}
 	forward_log_end (forward, status);
 	log_dropped_answers (forward->front);
 	log_refused_bodies (forward->front);
--- a/daemon/forward_keep.c
+++ b/daemon/forward_keep.c
@@ -1,5 +1,6 @@
 #include "daemon/forward_keep.h"
 
+#include "core/metrics.h"
 #include "query/records.h"
 
 #include <string.h>
@@ -7,6 +8,7 @@
 enum {
 	KEPT_MAX_BYTES = 16 * 1024 * 1024,
 	KEPT_RESERVE_BYTES = 2 * 1024 * 1024,
+	SMALL_ANSWER_BYTES = 16384, /* which the socket takes at once */
 };
 
 void
@@ -39,6 +41,16 @@
 	return forward_keep (forward, strlen (answer->stamp) + body_len);
 }
 
+bool
+forward_keep_pass (struct forward *forward, size_t bytes)
+{
+	forward_keep_release (forward);
+	if (bytes <= SMALL_ANSWER_BYTES || ingress_has_room (&forward->front->callers, bytes))
+		return true;
+	metric_add (METRIC_ANSWERS_WITHOUT_ROOM, 1);
+	return false;
+}
+
 void
 forward_keep_release (struct forward *forward)
 {
--- a/daemon/forward_keep.h
+++ b/daemon/forward_keep.h
@@ -19,5 +19,12 @@
 bool
 forward_keep_answer (struct forward *forward, const struct sub_answer *answer);
 
+/**
+ * Passes what a request keeps on to its answer, of so many bytes; returns false if there is no
+ * memory for that, and the answer must not be sent.
+ */
+bool
+forward_keep_pass (struct forward *forward, size_t bytes);
+
 void
 forward_keep_release (struct forward *forward);
--- a/net/ingress.c
+++ b/net/ingress.c
@@ -202,10 +202,12 @@
 	cds_list_add_tail (&client->node, &client->ingress->open);
 }
 
-static size_t
-answer_memory (const struct ingress_request *request)
+static void
+count_answer (struct ingress_request *request, size_t bytes)
 {
-	return request->answer_len + request->head.cap;
+	memory_account_remove (&request->ingress->answers, request->answer_memory);
+	memory_account_add (&request->ingress->answers, bytes);
+	request->answer_memory = bytes;
 }
 
 static void
@@ -214,8 +216,7 @@
 	struct ingress *ingress = request->ingress;
 	ingress->request_count--;
 	memory_account_remove (&ingress->bodies, request->body.cap);
-	if (request->answered && !request->dropped)
-		memory_account_remove (&ingress->answers, answer_memory (request));
+	count_answer (request, 0);
 	free (request->uri);
 	free (request->answer);
 	buf_finish (&request->body);
@@ -608,6 +609,9 @@
 		.unix_s = clock_wall_ms (client->ingress->clock) / 1000,
 	};
 	answer_write_head (&head, &client->output);
+	buf_finish (&request->head);
+	buf_init (&request->head);
+	count_answer (request, request->answer_len + client->output.cap);
 	if (strcmp (request->method, "HEAD") == 0 || !answer_has_body (request->status))
 		request->no_body = true;
 	client->closing = close;
@@ -1012,7 +1016,7 @@
 		if (!request)
 			return;
 		request->dropped = true;
-		memory_account_remove (&ingress->answers, answer_memory (request));
+		count_answer (request, 0);
 		ingress->dropped_count++;
 		metric_add (METRIC_ANSWERS_DROPPED, 1);
 		shutdown (request->client->fd, SHUT_RDWR);
@@ -1094,8 +1098,14 @@
 		callback (user, parser->headers[i].name, parser->headers[i].value);
 }
 
+bool
+ingress_has_room (const struct ingress *ingress, size_t bytes)
+{
+	return memory_account_fits_pool (&ingress->answers, bytes);
+}
+
 void
-ingress_answer (struct ingress_request *request, int status, const struct buf *head, char *body,
+ingress_answer (struct ingress_request *request, int status, struct buf *head, char *body,
 	size_t len, bool close)
 {
 	request->answered = true;
@@ -1104,8 +1114,10 @@
 	request->answer_len = len;
 	request->answered_us = clock_now_us (request->ingress->clock);
 	request->close = close;
-	if (head && head->len)
-		buf_add (&request->head, head->data, head->len);
-	memory_account_add (&request->ingress->answers, answer_memory (request));
+	if (head) {
+		request->head = *head;
+		buf_init (head);
+	}
+	count_answer (request, request->answer_len + request->head.cap);
 	make_ready (request->client);
 }
--- a/net/ingress.h
+++ b/net/ingress.h
@@ -50,9 +50,10 @@
 	bool answered;
 	bool caller_left; /**< the caller closed its connection */
 	int status;
-	struct buf head; /**< header lines of the answer, as "Name: value\n" */
+	struct buf head; /**< header lines of the answer, as "Name: value\n", until it is written */
 	char *answer;
 	size_t answer_len;
+	size_t answer_memory;   /**< of the answer, as counted */
 	int64_t began_us;       /**< when its first line was read */
 	bool opened_connection; /**< it is the first one on its connection */
 	int64_t answered_us;
@@ -187,13 +188,18 @@
 int
 ingress_timeout_ms (const struct ingress *ingress);
 
+/** Whether the memory of all connections has room for an answer of so many bytes. */
+bool
+ingress_has_room (const struct ingress *ingress, size_t bytes);
+
 /**
  * Answers a request.
- * @param head "Name: value" lines, each terminated by a line feed
+ * @param head "Name: value" lines, each terminated by a line feed; NULL: none. This function takes
+ * their memory over, and leaves an empty buffer.
  * @param body heap memory that this function takes over, or NULL
  */
 void
-ingress_answer (struct ingress_request *request, int status, const struct buf *head, char *body,
+ingress_answer (struct ingress_request *request, int status, struct buf *head, char *body,
 	size_t len, bool close);
 
 /**
--- a/test/ingress.c
+++ b/test/ingress.c
@@ -11,6 +11,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <linux/sockios.h>
+#include <malloc.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <pthread.h>
@@ -870,7 +871,7 @@
 
 /* Sends a request, answers it and returns what the caller gets until the connection ends. */
 static struct reader
-exchange (struct fixture *fixture, const char *request, const struct buf *lines)
+exchange (struct fixture *fixture, const char *request, struct buf *lines)
 {
 	struct reader reader;
 	int fd = connect_caller (fixture, 0);
@@ -914,6 +915,37 @@
 	free (value);
 }
 
+/* Guards against memory of answers that no limit counts, such as another copy of their head. */
+static void
+test_answer_takes_the_memory_that_is_counted (void)
+{
+	enum { HEAD = 6 * 1024 * 1024, SLACK = 65536 };
+	struct fixture fixture;
+	struct buf lines;
+	fixture_init (&fixture);
+	int fd = ask_slowly (&fixture);
+	run (&fixture, 5);
+	CU_ASSERT_EQUAL_FATAL (fixture.held_count, 1);
+	buf_init (&lines);
+	buf_addf (&lines, "X-Long: ");
+	while (lines.len < HEAD)
+		buf_add (&lines, "0123456789abcdef", 16);
+	buf_add (&lines, "\n", 1);
+	struct mallinfo2 before = mallinfo2 ();
+	size_t lines_memory = lines.cap;
+	ingress_answer (fixture.held[0], 200, &lines, xstrdup ("body"), 4, false);
+	fixture.held_count = 0;
+	run (&fixture, 5);
+	struct mallinfo2 after = mallinfo2 ();
+	size_t used = fixture.ingress.answers.used;
+	CU_ASSERT_TRUE (used > HEAD);
+	CU_ASSERT_TRUE (after.uordblks + after.hblkhd <=
+			before.uordblks + before.hblkhd - lines_memory + used + SLACK);
+	buf_finish (&lines);
+	close (fd);
+	stop (&fixture);
+}
+
 /* Guards against an answer that is not sent since its head does not fit beside the request's. */
 static void
 test_long_heads_are_answered (void)
@@ -1284,6 +1316,7 @@
 		TEST (unread_answers_have_a_common_limit),
 		TEST (limit_of_unread_answers_spares_callers_that_read),
 		TEST (bodies_of_requests_have_a_common_limit),
+		TEST (answer_takes_the_memory_that_is_counted),
 		TEST (long_heads_are_answered),
 		TEST (many_lines_within_the_limit_are_answered),
 		TEST (changed_header_limit_holds_for_kept_connections),
--- a/test/memory_pool.c
+++ b/test/memory_pool.c
@@ -65,6 +65,18 @@
 	CU_ASSERT_EQUAL (pool.shared_used, 10);
 }
 
+static void
+test_limit_of_the_pool_holds_beyond_that_of_an_account (void)
+{
+	struct memory_pool pool = {.shared_max = 100};
+	struct memory_account account = {.max = 50};
+	memory_account_join (&account, &pool, 10);
+	memory_account_add (&account, 50);
+	CU_ASSERT_FALSE (memory_account_fits (&account, 1));
+	CU_ASSERT_TRUE (memory_account_fits_pool (&account, 60));
+	CU_ASSERT_FALSE (memory_account_fits_pool (&account, 61));
+}
+
 static void
 test_account_without_a_pool_has_its_own_limit (void)
 {
@@ -122,6 +134,7 @@
 		TEST (reserve_is_left_by_others),
 		TEST (all_accounts_together_have_a_limit),
 		TEST (account_within_its_reserve_releases_nothing),
+		TEST (limit_of_the_pool_holds_beyond_that_of_an_account),
 		TEST (account_without_a_pool_has_its_own_limit),
 		TEST (last_reference_releases_a_payload),
 		TEST (freed_bodies_leave_the_heap),
