fetch: release the line buffers of idle connections, and count heads

Callers saw: an entry node of the smallest VM aborts, and all its callers lose their requests, when 16 callers ask for a fan-out to 299 shards whose stamps have 15 kB.

Cause: each connection to a target kept the buffer of its longest line until it was used again: 4,784 connections, 75 MB. Lines that are being received, and stamps kept until the body is complete, were counted nowhere.

Change: the buffer is released with the end of a response. Heads of incomplete responses have an account in the node's pool, 16 MB at most; beyond it the largest ends. The shared part of the pool is 4 MB smaller, so that its sum stays 64 MB.

Ruled out: bodies and kept replies, which are counted.

--- a/daemon/front.c
+++ b/daemon/front.c
@@ -38,10 +38,11 @@
 	IDLE_TIMEOUT_US = 20000000, /* longer than callers keep an idle connection for reuse */
 	MEGABYTE = 1024 * 1024,
 	/* Together with the reserves 64 MB, so that the smallest VMs bear it. */
-	SHARED_MEMORY_BYTES = 39 * MEGABYTE,
+	SHARED_MEMORY_BYTES = 35 * MEGABYTE,
 	CALLERS_RESERVE_BYTES = 4 * MEGABYTE, /* of heads, of bodies and of answers */
 	BATCHES_RESERVE_BYTES = MEGABYTE,     /* likewise */
-	FETCH_RESERVE_BYTES = 8 * MEGABYTE,
+	FETCH_RESERVE_BYTES = 8 * MEGABYTE,   /* of bodies */
+	FETCH_HEADS_RESERVE_BYTES = 4 * MEGABYTE,
 };
 
 /** An order to the front's thread to serve; the sender waits for its completion. */
@@ -962,6 +963,7 @@
 	fetch_loop_init (&front->fetches, front->epoll_fd, &node->clock, &front->timers);
 	front->memory.shared_max = SHARED_MEMORY_BYTES;
 	memory_account_join (&front->fetches.bodies, &front->memory, FETCH_RESERVE_BYTES);
+	memory_account_join (&front->fetches.heads, &front->memory, FETCH_HEADS_RESERVE_BYTES);
 	forward_keep_init (front);
 	discovery_start (&front->discovery, front);
 	if (pthread_create (&front->thread, NULL, run, front) != 0)
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -61,6 +61,7 @@
 	CDS_INIT_LIST_HEAD (&loop->unread);
 	loop->read_budget = READ_BYTES_PER_ITERATION;
 	loop->bodies.max = FETCH_BODY_BYTES_MAX;
+	loop->heads.max = FETCH_HEAD_BYTES_MAX;
 	loop->read_buffer = xmalloc (READ_BUFFER_BYTES);
 }
 
@@ -288,14 +289,27 @@
 	return true;
 }
 
+static size_t
+body_memory (const struct fetch *fetch)
+{
+	return fetch->body.cap;
+}
+
+static size_t
+head_memory (const struct fetch *fetch)
+{
+	return fetch->head_memory;
+}
+
 static struct fetch *
-larger_body (struct fetch *largest, struct cds_list_head *pools)
+find_larger (struct fetch *largest, struct cds_list_head *pools,
+	size_t (*memory) (const struct fetch *fetch))
 {
 	struct fetch_pool *pool;
 	struct fetch *fetch;
 	cds_list_for_each_entry (pool, pools, node) {
 		cds_list_for_each_entry (fetch, &pool->running, node) {
-			if (!fetch->dropped && fetch->body.cap > largest->body.cap)
+			if (!fetch->dropped && memory (fetch) > memory (largest))
 				largest = fetch;
 		}
 	}
@@ -303,38 +317,67 @@
 }
 
 static void
-release_body (struct fetch *fetch)
+release_reply (struct fetch *fetch)
 {
-	if (fetch->loop)
+	if (fetch->loop) {
 		memory_account_remove (&fetch->loop->bodies, fetch->body.cap);
+		memory_account_remove (&fetch->loop->heads, fetch->head_memory);
+	}
+	fetch->head_memory = 0;
 	buf_finish (&fetch->body);
 }
 
-/* Drops larger bodies than that of this fetch; returns false if the bytes still do not fit. */
+/*
+ * Drops replies that take more memory of this kind than that of this fetch; returns false if the
+ * bytes still do not fit.
+ */
 static bool
-make_room (struct fetch *fetch, size_t len)
+make_room (struct fetch *fetch, const struct memory_account *account,
+	size_t (*memory) (const struct fetch *fetch), size_t bytes)
 {
 	struct fetch_loop *loop = fetch->loop;
-	size_t growth = buf_growth (&fetch->body, len);
-	while (!memory_account_fits (&loop->bodies, growth)) {
-		struct fetch *largest = larger_body (fetch, &loop->pools);
-		largest = larger_body (largest, &loop->retired);
+	while (!memory_account_fits (account, bytes)) {
+		struct fetch *largest = find_larger (fetch, &loop->pools, memory);
+		largest = find_larger (largest, &loop->retired, memory);
 		if (largest == fetch)
 			return false;
-		release_body (largest);
+		release_reply (largest);
 		largest->dropped = true;
 		fail_later (largest);
 	}
 	return true;
 }
 
+/*
+ * Counts the line that is being received, and the other bytes of the head, of which the hook may
+ * have kept a copy. Returns false if they do not fit.
+ */
+static bool
+count_head (struct fetch_conn *conn)
+{
+	struct fetch *fetch = conn->fetch;
+	struct memory_account *heads = &fetch->loop->heads;
+	const struct response_parser *response = &conn->response;
+	size_t bytes = response->line.cap + response->received - response->body_bytes;
+	if (fetch->dropped)
+		return false;
+	memory_account_remove (heads, fetch->head_memory);
+	fetch->head_memory = 0;
+	if (!make_room (fetch, heads, head_memory, bytes))
+		return false;
+	memory_account_add (heads, bytes);
+	fetch->head_memory = bytes;
+	return true;
+}
+
 static bool
 store_body (void *user, const char *data, size_t len)
 {
 	struct fetch_conn *conn = user;
 	struct fetch *fetch = conn->fetch;
 	if (fetch->dropped || fetch->body.len + len > fetch->body_max_bytes ||
-		!make_room (fetch, len)) {
+		!make_room (
+			fetch, &fetch->loop->bodies, body_memory, buf_growth (&fetch->body, len))) {
 		conn->too_large = true;
 		return false;
 	}
@@ -559,6 +602,7 @@
 	fetch->done = done;
 	memset (&fetch->headers, 0, sizeof (fetch->headers));
 	buf_init (&fetch->body);
+	fetch->head_memory = 0;
 	timer_init (&fetch->timer, FETCH_TIMER);
 	encode_request (fetch, request);
 	cds_list_add_tail (&fetch->node, &pool->waiting);
@@ -614,7 +658,7 @@
 void
 fetch_finish (struct fetch *fetch)
 {
-	release_body (fetch);
+	release_reply (fetch);
 }
 
 static void
@@ -667,13 +711,17 @@
 	fetch->status = response->status;
 	switch (state) {
 	case RESPONSE_PARTIAL:
-		return true;
+		if (count_head (conn))
+			return true;
+		end_fetch (fetch, FETCH_TOO_LARGE, false);
+		return false;
 	case RESPONSE_COMPLETE: {
 		if (response->keep_alive_us >= 0)
 			conn->keep_until_us = loop_now_us (conn->pool->loop) +
 					      response->keep_alive_us - KEEP_ALIVE_MARGIN_US;
 		/* Bytes after the response belong to no request, so the connection is closed. */
 		bool reusable = !response->closing && used == len && fetch->written && len > 0;
+		response_finish (response); /* so that an idle connection holds no buffer */
 		end_fetch (fetch, FETCH_OK, reusable);
 		return false;
 	}
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -11,6 +11,7 @@
  * limited number of bytes, of all connections together and in turn, so that timers and other
  * sockets are served meanwhile. For targets that send without end: the bodies of all responses
  * together have a limit, beyond which the largest one ends, so that other responses are complete.
+ * So have their heads, until the responses are complete.
  */
 #pragma once
 
@@ -31,8 +32,11 @@
 /** Kinds of timers that fetches embed; other timers of the loop use FETCH_TIMER_KIND_END and up. */
 enum { FETCH_TIMER = 1, FETCH_TIMER_KIND_END = 16 };
 
-/** Limit of the memory of bodies; a node has little more than 100 MB on the smallest VMs. */
-enum { FETCH_BODY_BYTES_MAX = 32 * 1024 * 1024 };
+/** Limits of the memory of replies; a node has little more than 100 MB on the smallest VMs. */
+enum {
+	FETCH_BODY_BYTES_MAX = 32 * 1024 * 1024,
+	FETCH_HEAD_BYTES_MAX = 16 * 1024 * 1024,
+};
 
 /** How a connection ended that had no request. */
 enum fetch_idle_end {
@@ -60,7 +64,8 @@
 	struct buf out; /**< the encoded request without its payload; empty once it was written */
 	struct payload *payload; /**< NULL: none, or it was written */
 	struct buf body;
-	struct fetch_loop *loop; /**< counts the body */
+	size_t head_memory;      /**< of the reply's head, while a part of the reply is missing */
+	struct fetch_loop *loop; /**< counts both */
 	size_t body_max_bytes;
 	long status;
 	int64_t deadline_us; /**< for the complete reply; 0: fail in the next iteration */
@@ -69,7 +74,7 @@
 	bool active;        /**< started and not ended */
 	bool new_connection;
 	bool head_only;   /**< HEAD: the reply has no body, whatever its headers say */
-	bool dropped;     /**< its body was dropped; the fetch ends in this iteration */
+	bool dropped;     /**< its reply was dropped; the fetch ends in this iteration */
 	bool open_denied; /**< may_open_connection denied a new connection */
 	bool check_may_open_connection; /**< false: open connections regardless of
 					   may_open_connection (probes) */
@@ -129,6 +134,7 @@
 	struct cds_list_head unread; /**< connections that may have bytes to read, in turn */
 	size_t read_budget;          /**< bytes that may still be read in this iteration */
 	struct memory_account bodies; /**< memory of those held; beyond it the largest is dropped */
+	struct memory_account heads; /**< the same of heads, while a part of the reply is missing */
 };
 
 struct fetch_pool {
--- a/test/fetch.c
+++ b/test/fetch.c
@@ -6,6 +6,7 @@
 #include "test/suite.h"
 
 #include <arpa/inet.h>
+#include <malloc.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -661,6 +662,74 @@
 	fixture_finish (&fixture);
 }
 
+/* Guards against heads that no limit counts while the rest of their responses is awaited. */
+static void
+test_heads_have_a_common_limit (void)
+{
+	enum { FETCHES = 6, LINE = 12000, BOUND = 65536 };
+	struct fetch_fixture fixture;
+	struct fetch_result results[FETCHES];
+	char text[1024];
+	char line[LINE + 1] = "";
+	int fds[FETCHES];
+	int too_large = 0;
+	memset (line, 'x', LINE);
+	fixture_init (&fixture, FETCHES);
+	fixture.loop.heads.max = BOUND;
+	for (int i = 0; i < FETCHES; i++) {
+		start_fetch (&fixture, &results[i], "GET", NULL, false);
+		fds[i] = read_request (&fixture, -1, text, sizeof (text));
+		send_reply (&fixture, fds[i], "HTTP/1.1 200 OK\r\nX-A: ");
+	}
+	for (int i = 0; i < FETCHES; i++) {
+		send_reply (&fixture, fds[i], line);
+		CU_ASSERT_TRUE (fixture.loop.heads.used > 0);
+		CU_ASSERT_TRUE (fixture.loop.heads.used <= BOUND);
+	}
+	for (int i = 0; i < FETCHES; i++) {
+		if (!results[i].done)
+			send_reply (&fixture, fds[i], "\r\nContent-Length: 0\r\n\r\n");
+		too_large += results[i].done && results[i].end == FETCH_TOO_LARGE;
+		CU_ASSERT_TRUE (results[i].done);
+	}
+	CU_ASSERT_TRUE (too_large > 0 && too_large < FETCHES);
+	for (int i = 0; i < FETCHES; i++) {
+		fetch_finish (&results[i].fetch);
+		close (fds[i]);
+	}
+	CU_ASSERT_EQUAL (fixture.loop.heads.used, 0);
+	fixture_finish (&fixture);
+}
+
+/* Guards against connections to hundreds of targets that each keep the memory of a long line. */
+static void
+test_idle_connections_hold_no_lines (void)
+{
+	enum { FETCHES = 6, LINE = 15000, LEFT_BYTES = 4096 };
+	struct fetch_fixture fixture;
+	struct fetch_result results[FETCHES];
+	char text[1024];
+	char reply[LINE + 100];
+	int fds[FETCHES];
+	snprintf (reply, sizeof (reply),
+		"HTTP/1.1 200 OK\r\nX-A: %0*d\r\nContent-Length: 0\r\n\r\n", LINE, 0);
+	fixture_init (&fixture, FETCHES);
+	for (int i = 0; i < FETCHES; i++) {
+		start_fetch (&fixture, &results[i], "GET", NULL, false);
+		fds[i] = read_request (&fixture, -1, text, sizeof (text));
+	}
+	struct mallinfo2 before = mallinfo2 ();
+	for (int i = 0; i < FETCHES; i++) {
+		send_reply (&fixture, fds[i], reply);
+		CU_ASSERT_TRUE (results[i].done && results[i].end == FETCH_OK);
+		fetch_finish (&results[i].fetch);
+	}
+	CU_ASSERT_TRUE (mallinfo2 ().uordblks <= before.uordblks + FETCHES * LEFT_BYTES);
+	for (int i = 0; i < FETCHES; i++)
+		close (fds[i]);
+	fixture_finish (&fixture);
+}
+
 /* Guards against responses that fail because another target sends without end. */
 static void
 test_largest_body_is_dropped_first (void)
@@ -799,6 +868,8 @@
 		TEST (request_is_not_resent),
 		TEST (refused_connection_is_reported_as_not_sent),
 		TEST (waiting_for_a_free_connection),
+		TEST (heads_have_a_common_limit),
+		TEST (idle_connections_hold_no_lines),
 		TEST (largest_body_is_dropped_first),
 		TEST (deadline_and_cancel),
 		TEST (keep_alive_timeout_and_early_close),
--- a/test/flood.c
+++ b/test/flood.c
@@ -18,8 +18,8 @@
  *
  * "callers" opens COUNT connections to PORT and keeps them: "idle" ones have got an answer, "heads"
  * send 12 kB of a head that does not end, "bodies" half a body of 60 kB, "requests" one with such a
- * body, "fanouts" such a one to all shards. It prints "open COUNT" with the number of those that
- * are open once all have sent this.
+ * body, "fanouts" such a one to many shards, "wide" a fan-out to even more. It prints "open COUNT"
+ * with the number of those that are open once all have sent this.
  */
 #include "core/buf.h"
 
@@ -412,6 +412,7 @@
 {
 	bool is_idle = strcmp (kind, "idle") == 0;
 	bool is_fan_out = strcmp (kind, "fanouts") == 0;
+	bool is_wide = strcmp (kind, "wide") == 0;
 	bool is_whole = is_fan_out || strcmp (kind, "requests") == 0;
 	buf_addf (out,
 		"POST /%s/x HTTP/1.1\r\nHost: site.example\r\nOleanderstile-Attempt-Id: "
@@ -419,6 +420,7 @@
 		"Oleanderstile-Deadline-Ms: 3000\r\n",
 		is_idle      ? "one"
 		: is_fan_out ? "all"
+		: is_wide    ? "most"
 			     : "some",
 		number);
 	if (strcmp (kind, "heads") == 0) {
@@ -426,8 +428,9 @@
 			buf_addf (out, "X-A: b\r\n");
 		return;
 	}
-	buf_addf (out, "Content-Length: %d\r\n\r\n", is_idle ? 0 : CALLER_BODY_BYTES);
-	for (int i = 0; !is_idle && i < CALLER_BODY_BYTES / (is_whole ? 1 : 2); i++)
+	bool has_body = !is_idle && !is_wide;
+	buf_addf (out, "Content-Length: %d\r\n\r\n", has_body ? CALLER_BODY_BYTES : 0);
+	for (int i = 0; has_body && i < CALLER_BODY_BYTES / (is_whole ? 1 : 2); i++)
 		buf_add (out, "x", 1);
 }
 
--- a/test/memory.sh
+++ b/test/memory.sh
@@ -8,7 +8,8 @@
 . test/cluster.sh
 trap stop_all EXIT
 PLATFORM=$((BASE + 400))
-SHARDS=100
+SHARDS=300
+ALL=99 # shards of the route "all"; "most" has every shard but the last one
 VM_KB=112000 # of the smallest VMs
 CONNECTIONS=3000
 OPEN=$((CONNECTIONS - 100))
@@ -49,7 +50,7 @@
 			address = 127.0.0.1:$((BASE + n))
 			ready_address = 127.0.0.1:$((BASE + 50 + n))
 			group_nodes = 1
-			batch_port_step = 300
+			batch_port_step = 900
 			connections = $CONNECTIONS
 		END
 	else
@@ -68,14 +69,18 @@
 }
 
 manifest () {
-	local i names='' services='' last=$((SHARDS - 1))
+	local i names='' services='' last=$((SHARDS - 1)) all
 	for i in $(seq 0 $last); do
 		services+=",{\"name\":\"s$i\",\"max_connections\":48}"
 		[ "$i" = "$last" ] || names+=",\"s$i\""
+		[ "$i" = $((ALL - 1)) ] && all=$names
 	done
 	cat <<-END
 		{"version":1,"routes":[{"name":"all","host":"site.example","path_prefix":"/all/",
 		"route_type":"idempotent","timeout_ms":1500,"target_latency_ms":1000,"priority":1,
+		"max_attempts":2,"top_k":3,"min_shard_ratio":0.75,"fanout":[${all#,}]},
+		{"name":"most","host":"site.example","path_prefix":"/most/","route_type":"idempotent",
+		"timeout_ms":1500,"target_latency_ms":1000,"priority":1,
 		"max_attempts":2,"top_k":3,"min_shard_ratio":0.75,"fanout":[${names#,}]},
 		{"name":"some","host":"site.example","path_prefix":"/some/","route_type":"idempotent",
 		"timeout_ms":1500,"target_latency_ms":1000,"priority":1,"max_attempts":2,"service":"s0"},
@@ -207,6 +212,14 @@
 done
 under_load 5 flood /answers/mixed/20000
 check_memory "slow answers"
+
+# Guards against large answers of fan-outs whose callers read slowly, with copies that no limit counts.
+flood /answers/stamps/0
+for count in 16 64; do
+	under_load 2 hold_callers $count wide
+	release_callers wide
+	check_memory "answers with $((SHARDS - 1)) stamps to $count callers"
+done
 flood /answers/sound/0
 
 # Guards against the same in answers to health checks.
