fetch: a head that grows ends itself before smaller ones

When heads exceeded their limit, the head that grew was compared as if it held nothing, so that smaller heads of other responses ended in its place.

--- a/net/fetch.c
+++ b/net/fetch.c
@@ -362,12 +362,13 @@
 	if (fetch->dropped)
 		return false;
 	memory_account_remove (heads, fetch->head_memory);
-	fetch->head_memory = 0;
-	if (!make_room (fetch, heads, head_memory, bytes))
-		return false;
-	memory_account_add (heads, bytes);
 	fetch->head_memory = bytes;
-	return true;
+	bool fits = make_room (fetch, heads, head_memory, bytes);
+	if (fits)
+		memory_account_add (heads, bytes);
+	else
+		fetch->head_memory = 0;
+	return fits;
 }
 
 static bool
--- a/test/fetch.c
+++ b/test/fetch.c
@@ -701,6 +701,41 @@
 	fixture_finish (&fixture);
 }
 
+/* Guards against responses that end because the head of another one grows. */
+static void
+test_largest_head_is_dropped_first (void)
+{
+	enum { FETCHES = 3, SMALL_LINE = 3000, LARGE_LINE = 12000, BOUND = 20000 };
+	struct fetch_fixture fixture;
+	struct fetch_result results[FETCHES];
+	char text[1024];
+	char line[LARGE_LINE + 1] = "";
+	int fds[FETCHES];
+	fixture_init (&fixture, FETCHES);
+	fixture.loop.heads.max = BOUND;
+	for (int i = 0; i < FETCHES; i++) {
+		int len = i < FETCHES - 1 ? SMALL_LINE : LARGE_LINE;
+		start_fetch (&fixture, &results[i], "GET", NULL, false);
+		fds[i] = read_request (&fixture, -1, text, sizeof (text));
+		send_reply (&fixture, fds[i], "HTTP/1.1 200 OK\r\nX-A: ");
+		snprintf (line, sizeof (line), "%0*d", len, 0);
+		send_reply (&fixture, fds[i], line);
+	}
+	CU_ASSERT_TRUE (results[FETCHES - 1].done);
+	CU_ASSERT_EQUAL (results[FETCHES - 1].end, FETCH_TOO_LARGE);
+	for (int i = 0; i < FETCHES; i++) {
+		if (!results[i].done) {
+			send_reply (&fixture, fds[i], "\r\nContent-Length: 0\r\n\r\n");
+			CU_ASSERT_TRUE (results[i].done && results[i].end == FETCH_OK);
+		}
+		CU_ASSERT_TRUE (i == FETCHES - 1 || results[i].end == FETCH_OK);
+		fetch_finish (&results[i].fetch);
+		close (fds[i]);
+	}
+	CU_ASSERT_EQUAL (fixture.loop.heads.used, 0);
+	fixture_finish (&fixture);
+}
+
 /* Guards against connections to hundreds of targets that each keep the memory of a long line. */
 static void
 test_idle_connections_hold_no_lines (void)
@@ -869,6 +904,7 @@
 		TEST (refused_connection_is_reported_as_not_sent),
 		TEST (waiting_for_a_free_connection),
 		TEST (heads_have_a_common_limit),
+		TEST (largest_head_is_dropped_first),
 		TEST (idle_connections_hold_no_lines),
 		TEST (largest_body_is_dropped_first),
 		TEST (deadline_and_cancel),
