options: no declared number or boolean ends a start

Cause: front.drain_ms was read as a whole number. Evidence: the last line of each process in the record of the case, "front.drain_ms: bad value; give a whole number from 0 to 600000".

Change: fields that a deployment declares accept integers, fractions and booleans. A number beyond the range of its setting is replaced by the nearest one, a negative one or a boolean by the default, with the new event SETTINGS_REPLACED. Bounds in milliseconds are rounded down. Text that is no number is refused as before; a reload then keeps the settings.

--- a/ctl/main.c
+++ b/ctl/main.c
@@ -470,6 +470,8 @@
 	struct error error = {0};
 	if (options_load (&options, arguments->words[1], &error)) {
 		printf ("%s: no errors\n", arguments->words[1]);
+		if (options.replaced[0])
+			printf ("replaced, since out of range: %s\n", options.replaced);
 		return EXIT_SUCCESS;
 	}
 	fprintf (stderr, "%s\n", error.message);
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -481,6 +481,13 @@
 		atomic_store (&is_dumping, false);
 }
 
+static void
+log_replaced (struct node *node, const struct options *options)
+{
+	if (options->replaced[0])
+		log_event (&node->log, EVENT_SETTINGS_REPLACED, "%.800s", options->replaced);
+}
+
 /* Only the seeds can change while a node runs; other settings take effect at its next start. */
 static void
 reload (struct node *node)
@@ -492,6 +499,7 @@
 		return;
 	}
 	control_set_peers (node->control, &reloaded);
+	log_replaced (node, &reloaded);
 	log_event (&node->log, EVENT_SETTINGS_READ, "%s: peers %.300s", node->config_path,
 		reloaded.control_peers);
 }
@@ -575,6 +583,7 @@
 		node->options.node_name, node->options.node_caller_address,
 		node->options.front_address, node->options.control_orders_address,
 		node->options.control_data_dir);
+	log_replaced (node, &node->options);
 }
 
 /* Starts everything but the servers at the addresses that open_ports opens. */
@@ -630,6 +639,8 @@
 	}
 	if (arguments.check) {
 		printf ("%s: no errors\n", arguments.config);
+		if (node.options.replaced[0])
+			printf ("replaced, since out of range: %s\n", node.options.replaced);
 		return EXIT_SUCCESS;
 	}
 	node.config_path = arguments.config;
--- a/options/options.c
+++ b/options/options.c
@@ -11,14 +11,15 @@
 enum option_type {
 	OPTION_INT,
 	OPTION_INT_ROUNDED_UP,
+	OPTION_INT_ROUNDED_DOWN,
 	OPTION_REAL,
 	OPTION_FLAG,
 	OPTION_TEXT,
 	OPTION_ADDRESS
 };
 
-/* What a number or flag without a value means. */
-enum empty_value { EMPTY_REFUSED, EMPTY_IS_DEFAULT };
+/* Who writes a number or flag: this project's own settings, or a deployment that declares it. */
+enum origin { ORIGIN_OWN, ORIGIN_DEPLOYMENT };
 
 struct option {
 	const char *section;
@@ -26,7 +27,7 @@
 	enum option_type type;
 	size_t offset;
 	size_t size;
-	enum empty_value empty;
+	enum origin origin;
 	int64_t min; /* of text: minimum length; of an address: 0 when it may be empty */
 	int64_t max; /* of text: maximum length */
 	const char *default_value;
@@ -34,9 +35,12 @@
 };
 
 #define PLACE(member) offsetof (struct options, member), sizeof (((struct options *)0)->member)
-#define FIELD(member) PLACE (member), EMPTY_REFUSED
-/* A field that a deployment's template fills in; it may leave the value empty. */
-#define TEMPLATE_FIELD(member) PLACE (member), EMPTY_IS_DEFAULT
+#define FIELD(member) PLACE (member), ORIGIN_OWN
+/*
+ * A field that a deployment's template fills in. Any number or boolean is accepted, so that no
+ * declared value keeps a node from starting.
+ */
+#define TEMPLATE_FIELD(member) PLACE (member), ORIGIN_DEPLOYMENT
 
 static const struct option table[] = {
 	{"node", "name", OPTION_TEXT, FIELD (node_name), 1, 63, "",
@@ -88,10 +92,10 @@
 		"Duration of a lease; must be the same on all nodes"},
 	{"control", "poll_ms", OPTION_INT, FIELD (control_poll_ms), 50, 5000, "500",
 		"Interval between polls for changes and a lease"},
-	{"control", "rollback_ms", OPTION_INT_ROUNDED_UP, TEMPLATE_FIELD (control_rollback_ms), 500,
-		600000, "5000",
+	{"control", "rollback_ms", OPTION_INT_ROUNDED_DOWN, TEMPLATE_FIELD (control_rollback_ms),
+		500, 600000, "5000",
 		"Time in which a bad version is rolled back after its fiftieth bad answer; nodes "
-		"poll ten times in it during a roll-out; a fraction is rounded up"},
+		"poll ten times in it during a roll-out; a fraction is rounded down"},
 	{"control", "compact_entries", OPTION_INT, FIELD (control_compact_entries), 100, 1000000,
 		"8192", "Number of log entries after which the log is compacted into a snapshot"},
 	{"query", "max_body", OPTION_INT, FIELD (query_max_body), 1024, 67108864, "1048576",
@@ -125,9 +129,10 @@
 		"latency objective"},
 	{"front", "stop_ms", OPTION_INT, FIELD (front_stop_ms), 100, 600000, "5000",
 		"Maximum duration of a planned stop; set it below the platform's grace period"},
-	{"front", "drain_ms", OPTION_INT, TEMPLATE_FIELD (front_drain_ms), 0, 600000, "0",
+	{"front", "drain_ms", OPTION_INT_ROUNDED_DOWN, TEMPLATE_FIELD (front_drain_ms), 0, 600000,
+		"0",
 		"How long a target that leaves may still be used if no other is expected to answer "
-		"soon; not above the platform's bound. 0: not at all"},
+		"soon; not above the platform's bound; a fraction is rounded down; 0: not at all"},
 	{"front", "extra_ratio", OPTION_REAL, TEMPLATE_FIELD (front_extra_ratio), 0, 10, "0.1",
 		"Hedges and retries allowed per request to a service, over all nodes"},
 	{"front", "extra_slack", OPTION_REAL, TEMPLATE_FIELD (front_extra_slack), 0, 1000000, "10",
@@ -216,28 +221,74 @@
 }
 
 static bool
-parse_real (const struct option *option, const char *value, double *number)
+parse_real (const char *value, double *number)
 {
 	char *end = NULL;
 	*number = strtod (value, &end);
-	return end != value && *end == '\0' && *number >= (double)option->min &&
-	       *number <= (double)option->max;
+	return end != value && *end == '\0' && isfinite (*number);
+}
+
+static void
+store_number (void *field, const struct option *option, double number)
+{
+	if (option->type == OPTION_REAL)
+		*(double *)field = number;
+	else
+		*(int64_t *)field = (int64_t)number;
+}
+
+static double
+round_number (const struct option *option, double number)
+{
+	if (option->type == OPTION_INT_ROUNDED_UP)
+		return ceil (number);
+	return option->type == OPTION_INT_ROUNDED_DOWN ? floor (number) : number;
 }
 
+static void
+note_replaced (struct options *options, const struct option *option, const char *value)
+{
+	size_t len = strlen (options->replaced);
+	snprintf (options->replaced + len, sizeof (options->replaced) - len, "%s%s.%s = %.32s",
+		len ? ", " : "", option->section, option->name, value);
+}
+
+/*
+ * A deployment's number beyond the range is replaced by the nearest one; a negative one, for which
+ * the nearest one may mean that there is no limit, and a boolean by the default, which the field
+ * holds from options_init().
+ */
 static bool
-set_int_rounded_up (void *field, const struct option *option, const char *value)
+set_declared_number (
+	struct options *options, void *field, const struct option *option, const char *value)
 {
 	double number = 0;
-	if (!parse_real (option, value, &number))
+	bool is_boolean = strcmp (value, "true") == 0 || strcmp (value, "false") == 0;
+	if (!is_boolean && !parse_real (value, &number))
 		return false;
-	*(int64_t *)field = (int64_t)ceil (number);
+	double used = round_number (option, number);
+	if (used < (double)option->min)
+		used = (double)option->min;
+	if (used > (double)option->max)
+		used = (double)option->max;
+	if (is_boolean || used != round_number (option, number))
+		note_replaced (options, option, value);
+	if (!is_boolean && number >= 0)
+		store_number (field, option, used);
 	return true;
 }
 
 static bool
-set_real (void *field, const struct option *option, const char *value)
+set_number (struct options *options, void *field, const struct option *option, const char *value)
 {
-	return parse_real (option, value, field);
+	double number = 0;
+	if (option->origin == ORIGIN_DEPLOYMENT)
+		return set_declared_number (options, field, option, value);
+	if (!parse_real (value, &number) || number < (double)option->min ||
+		number > (double)option->max)
+		return false;
+	store_number (field, option, round_number (option, number));
+	return true;
 }
 
 static bool
@@ -263,15 +314,15 @@
 	void *field = (char *)options + option->offset;
 	size_t len = strlen (value);
 	/* The field holds its default from options_init. */
-	if (is_unfilled (value, len) && option->empty == EMPTY_IS_DEFAULT)
+	if (is_unfilled (value, len) && option->origin == ORIGIN_DEPLOYMENT)
 		return true;
 	switch (option->type) {
 	case OPTION_INT:
 		return set_int (field, option, value);
 	case OPTION_INT_ROUNDED_UP:
-		return set_int_rounded_up (field, option, value);
+	case OPTION_INT_ROUNDED_DOWN:
 	case OPTION_REAL:
-		return set_real (field, option, value);
+		return set_number (options, field, option, value);
 	case OPTION_FLAG:
 		return set_flag (field, option, value);
 	case OPTION_TEXT:
@@ -298,6 +349,7 @@
 			(long long)option->min, (long long)option->max);
 		return;
 	case OPTION_INT_ROUNDED_UP:
+	case OPTION_INT_ROUNDED_DOWN:
 	case OPTION_REAL:
 		snprintf (out, size, "give a number from %lld to %lld", (long long)option->min,
 			(long long)option->max);
--- a/options/options.h
+++ b/options/options.h
@@ -72,6 +72,8 @@
 	char front_placement[OPTION_TEXT_SIZE];
 	char log_level[OPTION_TEXT_SIZE];
 	char platform_list[OPTION_TEXT_SIZE];
+	/** Declared numbers that were replaced, as read, separated by commas; see options_load. */
+	char replaced[4 * OPTION_TEXT_SIZE];
 };
 
 /** Sets every field to its default. */
@@ -79,7 +81,9 @@
 options_init (struct options *options);
 
 /**
- * Sets the defaults, then reads an INI file over them and checks every field.
+ * Sets the defaults, then reads an INI file over them and checks every field. Fields that a
+ * deployment declares accept any number or boolean: one that cannot be used is replaced by the
+ * nearest number, or by the default, and listed in options.replaced.
  * @return false with ERROR_CONFIG naming file, line, field and remedy.
  */
 bool
--- a/test/check.sh
+++ b/test/check.sh
@@ -103,6 +103,7 @@
 run memory env BUILD="$BUILD" bash test/memory.sh
 run restarts env BUILD="$BUILD" bash test/restarts.sh
 run stops env BUILD="$BUILD" bash test/stops.sh
+run settings env BUILD="$BUILD" bash test/settings.sh
 run early-stop env BUILD="$BUILD" bash test/early_stop.sh
 run first-start env BUILD="$BUILD" bash test/first_start.sh
 run platform env BUILD="$BUILD" bash test/platform.sh
