fetch: a reply whose memory was released never counts as complete

Cause: a reply that is dropped for lack of memory fails by a timer at the end of the iteration of the loop. Its connection was still read until then, and if its end came without further bytes of the body, the fetch ended as FETCH_OK. Evidence: unit-fetch dropped_reply_is_never_complete, which brings the end of a dropped reply in the same iteration, with the connection, with a last chunk and with both: all three fail before.

Change: end_fetch(), through which each fetch ends, reports a dropped reply as FETCH_TOO_LARGE. That covers parts of fan-outs, batches, pages of the target list and answers to quota questions too.

--- a/net/fetch.c
+++ b/net/fetch.c
@@ -662,11 +662,15 @@
 	release_reply (fetch);
 }
 
+/*
+ * The memory of a dropped reply has been released, so it does not count as complete, even if its
+ * connection delivers the end of it before the timer of fail_later() is due.
+ */
 static void
 end_fetch (struct fetch *fetch, enum fetch_end end, bool reusable)
 {
-	detach (fetch, reusable);
-	fetch->done (fetch, end);
+	detach (fetch, reusable && !fetch->dropped);
+	fetch->done (fetch, fetch->dropped ? FETCH_TOO_LARGE : end);
 }
 
 static enum fetch_idle_end
@@ -846,9 +850,7 @@
 	struct fetch *fetch = caa_container_of (timer, struct fetch, timer);
 	fetch->connect_timed_out = fetch->conn && fetch->conn->state == CONN_CONNECTING &&
 				   loop_now_us (fetch->loop) < fetch->deadline_us;
-	if (fetch->dropped)
-		end_fetch (fetch, FETCH_TOO_LARGE, false);
-	else if (!fetch->sent)
+	if (!fetch->sent)
 		end_fetch (fetch, FETCH_NOT_SENT, false);
 	else
 		end_fetch (fetch, fetch->deadline_us == 0 ? FETCH_FAILED : FETCH_SILENT, false);
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -74,7 +74,7 @@
 	bool active;        /**< started and not ended */
 	bool new_connection;
 	bool head_only;   /**< HEAD: the reply has no body, whatever its headers say */
-	bool dropped;     /**< its reply was dropped; the fetch ends in this iteration */
+	bool dropped;     /**< its reply was dropped; ends as FETCH_TOO_LARGE in this iteration */
 	bool open_denied; /**< may_open_connection denied a new connection */
 	bool check_may_open_connection; /**< false: open connections regardless of
 					   may_open_connection (probes) */
--- a/test/fetch.c
+++ b/test/fetch.c
@@ -808,6 +808,74 @@
 	fixture_finish (&fixture);
 }
 
+/* Sends without running the loop. */
+static void
+send_bytes (int fd, const char *bytes)
+{
+	CU_ASSERT_EQUAL (send (fd, bytes, strlen (bytes), MSG_NOSIGNAL), (ssize_t)strlen (bytes));
+}
+
+/*
+ * Drops the largest of two replies for the other one, with the end of the dropped one in the same
+ * iteration of the loop.
+ */
+static void
+check_end_after_drop (const char *head, const char *size, const char *end, bool close_after)
+{
+	enum { BOUND = 60000, BLOCK = 8000, LARGE = 3, SMALL = 3 };
+	struct fetch_fixture fixture;
+	struct fetch_result results[2];
+	char text[1024];
+	char block[BLOCK + 1] = "";
+	int fds[2];
+	memset (block, 'b', BLOCK);
+	fixture_init (&fixture, 2);
+	fixture.loop.bodies.max = BOUND;
+	for (int i = 0; i < 2; i++) {
+		start_fetch (&fixture, &results[i], "GET", NULL, false);
+		results[i].fetch.body_max_bytes = BOUND;
+		fds[i] = read_request (&fixture, -1, text, sizeof (text));
+	}
+	send_reply (&fixture, fds[0], head);
+	send_reply (&fixture, fds[1], "HTTP/1.1 200 OK\r\nContent-Length: 24000\r\n\r\n");
+	send_bytes (fds[0], size);
+	for (int i = 0; i < LARGE; i++)
+		send_reply (&fixture, fds[0], block);
+	for (int i = 0; i < SMALL - 1; i++)
+		send_bytes (fds[1], block);
+	run_loop_once (&fixture);
+	CU_ASSERT_FALSE (results[0].done);
+	send_bytes (fds[1], block);
+	send_bytes (fds[0], end);
+	if (close_after)
+		close (fds[0]);
+	run_loop_once (&fixture);
+	run_until_done (&fixture, &results[0]);
+	CU_ASSERT_EQUAL (results[0].end, FETCH_TOO_LARGE);
+	CU_ASSERT_EQUAL (results[0].fetch.body.len, 0);
+	run_until_done (&fixture, &results[1]);
+	CU_ASSERT_EQUAL (results[1].end, FETCH_OK);
+	CU_ASSERT_EQUAL (results[1].fetch.body.len, SMALL * BLOCK);
+	for (int i = 0; i < 2; i++)
+		fetch_finish (&results[i].fetch);
+	if (!close_after)
+		close (fds[0]);
+	close (fds[1]);
+	fixture_finish (&fixture);
+}
+
+/* Guards against a reply whose memory was released and that then counts as complete, with an empty
+ * body (review/12). */
+static void
+test_dropped_reply_is_never_complete (void)
+{
+	check_end_after_drop ("HTTP/1.1 200 OK\r\n\r\n", "", "", true);
+	check_end_after_drop ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "5dc0\r\n",
+		"\r\n0\r\n\r\n", false);
+	check_end_after_drop ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "5dc0\r\n",
+		"\r\n0\r\n\r\n", true);
+}
+
 /* Guards against a copy of a body for each target of a fan-out, kept until the last one has
  * answered. */
 static void
@@ -907,6 +975,7 @@
 		TEST (largest_head_is_dropped_first),
 		TEST (idle_connections_hold_no_lines),
 		TEST (largest_body_is_dropped_first),
+		TEST (dropped_reply_is_never_complete),
 		TEST (deadline_and_cancel),
 		TEST (keep_alive_timeout_and_early_close),
 		TEST (endless_head_ends_the_fetch),
