orders: an order that a link held up no longer undoes a newer one

Cause: set_leaving() takes an order for a current one while its connection is open, but TCP delivers the bytes that a cut held up first, and the close behind them a round trip later. Evidence: the record of the case (the order is logged as accepted 6 ms before the close), and test/late_orders.sh, which gives an order 1.2 s after its connection was opened: 200 before, 503 now.

Change: an order that is read 0.8 s or more after its connection was opened is refused with 503. Operators give up after a second, so until then no newer order can have been confirmed. Holds for roll-outs too.

--- a/daemon/orders.c
+++ b/daemon/orders.c
@@ -3,14 +3,12 @@
 #include "core/packed.h"
 #include "daemon/control.h"
 #include "daemon/http.h"
+#include "daemon/order_caller.h"
 #include "platform/manifest.h"
 #include "platform/orders.h"
 
-#include <errno.h>
-#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -23,6 +21,10 @@
 	ORDER_STOP_TIMEOUT_US = 1500000,
 };
 
+#define ORDER_STALE_TEXT                                                                           \
+	"the order was read long after its connection was opened, or the connection was closed; "  \
+	"send it again, to any node"
+
 /** A call while it is received and handled. */
 struct order_call {
 	struct buf body;
@@ -61,19 +63,6 @@
 	return ok;
 }
 
-static bool
-operator_has_left (struct MHD_Connection *connection)
-{
-	char byte = 0;
-	struct pollfd pollfd = {.events = POLLIN | POLLRDHUP};
-	pollfd.fd =
-		MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
-	if (poll (&pollfd, 1, 0) > 0 && pollfd.revents & (POLLRDHUP | POLLHUP | POLLERR))
-		return true;
-	ssize_t n = recv (pollfd.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-	return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
-}
-
 /* Waits until this node has applied a revision, or until the time is up. */
 static void
 wait_for_revision (struct node *node, uint64_t revision, int64_t end_us)
@@ -84,8 +73,8 @@
 }
 
 /*
- * The revision is read before the check that the operator is connected: an order that the operator
- * gives after this one then has a newer revision.
+ * The revision is read before the check that the operator waits: an order that the operator gives
+ * after this one then has a newer revision.
  */
 static bool
 set_leaving (struct orders *orders, struct MHD_Connection *connection, const struct order *order,
@@ -101,12 +90,12 @@
 	leaving->leaving = order->kind == ORDER_LEAVE;
 	while (left_us > 0) {
 		leaving->revision = control_revision (node->control, 0);
-		if (operator_has_left (connection)) {
+		if (order_caller_has_left (connection, &node->clock)) {
 			log_event (&orders->log, EVENT_ORDER_STALE,
-				"data centre %s %s: the operator has left, revision %llu",
+				"data centre %s %s: the operator has left or may have, revision "
+				"%llu",
 				order->data_centre, action, (unsigned long long)leaving->revision);
-			return error_set (error, ERROR_UNAVAILABLE,
-				"the connection was closed before the order was read");
+			return error_set (error, ERROR_UNAVAILABLE, ORDER_STALE_TEXT);
 		}
 		if (leaving->revision == 0)
 			return error_set (error, ERROR_UNAVAILABLE,
@@ -179,9 +168,8 @@
 		"no majority confirmed the order in time; send it again, to any node");
 	while (left_us > 0) {
 		order->revision = control_revision (node->control, 0);
-		if (operator_has_left (connection))
-			return error_set (error, ERROR_UNAVAILABLE,
-				"the connection was closed before the order was read");
+		if (order_caller_has_left (connection, &node->clock))
+			return error_set (error, ERROR_UNAVAILABLE, ORDER_STALE_TEXT);
 		if (order->revision == 0)
 			return error_set (error, ERROR_UNAVAILABLE,
 				"this node has just started; send the order again, to any node");
@@ -388,7 +376,8 @@
 		NULL, on_request, orders, MHD_OPTION_LISTEN_SOCKET, listener->fd,
 		MHD_OPTION_NOTIFY_COMPLETED, on_completed, orders, MHD_OPTION_CONNECTION_LIMIT,
 		(unsigned)ORDER_MAX_CONNECTIONS, MHD_OPTION_CONNECTION_TIMEOUT,
-		(unsigned)ORDER_IDLE_TIMEOUT_S, MHD_OPTION_END);
+		(unsigned)ORDER_IDLE_TIMEOUT_S, MHD_OPTION_NOTIFY_CONNECTION, order_caller_notify,
+		&node->clock, MHD_OPTION_END);
 	if (!orders->daemon)
 		return error_set (error, ERROR_IO,
 			"%s %s: the server cannot start; raise the limits of memory and threads",
--- a/daemon/orders.h
+++ b/daemon/orders.h
@@ -4,9 +4,9 @@
  * out of service and back. Each connection has a thread, since an order waits for its commit.
  *
  * An operator who gets no answer in a second closes the connection and sends the order to another
- * node. A node that stands still reads it later, when newer orders may have been confirmed. An
- * order about a data centre is therefore bound to the revision that this node had applied while
- * the operator was still connected, see command_data_centre_leaving.
+ * node. A node that stands still, or whose link is cut, reads it later, when newer orders may have
+ * been confirmed. An order about a data centre is therefore bound to the revision that this node
+ * had applied while the operator still waited, see command_data_centre_leaving and order_caller.h.
  */
 #pragma once
 
--- a/test/check.sh
+++ b/test/check.sh
@@ -105,6 +105,7 @@
 run stops env BUILD="$BUILD" bash test/stops.sh
 run settings env BUILD="$BUILD" bash test/settings.sh
 run early-stop env BUILD="$BUILD" bash test/early_stop.sh
+run late-orders env BUILD="$BUILD" bash test/late_orders.sh
 run first-start env BUILD="$BUILD" bash test/first_start.sh
 run platform env BUILD="$BUILD" bash test/platform.sh
 run busy env BUILD="$BUILD" bash test/busy.sh
