test: the settings tests fail on the old code for the fault they guard against

Found when reading the change again: unit-settings and test/settings.sh declared numbers out of range beside the value that was tried. Now no other number is declared in unit-settings, and test/settings.sh begins with usual values and the same with fractions.

oleanderctl check-config ends with 7 when a declared value is replaced: an operator's slip such as a negative number was refused there before and has to show still.

--- a/control/membership.h
+++ b/control/membership.h
@@ -2,9 +2,9 @@
  * @file membership.h
  * Chooses the voters and learners of the control log from what the leader has heard. No I/O.
  *
- * A voter whose disk is lost, or that is silent, is replaced by a learner that has caught up, and
- * stays a voter until then. The replacement is a joint configuration followed by one without the
- * old voter, so at no time do fewer disks than before decide what is committed.
+ * A voter that has lost its disk or does not answer is replaced by a learner that has caught up: by a
+ * joint configuration first, then by one that no longer contains the old voter. The old voter's vote
+ * counts until the new one's does, so the loss of another disk at any time still leaves a majority.
  */
 #pragma once
 
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -470,9 +470,10 @@
 	struct error error = {0};
 	if (options_load (&options, arguments->words[1], &error)) {
 		printf ("%s: no errors\n", arguments->words[1]);
-		if (options.replaced[0])
-			printf ("replaced, since out of range: %s\n", options.replaced);
-		return EXIT_SUCCESS;
+		if (!options.replaced[0])
+			return EXIT_SUCCESS;
+		printf ("replaced, since out of range: %s\n", options.replaced);
+		return EXIT_WARNINGS;
 	}
 	fprintf (stderr, "%s\n", error.message);
 	return EXIT_REFUSED;
--- a/test/settings.c
+++ b/test/settings.c
@@ -18,7 +18,7 @@
 
 struct value {
 	const char *name;     /**< of the placeholder, or what it begins with */
-	const char *usual;    /**< a value that deployments give */
+	const char *usual;    /**< while another one is tried; none is declared of a number */
 	const char *forms[4]; /**< others that it may have */
 	bool number;          /**< it may have all forms of numbers */
 };
@@ -33,10 +33,10 @@
 	{"listen.", "10.1.0.4:8226", {NULL}, false},
 	{"data_dir", "/data", {""}, false},
 	{"cloud_api.address", "10.200.0.64:8229", {""}, false},
-	{"cloud_api.rate_per_s", "55.0", {NULL}, true},
-	{"cloud_api.max_lag_ms", "800", {NULL}, true},
-	{"fault_tolerance.", "1", {NULL}, true},
-	{"bounds.", "3000", {NULL}, true},
+	{"cloud_api.rate_per_s", "", {"55.0"}, true},
+	{"cloud_api.max_lag_ms", "", {"800"}, true},
+	{"fault_tolerance.", "", {"1"}, true},
+	{"bounds.", "", {NULL}, true},
 };
 
 static const struct value *
--- a/test/settings.sh
+++ b/test/settings.sh
@@ -11,23 +11,46 @@
 . test/cluster.sh
 trap stop_all EXIT
 checks=0
-FORMS=(3000 3000.5 3000.0 0.25 0 3e3 1e12 -1 true false "")
+BOOTSTRAP=true
+LIST=
+# Usual values, whole numbers where a bound has one.
+declare -A USUAL=([bounds.retry_budget_ratio]=0.2 [bounds.retry_budget_slack]=56 [bounds.budget_window_s]=10
+	[bounds.quota_window_s]=5 [bounds.quota_excess]=0.1 [bounds.quota_slack]=20 [bounds.warmup_factor]=1
+	[bounds.warmup_slack]=5 [bounds.exposure_share]=0.1 [bounds.exposure_slack]=50 [bounds.drain_ms]=3000
+	[bounds.rollback_ms]=5000 [cloud_api.rate_per_s]=55 [cloud_api.max_lag_ms]=800 [fault_tolerance.machines]=1)
+# "usual": the values above; "fraction": these with a half added where they are whole. The other forms
+# are those of unit-settings, which tries them for each value by itself.
+FORMS=(usual fraction "" 0 1 2 3000 2147483648 1e12 -1 0.0 0.25 0.001 2.5 3000.0 3000.5 3e3 true false)
 
 fail () {
 	echo "settings: $*" >&2
-	tail -n 5 "$RUN/n1.log" >&2
+	[ -f "$RUN/n1.log" ] && tail -n 5 "$RUN/n1.log" >&2
 	exit 1
 }
 
-# fill_in ROLE FORM SEED: writes the settings of node 1 from the template of a role. All bounds have the
-# form; the port of the only seed identifies the file in the log.
+# value_of NAME FORM: the value of a declared number.
+value_of () {
+	case "$2" in
+	usual) echo "${USUAL[$1]}" ;;
+	fraction) [[ "${USUAL[$1]}" == *.* ]] && echo "${USUAL[$1]}" || echo "${USUAL[$1]}.5" ;;
+	*) echo "$2" ;;
+	esac
+}
+
+# fill_in ROLE FORM SEED: writes the settings of node 1 from the template of a role. All declared numbers
+# have the form; the port of the only seed identifies the file in the log.
 fill_in () {
-	sed -e "s|{{bounds\.[a-z_]*}}|$2|; s|{{cloud_api.rate_per_s}}|$2|; s|{{cloud_api.max_lag_ms}}|$2|" \
-		-e "s|{{fault_tolerance.machines}}|$2|; s|{{node_name}}|node-1|; s|{{zone}}|zone-a|; s|{{ip}}|$HOST|" \
+	local name script=
+	for name in $(grep -oE '\{\{(bounds|cloud_api|fault_tolerance)\.[a-z_]*' "deploy/$1.ini" | tr -d '{' | sort -u); do
+		[ "$name" = cloud_api.address ] && continue
+		[ -n "${USUAL[$name]:-}" ] || fail "deploy/$1.ini: $name has no usual value in this test"
+		script+="s|{{$name}}|$(value_of "$name" "$2")|;"
+	done
+	sed -e "$script; s|{{node_name}}|node-1|; s|{{zone}}|zone-a|; s|{{ip}}|$HOST|" \
 		-e "s|{{internal_port_range.0}}|$PORT|; s|{{internal_port_range.1}}|$((PORT + 3))|" \
-		-e "s|{{seeds}}|$HOST:$3|; s|{{bootstrap}}|true|; s|{{data_dir}}|$RUN/data|" \
+		-e "s|{{seeds}}|$HOST:$3|; s|{{bootstrap}}|$BOOTSTRAP|; s|{{data_dir}}|$RUN/data|" \
 		-e "s|{{listen.front}}|$HOST:$((PORT + 5))|; s|{{listen.readiness}}|$HOST:$((PORT + 6))|" \
-		-e "s|{{listen.control}}|$HOST:$((PORT + 4))|; s|{{cloud_api.address}}||" \
+		-e "s|{{listen.control}}|$HOST:$((PORT + 4))|; s|{{cloud_api.address}}|$LIST|" \
 		"deploy/$1.ini" > "$RUN/n1.new"
 	grep -q '{{' "$RUN/n1.new" && fail "deploy/$1.ini: a placeholder that this test does not fill in"
 	mv "$RUN/n1.new" "$RUN/n1.ini"
@@ -48,7 +71,7 @@
 	start_node 1
 	wait_for 10 logged NODE_STARTED || fail "$role does not start with bounds \"$2\""
 	checks=$((checks + 1))
-	[ "$2" = 3000 ] || { end "$role" "$2"; return; }
+	[ "$2" = fraction ] || { end "$role" "$2"; return; }
 	for form in "${FORMS[@]}"; do
 		seed=$((seed + 1))
 		fill_in "$role" "$form" "$seed"
@@ -57,11 +80,12 @@
 		checks=$((checks + 1))
 	done
 	logged SETTINGS_BAD && fail "$role refused a form on a reload"
-	fill_in "$role" "three" "$seed"
+	fill_in "$role" "three" "$((seed + 1))"
 	kill -HUP "${PIDS[n1]}"
 	wait_for 10 logged SETTINGS_BAD || fail "$role does not tell of a bad file"
 	sleep 0.3
 	kill -0 "${PIDS[n1]}" || fail "$role ended when a bad file was read"
+	logged SETTINGS_READ "$HOST:$((seed + 1))" && fail "$role has taken over a bad file"
 	checks=$((checks + 1))
 	end "$role" "$2"
 }
@@ -76,7 +100,26 @@
 	checks=$((checks + 1))
 }
 
+# check_config FORM STATUS: what the command that checks settings says of bounds with a form.
+check_config () {
+	local status=0
+	fill_in entry "$1" "$((PORT + 4))"
+	"$BUILD/oleanderctl" check-config "$RUN/n1.ini" > "$RUN/checked" 2>&1 || status=$?
+	[ "$status" = "$2" ] || fail "check-config with bounds \"$1\": status $status, expected $2: $(cat "$RUN/checked")"
+	checks=$((checks + 1))
+}
+
+check_config usual 0
+check_config fraction 0
+check_config "" 0
+check_config -1 7
+grep -q 'front.drain_ms = -1' "$RUN/checked" || fail "check-config does not name a value that is replaced"
+check_config three 6
 for role in entry control; do
+	for BOOTSTRAP in false "" 0 1 true; do check_start "$role" usual; done
+	LIST=$HOST:$((PORT + 7))
+	check_start "$role" usual
+	LIST=
 	for form in "${FORMS[@]}"; do
 		check_start "$role" "$form"
 	done
