--- a/control/membership.h
+++ b/control/membership.h
@@ -2,9 +2,10 @@
  * @file membership.h
  * Chooses the voters and learners of the control log from what the leader has heard. No I/O.
  *
- * A voter that has lost its disk or does not answer is replaced by a learner that has caught up: by a
- * joint configuration first, then by one that no longer contains the old voter. The old voter's vote
- * counts until the new one's does, so the loss of another disk at any time still leaves a majority.
+ * A voter that has lost its disk or does not answer is replaced by a learner that has caught up: by
+ * a joint configuration first, then by one that no longer contains the old voter. The old voter's
+ * vote counts until the new one's does, so the loss of another disk at any time still leaves a
+ * majority.
  */
 #pragma once
 
--- a/test/membership.c
+++ b/test/membership.c
@@ -435,6 +435,82 @@
 	CU_ASSERT_EQUAL (decoded.nodes[2].id, 4);
 }
 
+static bool
+is_cut_off (int node)
+{
+	for (int i = 0; i < sim.node_count; i++) {
+		if (i != node && !sim.link_down[node][i])
+			return false;
+	}
+	return true;
+}
+
+/* Whether a node that runs and is in contact leads and has committed an entry of its term. */
+static bool
+has_working_leader (void)
+{
+	for (int i = 0; i < sim.node_count; i++) {
+		const struct sim_node *node = &sim.nodes[i];
+		bool runs = node->up && node->has_disk && node->paused_until_us <= sim.now_us;
+		if (runs && !is_cut_off (i) && raft_commit_is_current (&node->voter.raft))
+			return true;
+	}
+	return false;
+}
+
+/* The longest time without a leader during the first failure, and that until it has healed. */
+static void
+measure (struct scenario *scenario, uint64_t seed, int64_t *leaderless_us, int64_t *healed_us)
+{
+	CU_ASSERT_TRUE_FATAL (start (scenario, seed));
+	int64_t began_us = sim.now_us;
+	int64_t seen_us = began_us;
+	begin (&scenario->first);
+	*leaderless_us = 0;
+	while (sim.now_us < began_us + scenario->first.for_us) {
+		run_for (SIM_STEP_US);
+		if (has_working_leader ())
+			seen_us = sim.now_us;
+		if (sim.now_us - seen_us > *leaderless_us)
+			*leaderless_us = sim.now_us - seen_us;
+	}
+	began_us = sim.now_us;
+	while (!is_whole (&sim) && sim.now_us < began_us + RECOVERY_US)
+		run_for (SIM_STEP_US);
+	*healed_us = sim.now_us - began_us;
+	sim_finish (&sim);
+}
+
+/* Guards against a safer change of voters that makes a lone failure slower to heal. */
+static void
+test_lone_failure_heals_in_time (void)
+{
+	enum { SEEDS = 20, LEADERLESS_MAX_US = 2 * SECOND };
+	for (int machines = 3; machines <= 4; machines++) {
+		int64_t leaderless_max_us = 0;
+		int64_t healed_max_us = 0;
+		for (int i = 0; i < FAILURE_KINDS * machines * SEEDS; i++) {
+			struct scenario scenario = {.machines = machines,
+				.losses = 1,
+				.first = {.kind = (enum failure_kind) (i / SEEDS / machines),
+					.role = i / SEEDS % machines,
+					.for_us = SECOND},
+				.point = -1};
+			int64_t leaderless_us = 0;
+			int64_t healed_us = 0;
+			measure (&scenario, (uint64_t)(i % SEEDS) + 1, &leaderless_us, &healed_us);
+			if (leaderless_us > leaderless_max_us)
+				leaderless_max_us = leaderless_us;
+			if (healed_us > healed_max_us)
+				healed_max_us = healed_us;
+		}
+		printf ("[%d machines: no leader for %d ms, healed after %d ms] ", machines,
+			(int)(leaderless_max_us / 1000), (int)(healed_max_us / 1000));
+		CU_ASSERT_TRUE (leaderless_max_us < LEADERLESS_MAX_US);
+		CU_ASSERT_TRUE (healed_max_us < CATCH_UP_US);
+	}
+}
+
 /** What happens to a machine in a random run. */
 struct trouble {
 	int64_t until_us; /**< away until then */
@@ -567,6 +643,7 @@
 	static const struct suite_test tests[] = {
 		TEST (joint_configuration_needs_both_majorities),
 		TEST (disk_lost_while_a_frozen_voter_is_replaced),
+		TEST (lone_failure_heals_in_time),
 		TEST (two_failures_at_each_change_of_voters),
 		TEST (random_failures),
 	};
