options: a negative fraction that rounds up to 0 is named as replaced

losses = -0.3 was rounded up to 0, in range, and so neither used nor named in SETTINGS_REPLACED. The assertion in unit-parts fails before.

--- a/options/options.c
+++ b/options/options.c
@@ -271,7 +271,7 @@
 		used = (double)option->min;
 	if (used > (double)option->max)
 		used = (double)option->max;
-	if (is_boolean || used != round_number (option, number))
+	if (is_boolean || number < 0 || used != round_number (option, number))
 		note_replaced (options, option, value);
 	if (!is_boolean && number >= 0)
 		store_number (field, option, used);
--- a/test/units.c
+++ b/test/units.c
@@ -198,6 +198,9 @@
 	CU_ASSERT_TRUE (parse_entry (&options, "control", "losses", "2.1", &error));
 	CU_ASSERT_EQUAL (options.control_losses, 2);
 	CU_ASSERT_TRUE (is_replaced (&options, "losses", "2.1"));
+	/* Rounds up to 0, which is in range. */
+	CU_ASSERT_TRUE (parse_entry (&options, "control", "losses", "-0.3", &error));
+	CU_ASSERT_TRUE (is_replaced (&options, "losses", "-0.3"));
 	CU_ASSERT_FALSE (parse_entry (&options, "control", "losses", "two", &error));
 	CU_ASSERT_PTR_NOT_NULL (
 		strstr (error.message, "test.ini:7: control.losses: bad value; give"));
